--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
   'configuration',
   'claims',
   'serving',
+  'gateway',
   'fleet',
   'daemon',
   'ctl',
--- /dev/null
+++ b/packages/gateway/src/common/HttpHeaders.ts
@@ -0,0 +1,41 @@
+/** Header lists as they came (RFC 9110): lookups, and removal of what concerns one connection. */
+import type { RawHeaders } from './Messages.js';
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** The first value of a header, whatever the case of its name. */
+export function findHeader(headers: RawHeaders, name: string): string | undefined {
+  for (let at = 0; at + 1 < headers.length; at += 2) {
+    if (headers[at]?.toLowerCase() === name) {
+      return headers[at + 1];
+    }
+  }
+  return undefined;
+}
+
+/** The end-to-end headers whose lower-case names are not among `dropped`. */
+export function keepEndToEnd(headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
+  const listed = new Set(
+    (findHeader(headers, 'connection') ?? '').split(',').map((name) => name.trim().toLowerCase()),
+  );
+  const kept: string[] = [];
+  for (let at = 0; at + 1 < headers.length; at += 2) {
+    const name = headers[at] ?? '';
+    const lower = name.toLowerCase();
+    if (!HOP_BY_HOP.has(lower) && !listed.has(lower) && !dropped.has(lower)) {
+      kept.push(name, headers[at + 1] ?? '');
+    }
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -0,0 +1,164 @@
+/**
+ * Places the prompts of this node on engines and keeps the load board up to date about them. A
+ * prompt that finds no room waits until work ends somewhere, for as long as an answer in time stays
+ * possible, and is refused otherwise.
+ */
+import {
+  type Clock,
+  DisposableOwner,
+  type Event,
+  awaitEvent,
+} from '@tanagerdyke/kernel';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { computeLoads, type EngineLoad } from './EngineLoad.js';
+import type { EngineWork, LoadBoard } from './LoadBoard.js';
+import { placePrompt, type PromptPlacement, type PromptQuestion, valueOf } from './PromptPlacer.js';
+import type { TargetHealth } from './TargetHealth.js';
+
+/** Without news of ended work, room is looked for again after this time. */
+const RECHECK_MS = 40;
+
+/** Spreads what this node knows of its own work. */
+export interface WorkPublisher {
+  publish(work: EngineWork): void;
+  withdraw(id: string): void;
+}
+
+/** Targets of a service that take work, and whether one still does. */
+export interface TargetSource {
+  ofService(service: string): readonly TargetEntry[];
+  readonly onChange: Event<TargetEntry>;
+}
+
+/** What the scheduler needs. */
+export interface SchedulerOptions {
+  readonly clock: Clock;
+  readonly targets: TargetSource;
+  readonly board: LoadBoard;
+  readonly publisher: WorkPublisher;
+  readonly health: TargetHealth;
+  readonly availabilityZone: string;
+}
+
+/** A prompt to be placed. */
+export interface PromptRequest {
+  readonly id: string;
+  readonly service: string;
+  readonly profile: EngineProfile;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly latencyTargetMs: number;
+  readonly pauseTargetMs: number;
+  /** When the first event is due, on the clock. */
+  readonly dueAt: number;
+  /** Engines that failed this request. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** A placed prompt; its work counts on the board until it is ended. */
+export interface PlacedPrompt extends PromptPlacement {
+  /** The first event came. */
+  markGenerating(): void;
+  end(): void;
+}
+
+/** The scheduler of one node. */
+export class EngineScheduler extends DisposableOwner {
+  private _placed = 0;
+
+  constructor(private readonly _options: SchedulerOptions) {
+    super();
+  }
+
+  /** Places a prompt, waiting for room until `giveUpAt` at most. */
+  public async place(
+    request: PromptRequest,
+    giveUpAt: number,
+    signal: AbortSignal,
+  ): Promise<PlacedPrompt | undefined> {
+    const { board, clock } = this._options;
+    for (;;) {
+      const placement = this._tryPlace(request);
+      if (placement !== undefined) {
+        return this._admit(request, placement);
+      }
+      if (signal.aborted || clock.now() >= giveUpAt) {
+        return undefined;
+      }
+      await awaitEvent(clock, board.onChange, () => true, RECHECK_MS).value;
+    }
+  }
+
+  /** Whether a service has any engine that takes work. */
+  public hasEngines(service: string): boolean {
+    return this._options.targets.ofService(service).length > 0;
+  }
+
+  /** When room is likely: the shortest time until an engine has read what it has. */
+  public roomInMs(service: string, profile: EngineProfile): number {
+    const loads = this._loads(service, profile);
+    const times = loads.map(({ backlogMs, passMs }) => backlogMs + passMs);
+    return times.length === 0 ? Number.POSITIVE_INFINITY : Math.min(...times);
+  }
+
+  private _tryPlace(request: PromptRequest): PromptPlacement | undefined {
+    const { clock, health } = this._options;
+    const loads = this._loads(request.service, request.profile).filter(
+      ({ entry }) => !request.excluded.has(entry.id),
+    );
+    const sound = loads.filter(({ entry }) => !health.isSuspect(entry.id));
+    const question: PromptQuestion = {
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      dueInMs: request.dueAt - clock.now(),
+      latencyTargetMs: request.latencyTargetMs,
+      pauseTargetMs: request.pauseTargetMs,
+      availabilityZone: this._options.availabilityZone,
+    };
+    return (
+      placePrompt(request.profile, question, sound) ??
+      (sound.length === 0 ? placePrompt(request.profile, question, loads) : undefined)
+    );
+  }
+
+  private _loads(service: string, profile: EngineProfile): EngineLoad[] {
+    const { board, clock, targets } = this._options;
+    return computeLoads(profile, targets.ofService(service), board.works, clock.now());
+  }
+
+  private _admit(request: PromptRequest, placement: PromptPlacement): PlacedPrompt {
+    const { clock, publisher } = this._options;
+    const id = `${request.id}.${this._placed++}`;
+    const { promptTokens, outputTokens } = request;
+    let work: EngineWork = {
+      id,
+      targets: placement.targets.map((target) => target.id),
+      partMs: placement.partMs,
+      startedAt: clock.now(),
+      dueAt: request.dueAt,
+      isGenerating: false,
+      pauseTargetMs: request.pauseTargetMs,
+      value: valueOf(promptTokens, outputTokens),
+      memoryTokens: promptTokens + outputTokens,
+      contextTokens: promptTokens,
+    };
+    publisher.publish(work);
+    let isEnded = false;
+    return {
+      ...placement,
+      markGenerating: () => {
+        if (!work.isGenerating && !isEnded) {
+          work = { ...work, isGenerating: true, targets: work.targets.slice(0, 1) };
+          publisher.publish(work);
+        }
+      },
+      end: () => {
+        if (!isEnded) {
+          isEnded = true;
+          publisher.withdraw(id);
+        }
+      },
+    };
+  }
+}
+
--- /dev/null
+++ b/packages/gateway/src/common/placement/LoadBoard.ts
@@ -0,0 +1,109 @@
+/**
+ * The work of all entry nodes on all engines. Each node knows its own requests exactly and tells the
+ * others when one starts, begins to generate or ends; a node that falls silent or leaves takes its
+ * work with it. Times are kept on this node's clock.
+ */
+import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
+
+/** One request on engines. */
+export interface EngineWork {
+  /** Unique within its node. */
+  readonly id: string;
+  /** Engines that read the prompt; the first one generates. */
+  readonly targets: readonly string[];
+  /** Prefill time of the part of each engine. */
+  readonly partMs: number;
+  readonly startedAt: number;
+  /** When the first event is due. */
+  readonly dueAt: number;
+  readonly isGenerating: boolean;
+  readonly pauseTargetMs: number;
+  /** What an answer in time is worth, in the unit of the placement. */
+  readonly value: number;
+  /** Memory that the request takes on its first engine. */
+  readonly memoryTokens: number;
+  readonly contextTokens: number;
+}
+
+/** How long the work of a silent node counts. */
+const NODE_TIMEOUT_MS = 2_500;
+
+interface NodeWork {
+  readonly works: Map<string, EngineWork>;
+  heardAt: number;
+}
+
+/** The load as one node sees it. */
+export class LoadBoard extends DisposableOwner {
+  private readonly _nodes = new Map<string, NodeWork>();
+  private readonly _onChange = this.register(new Emitter<void>());
+  /** Fires when work ends or changes. */
+  public readonly onChange = this._onChange.event;
+
+  constructor(
+    private readonly _clock: Clock,
+    /** Name of this node, whose work never times out. */
+    private readonly _self: string,
+  ) {
+    super();
+  }
+
+  /** All work that counts now. */
+  public get works(): readonly EngineWork[] {
+    const now = this._clock.now();
+    const all: EngineWork[] = [];
+    for (const [node, { heardAt, works }] of this._nodes) {
+      if (node === this._self || now - heardAt < NODE_TIMEOUT_MS) {
+        all.push(...works.values());
+      }
+    }
+    return all;
+  }
+
+  /** The work of this node. */
+  public get own(): readonly EngineWork[] {
+    return [...this._ofNode(this._self).works.values()];
+  }
+
+  public set(node: string, work: EngineWork): void {
+    const entry = this._ofNode(node);
+    entry.works.set(work.id, work);
+    entry.heardAt = this._clock.now();
+    this._onChange.fire();
+  }
+
+  public end(node: string, id: string): void {
+    const entry = this._ofNode(node);
+    entry.heardAt = this._clock.now();
+    if (entry.works.delete(id)) {
+      this._onChange.fire();
+    }
+  }
+
+  /** Keeps only the named work of a node, which just said that it has no other. */
+  public retain(node: string, ids: ReadonlySet<string>): void {
+    const entry = this._ofNode(node);
+    entry.heardAt = this._clock.now();
+    for (const id of entry.works.keys()) {
+      if (!ids.has(id)) {
+        entry.works.delete(id);
+      }
+    }
+  }
+
+  /** Forgets a node that left or died. */
+  public forget(node: string): void {
+    if (node !== this._self) {
+      this._nodes.delete(node);
+    }
+  }
+
+  private _ofNode(node: string): NodeWork {
+    let entry = this._nodes.get(node);
+    if (entry === undefined) {
+      entry = { works: new Map(), heardAt: this._clock.now() };
+      this._nodes.set(node, entry);
+    }
+    return entry;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -0,0 +1,212 @@
+/**
+ * Spreads the work of this node to all others in datagrams, at once for changes and every second as
+ * a whole, which makes good for lost datagrams.
+ */
+import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import type { Membership, Transport } from '@tanagerdyke/mesh';
+import { z } from 'zod';
+import type { EngineWork, LoadBoard } from './LoadBoard.js';
+
+const LOAD_METHOD = 'gateway.load';
+/** Changes within this time travel together. */
+const COALESCE_MS = 3;
+const WHOLE_INTERVAL_MS = 1_000;
+/** Keeps a datagram within one packet. */
+const WORKS_PER_DATAGRAM = 8;
+
+/** Id, targets, part, age, time until due, generating, pause target, value, memory, context. */
+const workSchema = z.tuple([
+  z.string(),
+  z.array(z.string()),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number().int(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+
+const loadSchema = z.object({
+  method: z.literal(LOAD_METHOD),
+  params: z.object({
+    node: z.string(),
+    works: z.array(workSchema),
+    ended: z.array(z.string()).optional(),
+    /** Ids of all work of the node. */
+    all: z.array(z.string()).optional(),
+  }),
+});
+
+type LoadParams = z.infer<typeof loadSchema>['params'];
+
+/** What the news needs. */
+export interface LoadNewsOptions {
+  readonly clock: Clock;
+  readonly transport: Transport;
+  readonly membership: Membership;
+  readonly board: LoadBoard;
+}
+
+/** The news of one node. */
+export class LoadNews extends DisposableOwner {
+  private readonly _abort = new AbortController();
+  private readonly _changed = new Map<string, EngineWork>();
+  private readonly _ended = new Set<string>();
+  private _isScheduled = false;
+
+  constructor(private readonly _options: LoadNewsOptions) {
+    super();
+    const { transport } = _options;
+    this.register(
+      toDisposable(() => {
+        this._abort.abort();
+      }),
+    );
+    this.register(
+      transport.onDatagram((payload) => {
+        this._receive(payload);
+      }),
+    );
+  }
+
+  public start(): void {
+    void this._run();
+  }
+
+  /** Records work of this node that started or changed, and tells the others. */
+  public publish(work: EngineWork): void {
+    this._options.board.set(this._self, work);
+    this._changed.set(work.id, work);
+    this._schedule();
+  }
+
+  /** Records that work of this node ended, and tells the others. */
+  public withdraw(id: string): void {
+    this._options.board.end(this._self, id);
+    this._changed.delete(id);
+    this._ended.add(id);
+    this._schedule();
+  }
+
+  private get _self(): string {
+    return this._options.membership.self.name;
+  }
+
+  private async _run(): Promise<void> {
+    const { board, clock } = this._options;
+    const { signal } = this._abort;
+    while (!signal.aborted) {
+      await clock.sleep(WHOLE_INTERVAL_MS, signal);
+      const { own } = board;
+      this._send({ node: this._self, works: [], all: own.map(({ id }) => id) });
+      for (let first = 0; first < own.length; first += WORKS_PER_DATAGRAM) {
+        this._sendWorks(own.slice(first, first + WORKS_PER_DATAGRAM), []);
+      }
+    }
+  }
+
+  private _schedule(): void {
+    if (this._isScheduled) {
+      return;
+    }
+    this._isScheduled = true;
+    this.register(
+      this._options.clock.schedule(COALESCE_MS, () => {
+        this._isScheduled = false;
+        this._flush();
+      }),
+    );
+  }
+
+  private _flush(): void {
+    const works = [...this._changed.values()];
+    const ended = [...this._ended];
+    this._changed.clear();
+    this._ended.clear();
+    this._sendWorks(works.slice(0, WORKS_PER_DATAGRAM), ended);
+    for (let first = WORKS_PER_DATAGRAM; first < works.length; first += WORKS_PER_DATAGRAM) {
+      this._sendWorks(works.slice(first, first + WORKS_PER_DATAGRAM), []);
+    }
+  }
+
+  private _sendWorks(works: readonly EngineWork[], ended: string[]): void {
+    const now = this._options.clock.now();
+    const encoded = works.map((work) => encode(work, now));
+    const params = { node: this._self, works: encoded };
+    this._send(ended.length === 0 ? params : { ...params, ended });
+  }
+
+  private _send(params: LoadParams): void {
+    const { membership, transport } = this._options;
+    const payload = JSON.stringify({ jsonrpc: '2.0', method: LOAD_METHOD, params });
+    for (const { name, peerAddress } of membership.live) {
+      if (name !== this._self) {
+        transport.sendDatagram(peerAddress, payload);
+      }
+    }
+  }
+
+  private _receive(payload: string): void {
+    const params = parseLoad(payload);
+    if (params === undefined || params.node === this._self) {
+      return;
+    }
+    const { board, clock } = this._options;
+    const now = clock.now();
+    for (const work of params.works) {
+      board.set(params.node, decode(work, now));
+    }
+    for (const id of params.ended ?? []) {
+      board.end(params.node, id);
+    }
+    if (params.all !== undefined) {
+      board.retain(params.node, new Set(params.all));
+    }
+  }
+}
+
+function encode(work: EngineWork, now: number): z.infer<typeof workSchema> {
+  return [
+    work.id,
+    [...work.targets],
+    Math.round(work.partMs),
+    Math.round(now - work.startedAt),
+    Math.round(work.dueAt - now),
+    work.isGenerating ? 1 : 0,
+    work.pauseTargetMs,
+    Math.round(work.value * 10) / 10,
+    Math.round(work.memoryTokens),
+    Math.round(work.contextTokens),
+  ];
+}
+
+function decode(wire: z.infer<typeof workSchema>, now: number): EngineWork {
+  const [id, targets, partMs, ageMs, dueInMs, flag, pauseTargetMs, value, memory, context] = wire;
+  return {
+    id,
+    targets,
+    partMs,
+    startedAt: now - ageMs,
+    dueAt: now + dueInMs,
+    isGenerating: flag === 1,
+    pauseTargetMs,
+    value,
+    memoryTokens: memory,
+    contextTokens: context,
+  };
+}
+
+function parseLoad(payload: string): LoadParams | undefined {
+  if (!payload.includes(LOAD_METHOD)) {
+    return undefined;
+  }
+  try {
+    const parsed = loadSchema.safeParse(JSON.parse(payload));
+    return parsed.success ? parsed.data.params : undefined;
+  } catch {
+    // Datagrams of other protocols and damaged ones share the port.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -0,0 +1,231 @@
+/**
+ * Chooses the engines of a prompt. The load that it answers: long prompts arrive in bursts beside
+ * many short streams, and each read delays every stream of the same engine. So a placement is judged
+ * by what it costs in answers that would be late, its own and those of the requests that it
+ * displaces: a long prompt is split over engines whose streams bear the pause, and short streams are
+ * packed so that other engines stay free of them.
+ */
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { type EngineLoad } from './EngineLoad.js';
+import { passMs, prefillMs } from './EngineModel.js';
+import type { EngineWork } from './LoadBoard.js';
+
+/** What a placement depends on beside the loads. */
+export interface PromptQuestion {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Time left until the first event is due. */
+  readonly dueInMs: number;
+  readonly latencyTargetMs: number;
+  readonly pauseTargetMs: number;
+  readonly availabilityZone: string;
+}
+
+/** Where a prompt is read and generated. */
+export interface PromptPlacement {
+  /** The first one generates. */
+  readonly targets: readonly TargetEntry[];
+  /** Prefill time of the part of each. */
+  readonly partMs: number;
+  /** Expected time to the first event. */
+  readonly firstEventMs: number;
+  /** Expected loss of value, own and displaced. */
+  readonly cost: number;
+}
+
+/** Engines beside the first that one prompt may be read by; the engines take no more. */
+const MAX_READERS = 16;
+const READER_COUNTS = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17] as const;
+/** Share of its value that a late answer loses. */
+const LATE_LOSS = 0.75;
+/** An expected time is safe up to the first share of its limit, and lost from the second on. */
+const TIME_RAMP = { safe: 0.55, lost: 1.0 };
+const PAUSE_RAMP = { safe: 0.7, lost: 1.05 };
+/** Tokens of value 1; an output token counts as ten prompt tokens, as it costs about that much. */
+const TOKENS_PER_VALUE = 10_000;
+const OUTPUT_WEIGHT = 10;
+/** Loss for making an engine unfit for long reads by the first stream with short pauses. */
+const OPEN_LOSS = 0.25;
+/** Share of the slots up to which streams are packed on one engine. */
+const PACKED_SHARE = 0.7;
+/** Loss of each stream beyond that. */
+const CROWD_LOSS = 0.25;
+/** Bytes between availability zones cost money. */
+const REMOTE_LOSS = 0.02;
+/** Each further reader is one more engine whose failure breaks the request. */
+const READER_LOSS_SHARE = 0.002;
+/** Prefers the earlier of two placements in time. */
+const DELAY_LOSS_SHARE = 0.03;
+
+/** The value of an answer in time. */
+export function valueOf(promptTokens: number, outputTokens: number): number {
+  return (promptTokens + OUTPUT_WEIGHT * outputTokens) / TOKENS_PER_VALUE;
+}
+
+/** The best placement on the engines given, or `undefined` when none has room. */
+export function placePrompt(
+  profile: EngineProfile,
+  question: PromptQuestion,
+  loads: readonly EngineLoad[],
+): PromptPlacement | undefined {
+  const wholeMs = prefillMs(profile, question.promptTokens);
+  let best: PromptPlacement | undefined;
+  for (const count of READER_COUNTS) {
+    if (count > loads.length || count > MAX_READERS + 1) {
+      break;
+    }
+    const placement = placeOn(count, wholeMs / count, { profile, question, loads });
+    if (placement !== undefined && (best === undefined || placement.cost < best.cost)) {
+      best = placement;
+    }
+  }
+  return best;
+}
+
+interface PlacementInput {
+  readonly profile: EngineProfile;
+  readonly question: PromptQuestion;
+  readonly loads: readonly EngineLoad[];
+}
+
+/** An engine as a candidate for one part of the prompt. */
+interface PartCandidate {
+  readonly load: EngineLoad;
+  readonly finishMs: number;
+  readonly displacedLoss: number;
+  readonly headLoss: number;
+  readonly score: number;
+}
+
+function placeOn(
+  count: number,
+  partMs: number,
+  input: PlacementInput,
+): PromptPlacement | undefined {
+  const { loads, question } = input;
+  const candidates = loads.map((load) => toCandidate(load, partMs, count, input));
+  candidates.sort((a, b) => a.score - b.score);
+  const head = chooseHead(candidates, count, input);
+  if (head === undefined) {
+    return undefined;
+  }
+  const readers = candidates
+    .filter((each) => each !== head && each.load.helps < each.load.entry.slots)
+    .slice(0, count - 1);
+  if (readers.length < count - 1) {
+    return undefined;
+  }
+  const chosen = [head, ...readers];
+  const firstEventMs =
+    Math.max(...chosen.map(({ finishMs }) => finishMs)) +
+    passMs(input.profile, head.load.generating.length + 1, question.promptTokens);
+  const value = valueOf(question.promptTokens, question.outputTokens);
+  const cost =
+    chosen.reduce((sum, { displacedLoss }) => sum + displacedLoss, 0) +
+    head.headLoss +
+    value * lateLoss(firstEventMs, question) +
+    value * READER_LOSS_SHARE * (count - 1);
+  return { targets: chosen.map(({ load }) => load.entry), partMs, firstEventMs, cost };
+}
+
+/** The share of its value that a request loses by its first event coming after a time. */
+function lateLoss(firstEventMs: number, question: PromptQuestion): number {
+  const limitMs = Math.max(1, question.dueInMs);
+  const delayShare = Math.min(2, firstEventMs / question.latencyTargetMs);
+  return LATE_LOSS * ramp(firstEventMs / limitMs, TIME_RAMP) + DELAY_LOSS_SHARE * delayShare;
+}
+
+/** The candidate with room that loses least by generating too. */
+function chooseHead(
+  candidates: readonly PartCandidate[],
+  count: number,
+  { profile, question }: PlacementInput,
+): PartCandidate | undefined {
+  const neededTokens = question.promptTokens + question.outputTokens;
+  let best: PartCandidate | undefined;
+  // Only those among the best readers, or the part of the head would come late.
+  for (const candidate of count === 1 ? candidates : candidates.slice(0, count + 2)) {
+    const { load } = candidate;
+    const hasRoom =
+      load.heads < load.entry.slots && load.memoryTokens + neededTokens <= profile.memoryTokens;
+    if (!hasRoom) {
+      continue;
+    }
+    const total = candidate.score + candidate.headLoss;
+    if (best === undefined || total < best.score + best.headLoss) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+function toCandidate(
+  load: EngineLoad,
+  partMs: number,
+  count: number,
+  { profile, question }: PlacementInput,
+): PartCandidate {
+  const finishMs = finishTime(profile, load, partMs);
+  const displacedLoss = pauseLoss(load, partMs) + (count > 1 ? overtakeLoss(load, partMs) : 0);
+  const value = valueOf(question.promptTokens, question.outputTokens);
+  const score = displacedLoss + value * lateLoss(finishMs + load.passMs, question);
+  return { load, finishMs, displacedLoss, headLoss: headLoss(load, question), score };
+}
+
+/** Time until an engine has read a further part. */
+function finishTime(profile: EngineProfile, load: EngineLoad, partMs: number): number {
+  const readMs = load.backlogMs + partMs;
+  const chunkMs = profile.chunkTokens / profile.prefillTokensPerMs;
+  if (load.generating.length === 0) {
+    return readMs * (1 + profile.stepMs / chunkMs);
+  }
+  const passes = 1 + Math.floor(readMs / (chunkMs * profile.stride));
+  return readMs + passes * load.passMs;
+}
+
+/** What the streams of an engine lose by a further read in one of their passes. */
+function pauseLoss(load: EngineLoad, partMs: number): number {
+  const headReads = load.reads.filter(({ work }) => work.targets[0] === load.entry.id);
+  const heads = [...load.generating, ...headReads.map(({ work }) => work)];
+  return heads.reduce((sum, work) => sum + pauseLossOf(work, load, partMs), 0);
+}
+
+function pauseLossOf(work: EngineWork, load: EngineLoad, partMs: number): number {
+  const beforeMs = load.passMs + (work.isGenerating ? load.backlogMs : 0);
+  const before = ramp(beforeMs / work.pauseTargetMs, PAUSE_RAMP);
+  const after = ramp((beforeMs + partMs) / work.pauseTargetMs, PAUSE_RAMP);
+  return work.value * LATE_LOSS * (after - before);
+}
+
+/** What prompts read here for this engine's own streams lose, as parts for others go first. */
+function overtakeLoss(load: EngineLoad, partMs: number): number {
+  let loss = 0;
+  for (const { endsAt, work } of load.reads) {
+    if (work.targets[0] === load.entry.id) {
+      const limitMs = Math.max(1, work.dueAt - work.startedAt);
+      const expectedMs = endsAt - work.startedAt + load.passMs;
+      const before = ramp(expectedMs / limitMs, TIME_RAMP);
+      const after = ramp((expectedMs + partMs) / limitMs, TIME_RAMP);
+      loss += work.value * LATE_LOSS * (after - before);
+    }
+  }
+  return loss;
+}
+
+/** What generating on an engine costs beyond the read. */
+function headLoss(load: EngineLoad, question: PromptQuestion): number {
+  const heads = [...load.generating, ...load.reads.map(({ work }) => work)].filter(
+    ({ targets }) => targets[0] === load.entry.id,
+  );
+  const isOpen = heads.some(({ pauseTargetMs }) => pauseTargetMs <= question.pauseTargetMs);
+  const packed = PACKED_SHARE * load.entry.slots;
+  const crowd = Math.max(0, load.heads + 1 - packed) * CROWD_LOSS;
+  const remote = load.entry.availabilityZone === question.availabilityZone ? 0 : REMOTE_LOSS;
+  // Among equals the fuller engine, so that the others empty.
+  const fill = isOpen ? -(0.1 * Math.min(load.heads, packed)) / load.entry.slots : OPEN_LOSS;
+  return fill + crowd + remote;
+}
+
+function ramp(value: number, { lost, safe }: { lost: number; safe: number }): number {
+  return Math.min(1, Math.max(0, (value - safe) / (lost - safe)));
+}
--- /dev/null
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -0,0 +1,69 @@
+/**
+ * Finds the other nodes through the platform when the seeds of the settings are stale: each node
+ * leaves its peer address there when it starts, and a node without peers reads the addresses left.
+ */
+import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import type { SwimMembership } from '@tanagerdyke/mesh';
+import type { DecisionLog } from '../DecisionLog.js';
+import type { NodeRegistry } from '../services/Services.js';
+
+const CALL_TIMEOUT_MS = 800;
+const RETRY_MS = 700;
+/** Seeds get this long to answer before the platform is asked. */
+const SEED_WAIT_MS = 600;
+
+/** What the directory needs. */
+export interface NodeDirectoryOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly membership: SwimMembership;
+  readonly registry: NodeRegistry;
+}
+
+/** The directory as one node uses it. */
+export class NodeDirectory extends DisposableOwner {
+  private readonly _abort = new AbortController();
+
+  constructor(private readonly _options: NodeDirectoryOptions) {
+    super();
+    this.register(
+      toDisposable(() => {
+        this._abort.abort();
+      }),
+    );
+  }
+
+  public start(): void {
+    void this._announce();
+    void this._findPeers();
+  }
+
+  private async _announce(): Promise<void> {
+    const { clock, log, membership, registry } = this._options;
+    const { name, peerAddress } = membership.self;
+    while (!this._abort.signal.aborted) {
+      const announced = await registry.announce(name, peerAddress, CALL_TIMEOUT_MS);
+      if (announced.isOk) {
+        return;
+      }
+      log.note('node.unannounced', { cause: announced.error.message });
+      await clock.sleep(RETRY_MS, this._abort.signal);
+    }
+  }
+
+  private async _findPeers(): Promise<void> {
+    const { clock, log, membership, registry } = this._options;
+    const { signal } = this._abort;
+    await clock.sleep(SEED_WAIT_MS, signal);
+    while (!signal.aborted && membership.live.length < 2) {
+      const listed = await registry.list(CALL_TIMEOUT_MS);
+      if (listed.isErr) {
+        log.note('peers.unlisted', { cause: listed.error.message });
+      } else {
+        const others = listed.value.filter((each) => each !== membership.self.peerAddress);
+        await Promise.all(others.map((address) => membership.joinThrough(address)));
+      }
+      await clock.sleep(RETRY_MS, signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -0,0 +1,197 @@
+/**
+ * Hands what the platform says on between nodes, so that a node which the platform turns away, or
+ * which starts during an outage, still follows. Each node tells peers how far it is; whoever is
+ * behind asks one that is ahead for what it lacks.
+ */
+import {
+  type Clock,
+  DisposableOwner,
+  ErrorKind,
+  type RandomSource,
+  ServiceError,
+  toDisposable,
+} from '@tanagerdyke/kernel';
+import type { Membership, Transport } from '@tanagerdyke/mesh';
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import type { DecisionLog } from '../DecisionLog.js';
+import type { KeyedRecord } from '../services/Services.js';
+import type { KeyedTable } from './KeyedTable.js';
+
+const PROGRESS_METHOD = 'gateway.progress';
+const RECORDS_METHOD = 'gateway.records';
+const PROGRESS_INTERVAL_MS = 500;
+/** Peers told in one interval; a bound for large systems. */
+const MAX_PEERS_TOLD = 8;
+const FETCH_TIMEOUT_MS = 1_000;
+/** A record on its way from the platform usually arrives before a fetch would bring it. */
+const FETCH_DELAY_MS = 60;
+
+const progressSchema = z.object({
+  method: z.literal(PROGRESS_METHOD),
+  params: z.object({
+    from: z.string(),
+    ends: z.array(z.tuple([z.string(), z.number().int()])),
+  }),
+});
+
+const questionSchema = z.object({ topic: z.string(), after: z.number().int() });
+
+const recordsSchema = z.object({
+  end: z.number().int(),
+  isKnown: z.boolean(),
+  records: z.array(z.tuple([z.string(), z.number().int(), z.string().nullable()])),
+});
+
+/** What the relay needs. */
+export interface RelayOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly transport: Transport;
+  readonly membership: Membership;
+  readonly tables: readonly KeyedTable[];
+  readonly log: DecisionLog;
+}
+
+/** The relay of one node. */
+export class PeerRelay extends DisposableOwner {
+  private readonly _abort = new AbortController();
+  private readonly _fetching = new Set<string>();
+
+  constructor(private readonly _options: RelayOptions) {
+    super();
+    const { tables, transport } = _options;
+    this.register(
+      toDisposable(() => {
+        this._abort.abort();
+      }),
+    );
+    this.register(transport.onDatagram((payload) => void this._onDatagram(payload)));
+    this.register(
+      transport.handle(RECORDS_METHOD, (params) => Promise.resolve(this._answer(params))),
+    );
+    for (const table of tables) {
+      this.register(
+        table.onChange(() => {
+          this._tell();
+        }),
+      );
+    }
+  }
+
+  public start(): void {
+    void this._run();
+  }
+
+  private async _run(): Promise<void> {
+    const { clock } = this._options;
+    const { signal } = this._abort;
+    while (!signal.aborted) {
+      this._tell();
+      await clock.sleep(PROGRESS_INTERVAL_MS, signal);
+    }
+  }
+
+  private _tell(): void {
+    const { membership, random, tables, transport } = this._options;
+    const ends = tables.map(({ name, end }) => [name, end]);
+    const payload = JSON.stringify({
+      jsonrpc: '2.0',
+      method: PROGRESS_METHOD,
+      params: { from: transport.address, ends },
+    });
+    const peers = membership.live.filter(({ name }) => name !== membership.self.name);
+    const first = peers.length > MAX_PEERS_TOLD ? random.integer(peers.length) : 0;
+    const chosen = [...peers.slice(first), ...peers.slice(0, first)].slice(0, MAX_PEERS_TOLD);
+    for (const { peerAddress } of chosen) {
+      transport.sendDatagram(peerAddress, payload);
+    }
+  }
+
+  private async _onDatagram(payload: string): Promise<void> {
+    const parsed = parseProgress(payload);
+    if (parsed === undefined) {
+      return;
+    }
+    for (const [name, end] of parsed.ends) {
+      const table = this._options.tables.find((each) => each.name === name);
+      if (table !== undefined && end > table.end) {
+        await this._fetch(parsed.from, table, end);
+      }
+    }
+  }
+
+  private async _fetch(peer: string, table: KeyedTable, end: number): Promise<void> {
+    const { clock, log, transport } = this._options;
+    if (this._fetching.has(table.name)) {
+      return;
+    }
+    this._fetching.add(table.name);
+    if (table.isKnown) {
+      await clock.sleep(FETCH_DELAY_MS, this._abort.signal);
+    }
+    if (end > table.end) {
+      const after = table.isKnown ? table.end : 0;
+      const question = { topic: table.name, after };
+      const answer = await transport.request(peer, RECORDS_METHOD, question, FETCH_TIMEOUT_MS);
+      const parsed = answer.isOk ? recordsSchema.safeParse(answer.value) : undefined;
+      if (parsed?.success === true) {
+        this._take(table, parsed.data);
+        log.note('records.fetched', { topic: table.name, peer, after, end: parsed.data.end });
+      } else {
+        const cause = answer.isErr ? answer.error.message : 'malformed answer';
+        log.note('records.unfetched', { topic: table.name, peer, after, cause });
+      }
+    }
+    this._fetching.delete(table.name);
+  }
+
+  private _take(table: KeyedTable, answer: z.infer<typeof recordsSchema>): void {
+    const records = answer.records.map(
+      ([key, offset, value]): KeyedRecord => ({
+        key,
+        offset,
+        value: value === null ? undefined : Buffer.from(value, 'base64'),
+      }),
+    );
+    if (table.isKnown || !answer.isKnown) {
+      table.apply(records, answer.end);
+    } else {
+      const present = records.filter(({ value }) => value !== undefined);
+      table.replace({ records: present, end: answer.end });
+    }
+  }
+
+  private _answer(params: unknown): Result<unknown, ServiceError> {
+    const question = questionSchema.safeParse(params);
+    const table = question.success
+      ? this._options.tables.find(({ name }) => name === question.data.topic)
+      : undefined;
+    if (!question.success || table === undefined) {
+      return Result.err(
+        new ServiceError(ErrorKind.BadRequest, 'the question names no topic of this node', {
+          remedy: 'run the same version on all nodes',
+        }),
+      );
+    }
+    const records = table
+      .since(question.data.after)
+      .map(({ key, offset, value }) => [key, offset, value?.toString('base64') ?? null]);
+    return Result.ok({ end: table.end, isKnown: table.isKnown, records });
+  }
+}
+
+function parseProgress(
+  payload: string,
+): z.infer<typeof progressSchema>['params'] | undefined {
+  if (!payload.includes(PROGRESS_METHOD)) {
+    return undefined;
+  }
+  try {
+    const parsed = progressSchema.safeParse(JSON.parse(payload));
+    return parsed.success ? parsed.data.params : undefined;
+  } catch {
+    // Datagrams of other protocols and damaged ones share the port.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -0,0 +1,91 @@
+/** A caller's request on its way through this node, and what the forwarders share. */
+import type { Clock, Metrics, RandomSource } from '@tanagerdyke/kernel';
+import type { ConfigurationState } from '../common/state/ConfigurationState.js';
+import type { TargetTable } from '../common/state/TargetTable.js';
+import type { DecisionLog } from '../common/DecisionLog.js';
+import type { Execution } from '../common/Execution.js';
+import type {
+  CallerRequest,
+  CallerWorkspace,
+  ForwardRoute,
+  RawHeaders,
+  TargetService,
+} from '../common/Messages.js';
+import type { EngineScheduler } from '../common/placement/EngineScheduler.js';
+import type { TargetHealth } from '../common/placement/TargetHealth.js';
+import type { Dialect } from '../common/services/Services.js';
+import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
+import type { CallerResponse } from './CallerResponse.js';
+import type { Upstream } from './Upstream.js';
+
+/** What forwarders use. */
+export interface ForwardingParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly log: DecisionLog;
+  readonly dialect: Dialect;
+  readonly configuration: ConfigurationState;
+  readonly targets: TargetTable;
+  readonly health: TargetHealth;
+  readonly scheduler: EngineScheduler;
+  readonly budget: SharedRetryBudget;
+  readonly upstream: Upstream;
+  readonly availabilityZone: string;
+  /** Nodes that share the connections of a target. */
+  readonly liveNodes: () => number;
+}
+
+/** A request with all that was decided before it is placed. */
+export interface ForwardedRequest {
+  /** Names the request in logs; the caller's own id where it gave one. */
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly caller: CallerRequest;
+  readonly route: ForwardRoute;
+  readonly service: TargetService;
+  readonly workspace: CallerWorkspace | undefined;
+  readonly receivedAt: number;
+  readonly deadlineAt: number;
+  readonly response: CallerResponse;
+  /** Aborts when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+/** How a request ended. */
+export enum Ending {
+  Answered = 'answered',
+  /** Answered by the target with a failure. */
+  TargetFailure = 'target-failure',
+  Refused = 'refused',
+  Failed = 'failed',
+  TimedOut = 'timed-out',
+  BrokenOff = 'broken-off',
+  CallerLeft = 'caller-left',
+}
+
+/** What the log tells of a finished request. */
+export interface RequestReport {
+  readonly ending: Ending;
+  readonly execution: Execution;
+  readonly attempts: number;
+  readonly targets: string;
+  readonly cause: string | undefined;
+  readonly firstEventMs?: number | undefined;
+  readonly longestPauseMs?: number;
+  /** What the placement expected, and the prefill of each of its engines. */
+  readonly expectedMs?: number;
+  readonly partMs?: number;
+  readonly placementCost?: number;
+}
+
+/** Share of a target's connections that all nodes together use. */
+const CONNECTION_SHARE = 0.85;
+
+/** Connections that this node may open to one target of a service. */
+export function connectionsFor(parts: ForwardingParts, service: TargetService): number {
+  return Math.floor((service.maxConnections * CONNECTION_SHARE) / Math.max(1, parts.liveNodes()));
+}
--- /dev/null
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -0,0 +1,300 @@
+/**
+ * A gateway node: one entry host's share of the forwarding system, with the platform injected. It
+ * shares membership and transport with the other modes of the product.
+ */
+import {
+  type Clock,
+  DisposableOwner,
+  type Metrics,
+  type RandomSource,
+  TimeLine,
+  toDisposable,
+} from '@tanagerdyke/kernel';
+import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
+import type { DecisionLog } from '../common/DecisionLog.js';
+import type { GatewaySettings } from '../common/GatewaySettings.js';
+import { EngineScheduler } from '../common/placement/EngineScheduler.js';
+import { LoadBoard } from '../common/placement/LoadBoard.js';
+import { LoadNews } from '../common/placement/LoadNews.js';
+import { TargetHealth } from '../common/placement/TargetHealth.js';
+import type {
+  Dialect,
+  KeyedTopic,
+  NodeRegistry,
+  RecordDecoder,
+} from '../common/services/Services.js';
+import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
+import { ConfigurationState } from '../common/state/ConfigurationState.js';
+import { KeyedFollower } from '../common/state/KeyedFollower.js';
+import { KeyedTable } from '../common/state/KeyedTable.js';
+import { NodeDirectory } from '../common/state/NodeDirectory.js';
+import { PeerRelay } from '../common/state/PeerRelay.js';
+import { TargetTable } from '../common/state/TargetTable.js';
+import { ControlFronts } from './ControlFronts.js';
+import type { ForwardingParts } from './ForwardedRequest.js';
+import { GatewayFront } from './GatewayFront.js';
+import { Upstream } from './Upstream.js';
+
+const READY_POLL_MS = 50;
+const DRAIN_POLL_MS = 50;
+/** After a termination signal new requests are taken this long, as callers keep addresses. */
+const ACCEPT_WHILE_DRAINING_MS = 3_500;
+/** A draining node without requests for this long may end. */
+const QUIET_MS = 1_000;
+const MIN_DRAIN_MS = 2_500;
+/** Time before the forced end at which the node ends by itself. */
+const SHUTDOWN_MARGIN_MS = 700;
+/** An outage of the platform counts this long after its end. */
+const UNSETTLED_MS = 2_500;
+
+/** Everything a gateway node meets. */
+export interface GatewayOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly metrics: Metrics;
+  readonly log: DecisionLog;
+  readonly transport: Transport;
+  readonly settings: GatewaySettings;
+  readonly dialect: Dialect;
+  readonly decoder: RecordDecoder;
+  readonly configurationTopic: KeyedTopic;
+  readonly targetTopic: KeyedTopic;
+  readonly registry: NodeRegistry;
+}
+
+/** One gateway node with all its parts. */
+export class GatewayNode extends DisposableOwner {
+  private readonly _membership: SwimMembership;
+  private readonly _configuration: ConfigurationState;
+  private readonly _followers: readonly KeyedFollower[];
+  private readonly _relay: PeerRelay;
+  private readonly _news: LoadNews;
+  private readonly _nodes: NodeDirectory;
+  private readonly _front: GatewayFront;
+  private readonly _control: ControlFronts;
+  private readonly _targetRecords: KeyedTable;
+  private _isDraining = false;
+  private _isClosed = false;
+  /** The most nodes seen alive, so that a mass failure doesn't enlarge this node's shares. */
+  private _mostNodes = 1;
+
+  constructor(private readonly _options: GatewayOptions) {
+    super();
+    const { clock, decoder, dialect, log, metrics, random, settings, transport } = _options;
+    const { name, availabilityZone } = settings.node;
+    const startedAt = clock.wallTime();
+    const timeLine = new TimeLine(clock, name, startedAt);
+    this.register(
+      timeLine.onEvent((event) => {
+        log.note(event.name, event.fields);
+      }),
+    );
+    const self = describeSelf(settings, transport.address, startedAt);
+    this._membership = this.register(
+      new SwimMembership({
+        clock,
+        random,
+        transport,
+        timeLine,
+        seeds: settings.seeds,
+        self,
+      }),
+    );
+    const configurationRecords = this.register(
+      new KeyedTable(_options.configurationTopic.name),
+    );
+    this._targetRecords = this.register(new KeyedTable(_options.targetTopic.name));
+    this._configuration = this.register(
+      new ConfigurationState(configurationRecords, decoder, log),
+    );
+    const targets = this.register(
+      new TargetTable({
+        clock,
+        table: this._targetRecords,
+        decoder,
+        log,
+        isUnsettled: () => this._isUnsettled(),
+      }),
+    );
+    this._followers = [
+      { topic: _options.configurationTopic, table: configurationRecords },
+      { topic: _options.targetTopic, table: this._targetRecords },
+    ].map((each) => this.register(new KeyedFollower({ clock, random, log, ...each })));
+    const tables = [configurationRecords, this._targetRecords];
+    const membership = this._membership;
+    this._relay = this.register(
+      new PeerRelay({ clock, random, transport, membership, tables, log }),
+    );
+    const board = this.register(new LoadBoard(clock, name));
+    this._news = this.register(new LoadNews({ clock, transport, membership, board }));
+    this._nodes = this.register(
+      new NodeDirectory({ clock, log, membership, registry: _options.registry }),
+    );
+    const health = new TargetHealth(clock);
+    const upstream = this.register(new Upstream());
+    this.register(
+      targets.onChange((entry) => {
+        if (entry.isDraining && targets.find(entry.id) === undefined) {
+          upstream.forget(entry);
+          health.forget(entry.id);
+        }
+      }),
+    );
+    this.register(
+      this._membership.onChange((member) => {
+        if (member.status === MemberStatus.Dead || member.status === MemberStatus.Left) {
+          board.forget(member.name);
+        }
+      }),
+    );
+    const liveNodes = (): number => this._countNodes();
+    const scheduler = this.register(
+      new EngineScheduler({
+        clock,
+        targets,
+        board,
+        publisher: this._news,
+        health,
+        availabilityZone,
+      }),
+    );
+    const parts: ForwardingParts = {
+      clock,
+      random,
+      metrics,
+      log,
+      dialect,
+      configuration: this._configuration,
+      targets,
+      health,
+      scheduler,
+      budget: new SharedRetryBudget(clock, settings.retries, liveNodes),
+      upstream,
+      availabilityZone,
+      liveNodes,
+    };
+    const state = {
+      isClosed: () => this._isClosed,
+      isDraining: () => this._isDraining,
+    };
+    this._front = this.register(new GatewayFront(parts, state));
+    this._control = this.register(
+      new ControlFronts({
+        dialect,
+        membership,
+        metrics,
+        metricsPath: settings.metricsPath,
+        isReady: () => this.isReady,
+      }),
+    );
+    metrics.gauge('tanager_members_live', () => membership.live.length);
+    metrics.gauge('tanager_requests_running', () => this._front.running);
+    metrics.gauge('tanager_configuration_version', () => this._version);
+    metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
+  }
+
+  /** Whether callers should be sent here. */
+  public get isReady(): boolean {
+    return (
+      this._configuration.current !== undefined && this._targetRecords.isKnown && !this._isDraining
+    );
+  }
+
+  /** Listens and starts to follow the platform and the peers. */
+  public async start(): Promise<void> {
+    const { listen } = this._options.settings;
+    this._membership.start();
+    for (const follower of this._followers) {
+      follower.start();
+    }
+    this._relay.start();
+    this._news.start();
+    this._nodes.start();
+    await this._front.listen(listen.caller);
+    for (const address of new Set(listen.control)) {
+      await this._control.listen(address);
+    }
+    void this._readinessTask();
+  }
+
+  /**
+   * Leaves the address answers at once, serves what still comes for a while, waits for what runs,
+   * and returns before the process would be ended by force.
+   */
+  public async drain(): Promise<void> {
+    const { clock, log, settings } = this._options;
+    const startedAt = clock.now();
+    const endAt = startedAt + settings.shutdownMs - SHUTDOWN_MARGIN_MS;
+    this._isDraining = true;
+    this._membership.publish({ isReady: false, isDraining: true });
+    log.note('node.draining', { running: this._front.running });
+    while (clock.now() < endAt && !this._isQuiet(startedAt)) {
+      this._isClosed ||= clock.now() - startedAt > ACCEPT_WHILE_DRAINING_MS;
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    await this._membership.leave();
+    const tookMs = Math.round(clock.now() - startedAt);
+    log.note('node.drained', { cut: this._front.running, tookMs });
+  }
+
+  private _isQuiet(drainingSince: number): boolean {
+    const now = this._options.clock.now();
+    return (
+      this._front.running === 0 &&
+      now - drainingSince > MIN_DRAIN_MS &&
+      now - this._front.lastRequestAt > QUIET_MS
+    );
+  }
+
+  private get _version(): number {
+    return this._configuration.current?.version ?? 0;
+  }
+
+  private _isUnsettled(): boolean {
+    const now = this._options.clock.now();
+    return this._followers.some(({ failedAt }) => now - failedAt < UNSETTLED_MS);
+  }
+
+  private _countNodes(): number {
+    this._mostNodes = Math.max(this._mostNodes, this._membership.live.length);
+    return this._mostNodes;
+  }
+
+  private async _readinessTask(): Promise<void> {
+    const { clock, log } = this._options;
+    const abort = new AbortController();
+    this.register(
+      toDisposable(() => {
+        abort.abort();
+      }),
+    );
+    while (!abort.signal.aborted) {
+      const { isReady } = this;
+      const { state } = this._membership.self;
+      if (isReady !== state.isReady || this._version !== state.configurationOffset) {
+        this._membership.publish({ isReady, configurationOffset: this._version });
+        log.note(isReady ? 'node.ready' : 'node.unready', { version: this._version });
+      }
+      await clock.sleep(READY_POLL_MS, abort.signal);
+    }
+  }
+}
+
+/** This node as it first tells others of itself. */
+function describeSelf(settings: GatewaySettings, peerAddress: string, startedAt: number): Member {
+  return {
+    ...settings.node,
+    peerAddress,
+    callerAddress: `http://${settings.listen.caller}`,
+    incarnation: startedAt,
+    startedAt,
+    stateVersion: 0,
+    status: MemberStatus.Alive,
+    state: {
+      configurationOffset: 0,
+      configurationDigest: '',
+      isReady: false,
+      isDraining: false,
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -0,0 +1,272 @@
+/**
+ * Forwards event streams to engines. A stream that breaks or falls silent is resumed at another
+ * engine after the last event that the caller got, where its route allows that; otherwise the
+ * caller's answer breaks off visibly.
+ */
+import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
+import { Execution, isUnrun, mayMove, worse } from '../common/Execution.js';
+import type { EngineProfile, TargetEntry } from '../common/Messages.js';
+import type { PlacedPrompt } from '../common/placement/EngineScheduler.js';
+import { OwnStatus } from './CallerResponse.js';
+import {
+  connectionsFor,
+  Ending,
+  type ForwardedRequest,
+  type ForwardingParts,
+  type RequestReport,
+} from './ForwardedRequest.js';
+import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
+import type { WholeAnswer } from './WholeExchange.js';
+
+/** Share of the time left for which a prompt waits for room before it is refused. */
+const ROOM_WAIT_SHARE = 0.25;
+/** A stream is silent when the expected time to its first event passed this many times … */
+const FIRST_SILENCE_FACTOR = 2;
+/** … and this long after. */
+const FIRST_SILENCE_MARGIN_MS = 800;
+/** After its first event a stream is silent after this many times its pause target. */
+const SILENCE_PAUSES = 3;
+const SILENCE_MARGIN_MS = 300;
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 1_500;
+/** Latency targets up to which a prompt is urgent to its engine, with the priority that it gets. */
+const ENGINE_PRIORITIES = [
+  { latencyTargetMs: 600, priority: 2 },
+  { latencyTargetMs: 2_000, priority: 4 },
+] as const;
+const LEAST_PRIORITY = 6;
+
+/** One stream under way. */
+class StreamForwarding {
+  private readonly _splitter: EventStreamSplitter;
+  private _execution = Execution.NotSent;
+  private _attempts = 0;
+  private _cause: string | undefined;
+  private _failure: WholeAnswer | undefined;
+  private readonly _excluded = new Set<string>();
+  private readonly _tried: string[] = [];
+  private _firstEventAt: number | undefined;
+  private _longestPauseMs = 0;
+  private _placement: PlacedPrompt | undefined;
+
+  constructor(
+    private readonly _parts: ForwardingParts,
+    private readonly _request: ForwardedRequest,
+    private readonly _profile: EngineProfile,
+  ) {
+    this._splitter = new EventStreamSplitter(_request.caller.lastEventId);
+  }
+
+  public async run(): Promise<RequestReport> {
+    const { route, signal } = this._request;
+    while (this._attempts < route.maxAttempts && !signal.aborted) {
+      const placed = await this._place();
+      if (placed === undefined || !this._mayTry()) {
+        placed?.end();
+        break;
+      }
+      this._placement = placed;
+      const outcome = await this._tryPlacement(placed);
+      placed.end();
+      this._execution = worse(this._execution, outcome.execution);
+      if (outcome.execution !== Execution.NotSent) {
+        this._attempts++;
+      }
+      const report = this._conclude(placed, outcome);
+      if (report !== undefined) {
+        return report;
+      }
+    }
+    return this._giveUp();
+  }
+
+  private _mayTry(): boolean {
+    const { budget, log } = this._parts;
+    const { id, service } = this._request;
+    if (this._tried.length === 0 || budget.trySpend(service.name)) {
+      return true;
+    }
+    log.note('request.no-budget', { request: id, service: service.name });
+    return false;
+  }
+
+  private _place(): Promise<PlacedPrompt | undefined> {
+    const { clock, scheduler } = this._parts;
+    const { caller, deadlineAt, id, receivedAt, route, service, signal } = this._request;
+    const now = clock.now();
+    const giveUpAt = now + (deadlineAt - now) * ROOM_WAIT_SHARE;
+    const prompt = {
+      id,
+      service: service.name,
+      profile: this._profile,
+      promptTokens: caller.promptTokens,
+      outputTokens: caller.outputTokens,
+      latencyTargetMs: route.latencyTargetMs,
+      pauseTargetMs: route.pauseTargetMs,
+      dueAt: receivedAt + route.latencyTargetMs,
+      excluded: this._excluded,
+    };
+    return scheduler.place(prompt, giveUpAt, signal);
+  }
+
+  private _tryPlacement(placed: PlacedPrompt): Promise<StreamOutcome> {
+    const { clock, dialect, upstream } = this._parts;
+    const { body, caller, deadlineAt, headers, method, path, response, route, service, signal } =
+      this._request;
+    const [target, ...readers] = placed.targets as [TargetEntry, ...TargetEntry[]];
+    this._tried.push(placed.targets.map(({ id }) => id).join('+'));
+    const marked = dialect.markForwarded(headers, {
+      targetId: target.id,
+      waitsMs: deadlineAt - clock.now(),
+      workspace: this._request.workspace?.name,
+      lastEventId: this._splitter.lastEventId,
+      enginePriority: priorityOf(route.latencyTargetMs),
+      readers: readers.map(({ address }) => ({ address, reservation: undefined })),
+    });
+    this._splitter.restart();
+    return exchangeStream({
+      clock,
+      dialect,
+      upstream,
+      target,
+      connections: connectionsFor(this._parts, service),
+      request: { method, path, headers: marked, body },
+      attemptId: caller.attemptId,
+      splitter: this._splitter,
+      response,
+      deadlineAt,
+      firstSilenceMs: placed.firstEventMs * FIRST_SILENCE_FACTOR + FIRST_SILENCE_MARGIN_MS,
+      silenceMs: route.pauseTargetMs * SILENCE_PAUSES + SILENCE_MARGIN_MS,
+      signal,
+      onFirstEvent: () => {
+        placed.markGenerating();
+      },
+    });
+  }
+
+  private _conclude(placed: PlacedPrompt, outcome: StreamOutcome): RequestReport | undefined {
+    const { health } = this._parts;
+    const [target] = placed.targets;
+    this._firstEventAt ??= outcome.firstEventAt;
+    this._longestPauseMs = Math.max(this._longestPauseMs, outcome.longestPauseMs);
+    this._cause = outcome.cause === '' ? this._cause : outcome.cause;
+    if (outcome.end === StreamEnd.Complete) {
+      health.noteAnswer(target?.id ?? '', false);
+      this._request.response.end();
+      return this._report(Ending.Answered);
+    }
+    if (outcome.end === StreamEnd.Unwanted) {
+      return this._giveUp();
+    }
+    this._noteFailedAttempt(placed, outcome);
+    return mayMove(this._request.route, outcome.execution) ? undefined : this._giveUp();
+  }
+
+  /** Blames the engine at fault, so that neither this request nor others go there again at once. */
+  private _noteFailedAttempt(placed: PlacedPrompt, outcome: StreamOutcome): void {
+    const { health, log } = this._parts;
+    const [head] = placed.targets;
+    const named = outcome.failure?.answer.failedAddress;
+    const culprit = placed.targets.find(({ address }) => address === named) ?? head;
+    const isFull = outcome.failure?.answer.isNotRun === true && named === undefined;
+    let suspectMs = 0;
+    if (culprit !== undefined) {
+      this._excluded.add(culprit.id);
+      if (outcome.failure === undefined || named !== undefined) {
+        suspectMs = health.noteBreak(culprit.id);
+      } else {
+        health.noteAnswer(culprit.id, !isFull);
+      }
+    }
+    if (outcome.failure !== undefined && !outcome.failure.answer.isNotRun) {
+      this._failure = outcome.failure;
+    }
+    log.note('request.attempt-failed', {
+      request: this._request.id,
+      target: culprit?.id,
+      readers: placed.targets.length - 1,
+      end: outcome.end,
+      execution: outcome.execution,
+      cause: outcome.cause,
+      lastEventId: this._splitter.lastEventId,
+      suspectMs,
+    });
+  }
+
+  private _giveUp(): RequestReport {
+    const { clock } = this._parts;
+    const { deadlineAt, response, signal } = this._request;
+    if (signal.aborted) {
+      return this._report(Ending.CallerLeft);
+    }
+    if (response.isBegun) {
+      response.break();
+      return this._report(Ending.BrokenOff);
+    }
+    if (this._failure !== undefined) {
+      const { answer, body, headers } = this._failure;
+      response.passWhole(answer.status, headers, body, false);
+      return this._report(Ending.TargetFailure);
+    }
+    if (isUnrun(this._execution)) {
+      response.answer({
+        status: OwnStatus.Refused,
+        kind: 'overloaded',
+        remedy: 'no engine has room for the prompt now; come back after the time given',
+        retryAfterMs: this._retryAfterMs(),
+      });
+      return this._report(Ending.Refused);
+    }
+    const isLate = clock.now() >= deadlineAt;
+    response.answer({
+      status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
+      kind: isLate ? 'deadline-exceeded' : 'target-failed',
+      remedy: 'repeat the request with the id of the last event, if there was one',
+    });
+    return this._report(isLate ? Ending.TimedOut : Ending.Failed);
+  }
+
+  /** When an engine should have room, as far as the load tells. */
+  private _retryAfterMs(): number {
+    const { scheduler } = this._parts;
+    const roomMs = scheduler.roomInMs(this._request.service.name, this._profile);
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, roomMs));
+  }
+
+  private _report(ending: Ending): RequestReport {
+    const { metrics } = this._parts;
+    const { receivedAt } = this._request;
+    if (this._firstEventAt !== undefined) {
+      metrics.observe('tanager_first_event_ms', this._firstEventAt - receivedAt);
+      metrics.observe('tanager_longest_pause_ms', this._longestPauseMs);
+    }
+    const firstEventMs =
+      this._firstEventAt === undefined ? undefined : Math.round(this._firstEventAt - receivedAt);
+    return {
+      ending,
+      execution: this._execution,
+      attempts: this._attempts,
+      targets: this._tried.join(' '),
+      cause: this._cause,
+      firstEventMs,
+      longestPauseMs: Math.round(this._longestPauseMs),
+      expectedMs: Math.round(this._placement?.firstEventMs ?? 0),
+      partMs: Math.round(this._placement?.partMs ?? 0),
+      placementCost: Math.round((this._placement?.cost ?? 0) * 100) / 100,
+    };
+  }
+}
+
+/** Forwards a stream and reports how it ended. */
+export function forwardStream(
+  parts: ForwardingParts,
+  request: ForwardedRequest,
+  profile: EngineProfile,
+): Promise<RequestReport> {
+  return new StreamForwarding(parts, request, profile).run();
+}
+
+function priorityOf(latencyTargetMs: number): number {
+  const found = ENGINE_PRIORITIES.find((each) => latencyTargetMs <= each.latencyTargetMs);
+  return found?.priority ?? LEAST_PRIORITY;
+}
--- /dev/null
+++ b/packages/gateway/src/node/WholeExchange.ts
@@ -0,0 +1,102 @@
+/**
+ * One exchange with a target whose answer is held until it is complete, so that a broken answer is
+ * never passed on and a repeatable request can be sent again unseen.
+ */
+import type { Clock } from '@tanagerdyke/kernel';
+import { Execution } from '../common/Execution.js';
+import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
+import type { Dialect } from '../common/services/Services.js';
+import type { Exchange, Upstream, UpstreamRequest } from './Upstream.js';
+
+/** A larger answer of a target is treated as broken. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** A complete answer. */
+export interface WholeAnswer {
+  readonly answer: TargetAnswer;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+}
+
+/** How an exchange ended: with a complete answer or without one. */
+export type WholeOutcome =
+  | { readonly whole: WholeAnswer; readonly execution: Execution }
+  | { readonly whole: undefined; readonly execution: Execution; readonly cause: string };
+
+/** What an exchange needs. */
+export interface WholeExchangeOptions {
+  readonly clock: Clock;
+  readonly dialect: Dialect;
+  readonly upstream: Upstream;
+  readonly target: TargetEntry;
+  readonly connections: number;
+  readonly request: UpstreamRequest;
+  readonly attemptId: string | undefined;
+  /** When the exchange is given up, on the clock. */
+  readonly giveUpAt: number;
+  readonly signal: AbortSignal;
+}
+
+/** Runs the exchange. */
+export function exchangeWhole(options: WholeExchangeOptions): Promise<WholeOutcome> {
+  const { attemptId, clock, connections, dialect, giveUpAt, request, signal, target, upstream } =
+    options;
+  return new Promise((resolve) => {
+    let execution = Execution.NotSent;
+    let answer: TargetAnswer | undefined;
+    let headers: RawHeaders = [];
+    let size = 0;
+    const chunks: Buffer[] = [];
+    const finish = (outcome: WholeOutcome): void => {
+      timer.dispose();
+      signal.removeEventListener('abort', onAbort);
+      resolve(outcome);
+    };
+    const giveUp = (cause: string): void => {
+      exchange.abort();
+      finish({ whole: undefined, execution, cause });
+    };
+    const onAbort = (): void => {
+      giveUp('the caller left');
+    };
+    const timer = clock.schedule(giveUpAt - clock.now(), () => {
+      giveUp('no answer in time');
+    });
+    signal.addEventListener('abort', onAbort, { once: true });
+    const exchange: Exchange = upstream.send(target, connections, request, {
+      onSent: () => {
+        execution = Execution.MayHaveRun;
+      },
+      onHead: (status, raw) => {
+        headers = raw;
+        answer = dialect.readAnswer(status, raw);
+      },
+      onData: (chunk) => {
+        size += chunk.length;
+        chunks.push(chunk);
+        if (size > MAX_ANSWER_BYTES) {
+          giveUp('the answer is too large to hold');
+        }
+      },
+      onEnd: () => {
+        if (answer === undefined || !isOwnAnswer(answer, attemptId)) {
+          finish({ whole: undefined, execution, cause: 'the answer belongs to another request' });
+          return;
+        }
+        execution = answer.isNotRun ? Execution.RefusedUnrun : Execution.Ran;
+        finish({ whole: { answer, headers, body: Buffer.concat(chunks) }, execution });
+      },
+      onError: (error) => {
+        finish({ whole: undefined, execution, cause: error.message });
+      },
+    });
+  });
+}
+
+/** Whether an answer is to this request; refusals need not name it. */
+export function isOwnAnswer(answer: TargetAnswer, attemptId: string | undefined): boolean {
+  if (attemptId === undefined || answer.attemptId === attemptId) {
+    return true;
+  }
+  return answer.attemptId === undefined && answer.isNotRun;
+}
--- a/packages/mesh/src/common/SwimMembership.ts
+++ b/packages/mesh/src/common/SwimMembership.ts
@@ -166,6 +166,11 @@
     this._setSelf({ state: { ...this._self.state, ...state }, stateVersion }, NewsKind.State);
   }
 
+  /** Exchanges members with the node at a peer address that was learned elsewhere. */
+  public joinThrough(address: string): Promise<void> {
+    return this._joiner.joinThrough(address);
+  }
+
   public leave(): Promise<void> {
     this._setSelf({ status: MemberStatus.Left }, NewsKind.Status);
     for (const peer of this._order.choose(LEAVE_COPIES, [])) {
