Treat a reset as the failure of an answer without a length

Cause: undici ends an answer without a length well when its connection is reset (ECONNRESET with shouldKeepAlive false), so half an answer was framed as whole. Ruled out: chunked bodies and bodies with a length, which the parser checks (tests beside). Change: the connector gives the reset another code, so it is an error like others. Before: Upstream.test 'is broken when the connection is reset on the way' red. Conclusion: an answer that ends in a reset is never passed on as complete.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,8 +24,17 @@
       {
         patterns:
           LAYERS.slice(index + 1).length === 0
-            ? []
+            ? [
+                {
+                  group: ['@tanagerdyke/platform'],
+                  message: 'The product must not know the platform.',
+                },
+              ]
             : [
+                {
+                  group: ['@tanagerdyke/platform'],
+                  message: 'The product must not know the platform.',
+                },
                 {
                   group: LAYERS.slice(index + 1).map((higher) => `@tanagerdyke/${higher}`),
                   message: 'A lower layer must not import a higher one.',
@@ -51,7 +60,7 @@
 };
 
 const clockRules = {
-  files: ['packages/*/src/**/*.ts'],
+  files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
   ignores: ['packages/kernel/src/**/*.ts'],
   rules: {
     'no-restricted-globals': [
@@ -69,7 +78,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/packages/gateway/src/common/EventStreamSplitter.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.ts
@@ -32,7 +32,11 @@
     const bytes = this._held.length === 0 ? chunk : Buffer.concat([this._held, chunk]);
     const passed: Buffer[] = [];
     let start = 0;
-    for (let end = nextEventEnd(bytes, start); end !== undefined; end = nextEventEnd(bytes, start)) {
+    for (
+      let end = nextEventEnd(bytes, start);
+      end !== undefined;
+      end = nextEventEnd(bytes, start)
+    ) {
       const event = bytes.subarray(start, end);
       if (this._isNew(event)) {
         passed.push(event);
--- a/packages/gateway/src/common/Execution.ts
+++ b/packages/gateway/src/common/Execution.ts
@@ -44,11 +44,6 @@
 
 /** The less certain of two states, for a request that was sent twice. */
 export function worse(first: Execution, second: Execution): Execution {
-  const order = [
-    Execution.NotSent,
-    Execution.RefusedUnrun,
-    Execution.MayHaveRun,
-    Execution.Ran,
-  ];
+  const order = [Execution.NotSent, Execution.RefusedUnrun, Execution.MayHaveRun, Execution.Ran];
   return order.indexOf(first) >= order.indexOf(second) ? first : second;
 }
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -3,12 +3,7 @@
  * prompt that finds no room waits until work ends somewhere, for as long as an answer in time stays
  * possible, and is refused otherwise.
  */
-import {
-  type Clock,
-  DisposableOwner,
-  type Event,
-  awaitEvent,
-} from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type Event, awaitEvent } from '@tanagerdyke/kernel';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
@@ -161,4 +156,3 @@
     };
   }
 }
-
--- a/packages/gateway/src/common/placement/TargetHealth.ts
+++ b/packages/gateway/src/common/placement/TargetHealth.ts
@@ -55,7 +55,10 @@
   /** The target was not reached, broke off or fell silent. Returns how long it is suspect. */
   public noteBreak(id: string): number {
     const record = this._of(id);
-    const forMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** Math.min(record.failures, 5));
+    const forMs = Math.min(
+      MAX_SUSPICION_MS,
+      FIRST_SUSPICION_MS * 2 ** Math.min(record.failures, 5),
+    );
     record.failures++;
     record.suspectUntil = this._clock.now() + forMs;
     record.failureRate += (1 - record.failureRate) * RATE_WEIGHT;
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -42,7 +42,11 @@
 
 /** Where nodes leave their peer addresses for each other. */
 export interface NodeRegistry {
-  announce(name: string, peerAddress: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
+  announce(
+    name: string,
+    peerAddress: string,
+    timeoutMs: number,
+  ): Promise<Result<void, ServiceError>>;
   /** Peer addresses of all nodes that ever announced themselves. */
   list(timeoutMs: number): Promise<Result<readonly string[], ServiceError>>;
 }
--- a/packages/gateway/src/common/state/KeyedTable.ts
+++ b/packages/gateway/src/common/state/KeyedTable.ts
@@ -63,18 +63,17 @@
 
   /** Records and tombstones from an offset on, for a peer. */
   public since(offset: number): readonly KeyedRecord[] {
-    const tombstones = [...this._tombstones].map(
-      ([key, at]): KeyedRecord => ({ key, offset: at, value: undefined }),
-    );
+    const tombstones = [...this._tombstones].map(([key, at]): KeyedRecord => ({
+      key,
+      offset: at,
+      value: undefined,
+    }));
     return [...this._records.values(), ...tombstones].filter((record) => record.offset >= offset);
   }
 
   private _merge(record: KeyedRecord): boolean {
     const { key, offset, value } = record;
-    const known = Math.max(
-      this._records.get(key)?.offset ?? -1,
-      this._tombstones.get(key) ?? -1,
-    );
+    const known = Math.max(this._records.get(key)?.offset ?? -1, this._tombstones.get(key) ?? -1);
     if (offset <= known) {
       return false;
     }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -147,13 +147,11 @@
   }
 
   private _take(table: KeyedTable, answer: z.infer<typeof recordsSchema>): void {
-    const records = answer.records.map(
-      ([key, offset, value]): KeyedRecord => ({
-        key,
-        offset,
-        value: value === null ? undefined : Buffer.from(value, 'base64'),
-      }),
-    );
+    const records = answer.records.map(([key, offset, value]): KeyedRecord => ({
+      key,
+      offset,
+      value: value === null ? undefined : Buffer.from(value, 'base64'),
+    }));
     if (table.isKnown || !answer.isKnown) {
       table.apply(records, answer.end);
     } else {
@@ -181,9 +179,7 @@
   }
 }
 
-function parseProgress(
-  payload: string,
-): z.infer<typeof progressSchema>['params'] | undefined {
+function parseProgress(payload: string): z.infer<typeof progressSchema>['params'] | undefined {
   if (!payload.includes(PROGRESS_METHOD)) {
     return undefined;
   }
--- a/packages/gateway/src/node/ControlFronts.ts
+++ b/packages/gateway/src/node/ControlFronts.ts
@@ -27,9 +27,7 @@
   constructor(options: ControlOptions) {
     super();
     const { dialect, isReady, membership, metrics, metricsPath } = options;
-    this._app.get(dialect.readyPath, (context) =>
-      context.body(null, isReady() ? OK : UNAVAILABLE),
-    );
+    this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
     this._app.get(dialect.addressPath, (context) => {
       const query = new URL(context.req.url).searchParams;
       const addresses = findAddresses(membership, dialect.readAddressQuestion(query));
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -157,7 +157,8 @@
     if (route === undefined) {
       return reject(caller, NO_ROUTE);
     }
-    const workspace = caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
+    const workspace =
+      caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
     if (workspace === undefined && configuration.needsKeys && !route.isOpen) {
       return reject(caller, UNKNOWN_KEY);
     }
@@ -270,10 +271,12 @@
   return query === -1 ? path : path.slice(0, query);
 }
 
-function describe({ caller, route, service, workspace }: ForwardedRequest): Record<
-  string,
-  string | number | undefined
-> {
+function describe({
+  caller,
+  route,
+  service,
+  workspace,
+}: ForwardedRequest): Record<string, string | number | undefined> {
   return {
     route: route.name,
     kind: route.kind,
@@ -284,4 +287,3 @@
     targetMs: route.latencyTargetMs,
   };
 }
-
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -100,13 +100,9 @@
         self,
       }),
     );
-    const configurationRecords = this.register(
-      new KeyedTable(_options.configurationTopic.name),
-    );
+    const configurationRecords = this.register(new KeyedTable(_options.configurationTopic.name));
     this._targetRecords = this.register(new KeyedTable(_options.targetTopic.name));
-    this._configuration = this.register(
-      new ConfigurationState(configurationRecords, decoder, log),
-    );
+    this._configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
     const targets = this.register(
       new TargetTable({
         clock,
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -4,7 +4,7 @@
  * may have run. There are no retries here.
  */
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
-import { type Dispatcher, Pool } from 'undici';
+import { buildConnector, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 
 /** Targets are at most some ms away; a longer wait means a lost packet or a dead host. */
@@ -67,7 +67,7 @@
     try {
       this._pool(target, connections).dispatch(
         {
-          method: request.method as Dispatcher.HttpMethod,
+          method: request.method,
           path: request.path,
           headers: request.headers,
           body: request.body.length === 0 ? null : request.body,
@@ -76,7 +76,10 @@
       );
     } catch (error) {
       // undici throws for a request that it can't write; nothing was sent then.
-      exchange.onResponseError(undefined, error instanceof Error ? error : new Error(String(error)));
+      exchange.onResponseError(
+        undefined,
+        error instanceof Error ? error : new Error(String(error)),
+      );
     }
     return exchange;
   }
@@ -98,7 +101,7 @@
       pool = new Pool(`http://${target.address}`, {
         connections: Math.max(MIN_CONNECTIONS, connections),
         pipelining: 1,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: connectStrictly,
         keepAliveTimeout: KEEP_ALIVE_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         headersTimeout: 0,
@@ -110,6 +113,24 @@
   }
 }
 
+const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/**
+ * Connects so that a reset never ends an answer well. undici takes ECONNRESET for the regular end of
+ * an answer without a length; under another code it is an error like any other.
+ */
+const connectStrictly: buildConnector.connector = (options, callback) => {
+  connectPlainly(options, (...result) => {
+    const [error, socket] = result;
+    if (error === null) {
+      socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
+        cause.code = `TARGET_${cause.code ?? 'FAILED'}`;
+      });
+    }
+    callback(...result);
+  });
+};
+
 function keyOf({ address, bornAt, id }: TargetEntry): string {
   return `${id}@${address}@${bornAt ?? ''}`;
 }
