Treat a hang-up after a partial read as the reset that it is

Cause: libuv reports the end of a stream when POLLHUP follows a partial read, also after a reset, so the renamed ECONNRESET never came and an answer without a length still ended well. Ruled out: a regular close, after which the peer is still known. Change: a socket without a peer at its end is destroyed with an error. Before: Upstream.test 'is broken though its bytes and the reset arrive together' red. Conclusion: the peer of the socket tells the two ends apart.

--- a/packages/gateway/src/node/Upstream.test.ts
+++ b/packages/gateway/src/node/Upstream.test.ts
@@ -3,6 +3,9 @@
 import type { TargetEntry } from '../common/Messages.js';
 import { Upstream } from './Upstream.js';
 
+/** More than one read of the target takes, and less than the buffers of a connection hold. */
+const UNREAD_BODY_BYTES = 150_000;
+
 /** How an exchange with a scripted target went. */
 interface Transcript {
   isSent: boolean;
@@ -54,9 +57,9 @@
     await new Promise((resolve) => server.close(resolve));
   });
 
-  function exchange(): Promise<Transcript> {
+  function exchange(bodyBytes = 0): Promise<Transcript> {
     const transcript: Transcript = { isSent: false, status: undefined, body: '', ending: '' };
-    const request = { method: 'POST', path: '/', headers: [], body: Buffer.alloc(0) };
+    const request = { method: 'POST', path: '/', headers: [], body: Buffer.alloc(bodyBytes) };
     return new Promise((resolve) => {
       upstream.send(target, 4, request, {
         onSent: () => {
@@ -100,6 +103,18 @@
     });
   });
 
+  describe('an answer without a length that is reset at once', () => {
+    it('is broken though its bytes and the reset arrive together', async () => {
+      answer = (socket) => {
+        // A connection that is closed with bytes left to read is reset.
+        socket.pause();
+        socket.write('HTTP/1.1 200 OK\r\n\r\nhal');
+        socket.destroy();
+      };
+      expect(await exchange(UNREAD_BODY_BYTES)).toMatchObject({ ending: 'broken' });
+    });
+  });
+
   describe('an answer with a length', () => {
     it('is broken when it is cut short', async () => {
       answer = (socket) => {
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -116,8 +116,9 @@
 const connectPlainly = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
 /**
- * Connects so that a reset never ends an answer well. undici takes ECONNRESET for the regular end of
- * an answer without a length; under another code it is an error like any other.
+ * Connects so that a reset never ends an answer well. Two layers below take it for the regular end of
+ * an answer without a length: undici by its code ECONNRESET, and libuv, which reports the end of the
+ * stream when a hang-up follows a partial read. A socket that was reset no longer has a peer.
  */
 const connectStrictly: buildConnector.connector = (options, callback) => {
   connectPlainly(options, (...result) => {
@@ -126,6 +127,14 @@
       socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
         cause.code = `TARGET_${cause.code ?? 'FAILED'}`;
       });
+      const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean;
+      socket.emit = (event: string, ...values: unknown[]): boolean => {
+        if (event === 'end' && socket.remoteAddress === undefined) {
+          socket.destroy(new Error('the target reset the connection'));
+          return true;
+        }
+        return emit(event, ...values);
+      };
     }
     callback(...result);
   });
