Share prompts over engines' memory, shorten load news, add the gateway's tests

Ruled out: slow targets; the same targets answered others meanwhile. Change: reservations on several engines, renewed and released with reconcile; a prompt that costs others more than it is worth is refused at once; a call whose own time ran out blames its target only after its patience.

--- a/packages/gateway/src/common/AddressBook.ts
+++ b/packages/gateway/src/common/AddressBook.ts
@@ -3,7 +3,7 @@
  * caller's own availability zone where there are enough of them, as traffic between zones is slower
  * and costs more.
  */
-import type { Member, Membership } from '@tanagerdyke/mesh';
+import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
 import type { AddressQuestion } from './Messages.js';
 
 /** Fewer addresses than this in the own zone are not enough to survive a failure. */
@@ -13,7 +13,8 @@
 
 /** The addresses for a caller, without a scheme. */
 export function findAddresses(membership: Membership, question: AddressQuestion): string[] {
-  const serving = membership.serving;
+  // A suspect is probably dead, and a caller that tries it loses a second.
+  const serving = membership.serving.filter(({ status }) => status === MemberStatus.Alive);
   const near = serving.filter(
     ({ availabilityZone }) => availabilityZone === question.availabilityZone,
   );
--- /dev/null
+++ b/packages/gateway/src/common/EventStreamSplitter.test.ts
@@ -0,0 +1,77 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { EventStreamSplitter } from './EventStreamSplitter.js';
+
+const SEED = 20_261_203;
+
+function eventOf(id: number, data: string): string {
+  return `id: ${id}\ndata: ${data}\n\n`;
+}
+
+/** The stream cut into chunks at the given places. */
+function cut(bytes: Buffer, places: readonly number[]): Buffer[] {
+  const ends = [...new Set(places.map((place) => place % (bytes.length + 1)))].sort(
+    (a, b) => a - b,
+  );
+  const starts = [0, ...ends];
+  return starts.map((start, index) => bytes.subarray(start, ends[index] ?? bytes.length));
+}
+
+describe('EventStreamSplitter', () => {
+  describe('push', () => {
+    it('holds back half an event', () => {
+      const splitter = new EventStreamSplitter(undefined);
+      expect(splitter.push(Buffer.from('id: 1\ndata: x')).length).toBe(0);
+      expect(splitter.push(Buffer.from('\n\n')).toString()).toBe('id: 1\ndata: x\n\n');
+      expect(splitter.lastEventId).toBe('1');
+    });
+
+    it('drops events that the receiver has', () => {
+      const splitter = new EventStreamSplitter('2');
+      const stream = eventOf(2, 'old') + eventOf(3, 'new');
+      expect(splitter.push(Buffer.from(stream)).toString()).toBe(eventOf(3, 'new'));
+    });
+
+    it('splits at carriage returns with line feeds too', () => {
+      const splitter = new EventStreamSplitter(undefined);
+      const stream = 'id: 1\r\ndata: x\r\n\r\n';
+      expect(splitter.push(Buffer.from(stream)).toString()).toBe(stream);
+    });
+
+    it('passes every byte once, in order, however the stream is cut', () => {
+      const property = fc.property(
+        fc.array(fc.string({ unit: 'grapheme-ascii', maxLength: 20 }), { maxLength: 12 }),
+        fc.array(fc.nat(2_000), { maxLength: 20 }),
+        (texts, places) => {
+          const stream = texts.map((text, index) => eventOf(index + 1, text)).join('');
+          const splitter = new EventStreamSplitter(undefined);
+          const chunks = cut(Buffer.from(stream), places);
+          const passed = Buffer.concat(chunks.map((chunk) => splitter.push(chunk)));
+          expect(passed.toString()).toBe(stream);
+          expect(splitter.heldBytes).toBe(0);
+        },
+      );
+      fc.assert(property, { seed: SEED });
+    });
+
+    it('never throws and never invents bytes', () => {
+      const property = fc.property(fc.array(fc.uint8Array({ maxLength: 50 })), (chunks) => {
+        const splitter = new EventStreamSplitter(undefined);
+        const all = Buffer.concat(chunks);
+        const passed = Buffer.concat(chunks.map((chunk) => splitter.push(Buffer.from(chunk))));
+        expect(passed.length + splitter.heldBytes).toBeLessThanOrEqual(all.length);
+      });
+      fc.assert(property, { seed: SEED });
+    });
+  });
+
+  describe('restart', () => {
+    it('drops the half event of a broken run and goes on after the last whole one', () => {
+      const splitter = new EventStreamSplitter(undefined);
+      splitter.push(Buffer.from(`${eventOf(1, 'a')}id: 2\ndata: ha`));
+      splitter.restart();
+      const next = splitter.push(Buffer.from(eventOf(2, 'whole')));
+      expect(next.toString()).toBe(eventOf(2, 'whole'));
+    });
+  });
+});
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -55,7 +55,10 @@
 ): EngineLoad {
   const heads = works.filter(({ targets }) => targets[0] === entry.id);
   const generating = heads.filter(({ isGenerating }) => isGenerating);
-  const contextTokens = generating.reduce((sum, work) => sum + work.contextTokens, 0);
+  const holding = works.filter(({ isShared, targets }) => isShared || targets[0] === entry.id);
+  const contextTokens = holding
+    .filter(({ isGenerating }) => isGenerating)
+    .reduce((sum, work) => sum + work.contextTokens, 0);
   const reads = scheduleReads(
     works.filter(({ isGenerating }) => !isGenerating),
     now,
@@ -69,7 +72,7 @@
     reads,
     backlogMs: Math.max(0, lastEnd - now),
     passMs: passMs(profile, generating.length, contextTokens),
-    memoryTokens: heads.reduce((sum, work) => sum + work.memoryTokens, 0),
+    memoryTokens: holding.reduce((sum, work) => sum + work.memoryTokens, 0),
   };
 }
 
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -6,16 +6,19 @@
 import { type Clock, DisposableOwner, type Event, awaitEvent } from '@tanagerdyke/kernel';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
-import type { EngineWork, LoadBoard } from './LoadBoard.js';
+import { beginGenerating, type EngineWork, type LoadBoard } from './LoadBoard.js';
 import { placePrompt, type PromptPlacement, type PromptQuestion, valueOf } from './PromptPlacer.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Without news of ended work, room is looked for again after this time. */
 const RECHECK_MS = 40;
+/** Ids of work are counters, written short. */
+const ID_RADIX = 36;
 
 /** Spreads what this node knows of its own work. */
 export interface WorkPublisher {
   publish(work: EngineWork): void;
+  begin(work: EngineWork): void;
   withdraw(id: string): void;
 }
 
@@ -37,7 +40,6 @@
 
 /** A prompt to be placed. */
 export interface PromptRequest {
-  readonly id: string;
   readonly service: string;
   readonly profile: EngineProfile;
   readonly promptTokens: number;
@@ -46,6 +48,8 @@
   readonly pauseTargetMs: number;
   /** When the first event is due, on the clock. */
   readonly dueAt: number;
+  /** When the caller gives up. */
+  readonly deadlineAt: number;
   /** Engines that failed this request. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -74,6 +78,9 @@
     const { board, clock } = this._options;
     for (;;) {
       const placement = this._tryPlace(request);
+      if (placement?.isHarmful === true) {
+        return undefined;
+      }
       if (placement !== undefined) {
         return this._admit(request, placement);
       }
@@ -106,6 +113,7 @@
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       dueInMs: request.dueAt - clock.now(),
+      deadlineInMs: request.deadlineAt - clock.now(),
       latencyTargetMs: request.latencyTargetMs,
       pauseTargetMs: request.pauseTargetMs,
       availabilityZone: this._options.availabilityZone,
@@ -123,19 +131,22 @@
 
   private _admit(request: PromptRequest, placement: PromptPlacement): PlacedPrompt {
     const { clock, publisher } = this._options;
-    const id = `${request.id}.${this._placed++}`;
+    const id = (this._placed++).toString(ID_RADIX);
     const { promptTokens, outputTokens } = request;
+    const { reservedTokens, targets } = placement;
+    const isShared = reservedTokens > 0;
     let work: EngineWork = {
       id,
-      targets: placement.targets.map((target) => target.id),
+      targets: targets.map((target) => target.id),
+      isShared,
       partMs: placement.partMs,
       startedAt: clock.now(),
       dueAt: request.dueAt,
       isGenerating: false,
       pauseTargetMs: request.pauseTargetMs,
       value: valueOf(promptTokens, outputTokens),
-      memoryTokens: promptTokens + outputTokens,
-      contextTokens: promptTokens,
+      memoryTokens: isShared ? reservedTokens : promptTokens + outputTokens,
+      contextTokens: isShared ? reservedTokens : promptTokens,
     };
     publisher.publish(work);
     let isEnded = false;
@@ -143,8 +154,8 @@
       ...placement,
       markGenerating: () => {
         if (!work.isGenerating && !isEnded) {
-          work = { ...work, isGenerating: true, targets: work.targets.slice(0, 1) };
-          publisher.publish(work);
+          work = beginGenerating(work);
+          publisher.begin(work);
         }
       },
       end: () => {
--- a/packages/gateway/src/common/placement/LoadBoard.ts
+++ b/packages/gateway/src/common/placement/LoadBoard.ts
@@ -9,8 +9,10 @@
 export interface EngineWork {
   /** Unique within its node. */
   readonly id: string;
-  /** Engines that read the prompt; the first one generates. */
+  /** Engines that read the prompt, or hold a part of its memory; the first one generates. */
   readonly targets: readonly string[];
+  /** Whether each engine holds a part of the memory, under a reservation. */
+  readonly isShared: boolean;
   /** Prefill time of the part of each engine. */
   readonly partMs: number;
   readonly startedAt: number;
@@ -20,8 +22,9 @@
   readonly pauseTargetMs: number;
   /** What an answer in time is worth, in the unit of the placement. */
   readonly value: number;
-  /** Memory that the request takes on its first engine. */
+  /** Memory that the request takes on its first engine, or on each when it is shared. */
   readonly memoryTokens: number;
+  /** Context that slows the steps of the engines that hold it. */
   readonly contextTokens: number;
 }
 
@@ -72,6 +75,14 @@
     this._onChange.fire();
   }
 
+  /** The first event of a request came; all its parts are read. */
+  public begin(node: string, id: string): void {
+    const work = this._ofNode(node).works.get(id);
+    if (work !== undefined) {
+      this.set(node, beginGenerating(work));
+    }
+  }
+
   public end(node: string, id: string): void {
     const entry = this._ofNode(node);
     entry.heardAt = this._clock.now();
@@ -107,3 +118,9 @@
     return entry;
   }
 }
+
+/** The same work once its prompt is read. */
+export function beginGenerating(work: EngineWork): EngineWork {
+  const targets = work.isShared ? work.targets : work.targets.slice(0, 1);
+  return { ...work, isGenerating: true, targets };
+}
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -7,14 +7,19 @@
 import { z } from 'zod';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
 
-const LOAD_METHOD = 'gateway.load';
+const LOAD_METHOD = 'load';
+const GENERATING_FLAG = 1;
+const SHARED_FLAG = 2;
 /** Changes within this time travel together. */
 const COALESCE_MS = 3;
 const WHOLE_INTERVAL_MS = 1_000;
 /** Keeps a datagram within one packet. */
 const WORKS_PER_DATAGRAM = 8;
 
-/** Id, targets, part, age, time until due, generating, pause target, value, memory, context. */
+/**
+ * Id, targets, part, age, time until due, flags, pause target, value, memory, context. Positional and
+ * rounded, since every change goes to every node.
+ */
 const workSchema = z.tuple([
   z.string(),
   z.array(z.string()),
@@ -32,7 +37,9 @@
   method: z.literal(LOAD_METHOD),
   params: z.object({
     node: z.string(),
-    works: z.array(workSchema),
+    works: z.array(workSchema).optional(),
+    /** Ids of work that began to generate. */
+    began: z.array(z.string()).optional(),
     ended: z.array(z.string()).optional(),
     /** Ids of all work of the node. */
     all: z.array(z.string()).optional(),
@@ -53,6 +60,7 @@
 export class LoadNews extends DisposableOwner {
   private readonly _abort = new AbortController();
   private readonly _changed = new Map<string, EngineWork>();
+  private readonly _began = new Set<string>();
   private readonly _ended = new Set<string>();
   private _isScheduled = false;
 
@@ -82,10 +90,22 @@
     this._schedule();
   }
 
+  /** Records that work of this node began to generate, and tells the others. */
+  public begin(work: EngineWork): void {
+    this._options.board.set(this._self, work);
+    if (this._changed.has(work.id)) {
+      this._changed.set(work.id, work);
+    } else {
+      this._began.add(work.id);
+    }
+    this._schedule();
+  }
+
   /** Records that work of this node ended, and tells the others. */
   public withdraw(id: string): void {
     this._options.board.end(this._self, id);
     this._changed.delete(id);
+    this._began.delete(id);
     this._ended.add(id);
     this._schedule();
   }
@@ -100,9 +120,9 @@
     while (!signal.aborted) {
       await clock.sleep(WHOLE_INTERVAL_MS, signal);
       const { own } = board;
-      this._send({ node: this._self, works: [], all: own.map(({ id }) => id) });
+      this._send({ node: this._self, all: own.map(({ id }) => id) });
       for (let first = 0; first < own.length; first += WORKS_PER_DATAGRAM) {
-        this._sendWorks(own.slice(first, first + WORKS_PER_DATAGRAM), []);
+        this._sendWorks(own.slice(first, first + WORKS_PER_DATAGRAM), {});
       }
     }
   }
@@ -122,20 +142,28 @@
 
   private _flush(): void {
     const works = [...this._changed.values()];
+    const began = [...this._began];
     const ended = [...this._ended];
     this._changed.clear();
+    this._began.clear();
     this._ended.clear();
-    this._sendWorks(works.slice(0, WORKS_PER_DATAGRAM), ended);
+    this._sendWorks(works.slice(0, WORKS_PER_DATAGRAM), { began, ended });
     for (let first = WORKS_PER_DATAGRAM; first < works.length; first += WORKS_PER_DATAGRAM) {
-      this._sendWorks(works.slice(first, first + WORKS_PER_DATAGRAM), []);
+      this._sendWorks(works.slice(first, first + WORKS_PER_DATAGRAM), {});
     }
   }
 
-  private _sendWorks(works: readonly EngineWork[], ended: string[]): void {
+  private _sendWorks(
+    works: readonly EngineWork[],
+    { began = [], ended = [] }: { readonly began?: string[]; readonly ended?: string[] },
+  ): void {
     const now = this._options.clock.now();
-    const encoded = works.map((work) => encode(work, now));
-    const params = { node: this._self, works: encoded };
-    this._send(ended.length === 0 ? params : { ...params, ended });
+    this._send({
+      node: this._self,
+      ...(works.length > 0 && { works: works.map((work) => encode(work, now)) }),
+      ...(began.length > 0 && { began }),
+      ...(ended.length > 0 && { ended }),
+    });
   }
 
   private _send(params: LoadParams): void {
@@ -155,9 +183,12 @@
     }
     const { board, clock } = this._options;
     const now = clock.now();
-    for (const work of params.works) {
+    for (const work of params.works ?? []) {
       board.set(params.node, decode(work, now));
     }
+    for (const id of params.began ?? []) {
+      board.begin(params.node, id);
+    }
     for (const id of params.ended ?? []) {
       board.end(params.node, id);
     }
@@ -174,7 +205,7 @@
     Math.round(work.partMs),
     Math.round(now - work.startedAt),
     Math.round(work.dueAt - now),
-    work.isGenerating ? 1 : 0,
+    (work.isGenerating ? GENERATING_FLAG : 0) | (work.isShared ? SHARED_FLAG : 0),
     work.pauseTargetMs,
     Math.round(work.value * 10) / 10,
     Math.round(work.memoryTokens),
@@ -183,14 +214,15 @@
 }
 
 function decode(wire: z.infer<typeof workSchema>, now: number): EngineWork {
-  const [id, targets, partMs, ageMs, dueInMs, flag, pauseTargetMs, value, memory, context] = wire;
+  const [id, targets, partMs, ageMs, dueInMs, flags, pauseTargetMs, value, memory, context] = wire;
   return {
     id,
     targets,
     partMs,
     startedAt: now - ageMs,
     dueAt: now + dueInMs,
-    isGenerating: flag === 1,
+    isGenerating: (flags & GENERATING_FLAG) !== 0,
+    isShared: (flags & SHARED_FLAG) !== 0,
     pauseTargetMs,
     value,
     memoryTokens: memory,
@@ -199,7 +231,7 @@
 }
 
 function parseLoad(payload: string): LoadParams | undefined {
-  if (!payload.includes(LOAD_METHOD)) {
+  if (!payload.includes(`"${LOAD_METHOD}"`)) {
     return undefined;
   }
   try {
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -16,6 +16,8 @@
   readonly outputTokens: number;
   /** Time left until the first event is due. */
   readonly dueInMs: number;
+  /** Time left until the caller gives up. */
+  readonly deadlineInMs: number;
   readonly latencyTargetMs: number;
   readonly pauseTargetMs: number;
   readonly availabilityZone: string;
@@ -25,12 +27,16 @@
 export interface PromptPlacement {
   /** The first one generates. */
   readonly targets: readonly TargetEntry[];
+  /** Memory to reserve on each target; 0 when the first one holds all without a reservation. */
+  readonly reservedTokens: number;
   /** Prefill time of the part of each. */
   readonly partMs: number;
   /** Expected time to the first event. */
   readonly firstEventMs: number;
   /** Expected loss of value, own and displaced. */
   readonly cost: number;
+  /** Whether the placement takes more from others than the prompt is worth. */
+  readonly isHarmful: boolean;
 }
 
 /** Engines beside the first that one prompt may be read by; the engines take no more. */
@@ -54,6 +60,21 @@
 const REMOTE_LOSS = 0.02;
 /** Each further reader is one more engine whose failure breaks the request. */
 const READER_LOSS_SHARE = 0.002;
+/** Expected time from the first event to the end of an answer, as a share of the time left. */
+const ANSWER_SHARE = 0.15;
+const DEADLINE_RAMP = { safe: 0.9, lost: 1.0 };
+/** Room that a shared prompt leaves on each engine for the streams that grow there. */
+const SHARED_MEMORY_SHARE = 0.9;
+/** Engines reserve memory in blocks of at most this many tokens. */
+const BLOCK_TOKENS = 64;
+/**
+ * Value that a second of an engine's time earns with other prompts while all engines are busy; the
+ * mean of prompts around the middle of the lengths.
+ */
+const BUSY_VALUE_PER_SECOND = 4;
+const MS_PER_SECOND = 1_000;
+/** Times its own value that a prompt may cost others; a refusal costs its caller a wait. */
+const HARM_FACTOR = 1.3;
 /** Prefers the earlier of two placements in time. */
 const DELAY_LOSS_SHARE = 0.03;
 
@@ -68,13 +89,20 @@
   question: PromptQuestion,
   loads: readonly EngineLoad[],
 ): PromptPlacement | undefined {
-  const wholeMs = prefillMs(profile, question.promptTokens);
+  const input = { profile, question, loads };
+  return placeBest({ ...input, isShared: false }) ?? placeBest({ ...input, isShared: true });
+}
+
+function placeBest(input: PlacementInput): PromptPlacement | undefined {
+  const wholeMs = prefillMs(input.profile, input.question.promptTokens);
+  // The first engine names its own reservation too, which takes the place of a reader.
+  const most = input.isShared ? MAX_READERS : MAX_READERS + 1;
   let best: PromptPlacement | undefined;
   for (const count of READER_COUNTS) {
-    if (count > loads.length || count > MAX_READERS + 1) {
+    if (count > input.loads.length || count > most) {
       break;
     }
-    const placement = placeOn(count, wholeMs / count, { profile, question, loads });
+    const placement = placeOn(count, wholeMs / count, input);
     if (placement !== undefined && (best === undefined || placement.cost < best.cost)) {
       best = placement;
     }
@@ -86,6 +114,8 @@
   readonly profile: EngineProfile;
   readonly question: PromptQuestion;
   readonly loads: readonly EngineLoad[];
+  /** Whether the memory is shared by all engines of the placement. */
+  readonly isShared: boolean;
 }
 
 /** An engine as a candidate for one part of the prompt. */
@@ -102,10 +132,16 @@
   partMs: number,
   input: PlacementInput,
 ): PromptPlacement | undefined {
-  const { loads, question } = input;
-  const candidates = loads.map((load) => toCandidate(load, partMs, count, input));
+  const { isShared, loads, profile, question } = input;
+  const neededTokens = question.promptTokens + question.outputTokens;
+  const reservedTokens = isShared
+    ? Math.ceil(neededTokens / count / BLOCK_TOKENS + 1) * BLOCK_TOKENS
+    : 0;
+  const candidates = loads
+    .filter((load) => hasRoom(load, reservedTokens, profile))
+    .map((load) => toCandidate(load, partMs, count, input));
   candidates.sort((a, b) => a.score - b.score);
-  const head = chooseHead(candidates, count, input);
+  const head = chooseHead(candidates, count, isShared ? 0 : neededTokens, profile);
   if (head === undefined) {
     return undefined;
   }
@@ -118,41 +154,64 @@
   const chosen = [head, ...readers];
   const firstEventMs =
     Math.max(...chosen.map(({ finishMs }) => finishMs)) +
-    passMs(input.profile, head.load.generating.length + 1, question.promptTokens);
+    passMs(profile, head.load.generating.length + 1, question.promptTokens);
   const value = valueOf(question.promptTokens, question.outputTokens);
-  const cost =
+  const loss =
     chosen.reduce((sum, { displacedLoss }) => sum + displacedLoss, 0) +
-    head.headLoss +
     value * lateLoss(firstEventMs, question) +
     value * READER_LOSS_SHARE * (count - 1);
-  return { targets: chosen.map(({ load }) => load.entry), partMs, firstEventMs, cost };
+  const wholeMs = partMs * count;
+  const opportunity = (wholeMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(loads);
+  return {
+    targets: chosen.map(({ load }) => load.entry),
+    reservedTokens,
+    partMs,
+    firstEventMs,
+    cost: loss + head.headLoss,
+    // A prompt that one engine reads in time is never worth a refusal.
+    isHarmful: wholeMs > question.latencyTargetMs && loss + opportunity > HARM_FACTOR * value,
+  };
+}
+
+/** Share of the engines that read, or generate for many. */
+function busyShare(loads: readonly EngineLoad[]): number {
+  const busy = loads.reduce((sum, { backlogMs, generating, entry }) => {
+    return sum + (backlogMs > 0 ? 1 : generating.length / entry.slots);
+  }, 0);
+  return busy / loads.length;
+}
+
+function hasRoom(load: EngineLoad, tokens: number, profile: EngineProfile): boolean {
+  return tokens === 0 || load.memoryTokens + tokens <= profile.memoryTokens * SHARED_MEMORY_SHARE;
 }
 
 /** The share of its value that a request loses by its first event coming after a time. */
 function lateLoss(firstEventMs: number, question: PromptQuestion): number {
   const limitMs = Math.max(1, question.dueInMs);
+  const deadlineMs = Math.max(1, question.deadlineInMs * (1 - ANSWER_SHARE));
   const delayShare = Math.min(2, firstEventMs / question.latencyTargetMs);
-  return LATE_LOSS * ramp(firstEventMs / limitMs, TIME_RAMP) + DELAY_LOSS_SHARE * delayShare;
+  return (
+    LATE_LOSS * ramp(firstEventMs / limitMs, TIME_RAMP) +
+    (1 - LATE_LOSS) * ramp(firstEventMs / deadlineMs, DEADLINE_RAMP) +
+    DELAY_LOSS_SHARE * delayShare
+  );
 }
 
 /** The candidate with room that loses least by generating too. */
 function chooseHead(
   candidates: readonly PartCandidate[],
   count: number,
-  { profile, question }: PlacementInput,
+  neededTokens: number,
+  profile: EngineProfile,
 ): PartCandidate | undefined {
-  const neededTokens = question.promptTokens + question.outputTokens;
   let best: PartCandidate | undefined;
   // Only those among the best readers, or the part of the head would come late.
   for (const candidate of count === 1 ? candidates : candidates.slice(0, count + 2)) {
     const { load } = candidate;
-    const hasRoom =
+    const isOpen =
       load.heads < load.entry.slots && load.memoryTokens + neededTokens <= profile.memoryTokens;
-    if (!hasRoom) {
-      continue;
-    }
     const total = candidate.score + candidate.headLoss;
-    if (best === undefined || total < best.score + best.headLoss) {
+    if (isOpen && (best === undefined || total < best.score + best.headLoss)) {
       best = candidate;
     }
   }
--- /dev/null
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -0,0 +1,131 @@
+/**
+ * The memory of one prompt that is shared by several engines. All engines reserve their part or none
+ * keeps it. Reservations are held for a short time and renewed while the prompt runs, so that those
+ * of a dead node are free again soon. A call without an answer may take effect seconds later; its
+ * reservation is released again for as long as that can happen.
+ */
+import { type Clock, DisposableOwner, ErrorKind, toDisposable } from '@tanagerdyke/kernel';
+import type { DecisionLog } from '../DecisionLog.js';
+import type { TargetEntry } from '../Messages.js';
+import type { EngineReservations } from '../services/Services.js';
+
+/** Under the four seconds within which the memory of a dead node must be free. */
+const HOLD_MS = 3_400;
+/** Two renewals may be lost before a reservation ends. */
+const RENEW_MS = 1_100;
+const CALL_TIMEOUT_MS = 400;
+const RELEASE_RETRY_MS = 300;
+const RELEASE_TRIES = 6;
+/** Orders without an answer may be carried out this much later. */
+const LATE_EFFECT_MS = 12_500;
+const LATE_RELEASE_INTERVAL_MS = 1_500;
+
+/** What reservations need. */
+export interface ReservationOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly engines: EngineReservations;
+}
+
+/** What is to be reserved. */
+export interface ReservationRequest {
+  /** Unique over all nodes and time. */
+  readonly id: string;
+  readonly targets: readonly TargetEntry[];
+  /** Memory on each target. */
+  readonly tokens: number;
+}
+
+/** The reservations of one prompt. */
+export class PromptReservations extends DisposableOwner {
+  private readonly _abort = new AbortController();
+  private _hasUnanswered = false;
+
+  constructor(
+    private readonly _options: ReservationOptions,
+    private readonly _request: ReservationRequest,
+  ) {
+    super();
+    this.register(
+      toDisposable(() => {
+        this._abort.abort();
+        void this._releaseAll();
+      }),
+    );
+  }
+
+  public get id(): string {
+    return this._request.id;
+  }
+
+  /** Reserves on all targets; returns the target that has no room, if there is one. */
+  public async acquire(): Promise<TargetEntry | undefined> {
+    const { targets } = this._request;
+    const answers = await Promise.all(targets.map((target) => this._reserve(target)));
+    const failed = targets.find((_target, index) => answers[index] === false);
+    if (failed === undefined) {
+      void this._renewTask();
+    }
+    return failed;
+  }
+
+  private async _renewTask(): Promise<void> {
+    const { signal } = this._abort;
+    for (;;) {
+      await this._options.clock.sleep(RENEW_MS, signal);
+      if (signal.aborted) {
+        return;
+      }
+      await Promise.all(this._request.targets.map((target) => this._reserve(target)));
+    }
+  }
+
+  private async _reserve(target: TargetEntry): Promise<boolean> {
+    const { engines, log } = this._options;
+    const { id, tokens } = this._request;
+    const reservation = { id, tokens, holdMs: HOLD_MS };
+    const answer = await engines.reserve(target, reservation, CALL_TIMEOUT_MS);
+    if (answer.isErr) {
+      this._hasUnanswered ||= answer.error.kind !== ErrorKind.Overloaded;
+      log.note('reservation.failed', {
+        id,
+        target: target.id,
+        tokens,
+        cause: answer.error.message,
+      });
+    }
+    return answer.isOk;
+  }
+
+  private async _releaseAll(): Promise<void> {
+    await Promise.all(this._request.targets.map((target) => this._release(target)));
+    if (!this._hasUnanswered) {
+      return;
+    }
+    const { clock } = this._options;
+    const until = clock.now() + LATE_EFFECT_MS;
+    while (clock.now() < until) {
+      await clock.sleep(LATE_RELEASE_INTERVAL_MS);
+      await Promise.all(this._request.targets.map((target) => this._release(target)));
+    }
+  }
+
+  private async _release(target: TargetEntry): Promise<void> {
+    const { clock, engines, log } = this._options;
+    const { id } = this._request;
+    for (let attempt = 1; attempt <= RELEASE_TRIES; attempt++) {
+      const answer = await engines.release(target, id, CALL_TIMEOUT_MS);
+      if (answer.isOk) {
+        return;
+      }
+      this._hasUnanswered = true;
+      log.note('reservation.unreleased', {
+        id,
+        target: target.id,
+        attempt,
+        cause: answer.error.message,
+      });
+      await clock.sleep(RELEASE_RETRY_MS);
+    }
+  }
+}
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -71,13 +71,22 @@
   writeAddresses(addresses: readonly string[], timeToLiveMs: number): string;
 }
 
+/** Memory to set aside on an engine. */
+export interface EngineReservation {
+  readonly id: string;
+  readonly tokens: number;
+  /** The engine frees it by itself after this time. */
+  readonly holdMs: number;
+}
+
 /** Memory that is set aside on engines under an id of the caller's choice. */
 export interface EngineReservations {
   /** Reserves or renews. Errors: `Overloaded` when the engine has no room, `TargetFailed`. */
   reserve(
-    address: string,
-    reservation: { readonly id: string; readonly tokens: number; readonly holdMs: number },
+    target: TargetEntry,
+    reservation: EngineReservation,
     timeoutMs: number,
   ): Promise<Result<void, ServiceError>>;
-  release(address: string, id: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
+  /** Ends a reservation; also ok when there is none. */
+  release(target: TargetEntry, id: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
 }
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -22,6 +22,8 @@
 /** Without a sound target a call waits for one this long. */
 const TARGET_WAIT_MS = 250;
 const TARGET_POLL_MS = 25;
+/** Timers of Node.js may fire this much early. */
+const TIMER_SLACK_MS = 2;
 /** When callers of a service without targets should come back. */
 const NO_TARGET_RETRY_MS = 300;
 
@@ -31,6 +33,7 @@
   private _attempts = 0;
   private _cause: string | undefined;
   private _failure: WholeAnswer | undefined;
+  private _isLate = false;
   private readonly _tried: string[] = [];
 
   constructor(
@@ -46,12 +49,13 @@
         break;
       }
       this._tried.push(target.id);
+      const sentAt = this._parts.clock.now();
       const outcome = await this._tryTarget(target);
       this._execution = worse(this._execution, outcome.execution);
       if (outcome.execution !== Execution.NotSent) {
         this._attempts++;
       }
-      const report = this._conclude(target, outcome);
+      const report = this._conclude(target, outcome, sentAt);
       if (report !== undefined) {
         return report;
       }
@@ -133,7 +137,11 @@
   }
 
   /** Passes the outcome on, or returns nothing when another target may be tried. */
-  private _conclude(target: TargetEntry, outcome: WholeOutcome): RequestReport | undefined {
+  private _conclude(
+    target: TargetEntry,
+    outcome: WholeOutcome,
+    sentAt: number,
+  ): RequestReport | undefined {
     const { clock, health } = this._parts;
     const { deadlineAt, route, signal } = this._request;
     if (signal.aborted) {
@@ -141,10 +149,13 @@
     }
     if (outcome.whole === undefined) {
       this._cause = outcome.cause;
-      const suspectMs = health.noteBreak(target.id);
+      const waitedMs = clock.now() - sentAt;
+      const isBlamed = !outcome.isLate || waitedMs >= PATIENCE_TARGETS * route.latencyTargetMs;
+      const suspectMs = isBlamed ? health.noteBreak(target.id) : 0;
       this._noteMove(target, outcome, suspectMs);
-      const hasTime = clock.now() < deadlineAt;
-      return hasTime && mayMove(route, outcome.execution) ? undefined : this._giveUp();
+      this._isLate = outcome.isLate && clock.now() + TIMER_SLACK_MS >= deadlineAt;
+      const mayTryOn = !this._isLate && mayMove(route, outcome.execution);
+      return mayTryOn ? undefined : this._giveUp();
     }
     const { answer } = outcome.whole;
     const isFailure = answer.status >= FIRST_SERVER_ERROR;
@@ -176,8 +187,7 @@
 
   /** The final answer when no target is left to try. */
   private _giveUp(): RequestReport {
-    const { clock } = this._parts;
-    const { deadlineAt, response, signal } = this._request;
+    const { response, signal } = this._request;
     if (signal.aborted) {
       return this._report(Ending.CallerLeft);
     }
@@ -193,7 +203,7 @@
       });
       return this._report(Ending.Refused);
     }
-    const isLate = clock.now() >= deadlineAt;
+    const isLate = this._isLate;
     response.answer({
       status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
       kind: isLate ? 'deadline-exceeded' : 'target-failed',
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,7 +13,7 @@
 } from '../common/Messages.js';
 import type { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
-import type { Dialect } from '../common/services/Services.js';
+import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { Upstream } from './Upstream.js';
@@ -29,6 +29,7 @@
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly scheduler: EngineScheduler;
+  readonly engines: EngineReservations;
   readonly budget: SharedRetryBudget;
   readonly upstream: Upstream;
   readonly availabilityZone: string;
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -19,6 +19,7 @@
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type {
   Dialect,
+  EngineReservations,
   KeyedTopic,
   NodeRegistry,
   RecordDecoder,
@@ -60,6 +61,7 @@
   readonly configurationTopic: KeyedTopic;
   readonly targetTopic: KeyedTopic;
   readonly registry: NodeRegistry;
+  readonly engines: EngineReservations;
 }
 
 /** One gateway node with all its parts. */
@@ -164,6 +166,7 @@
       targets,
       health,
       scheduler,
+      engines: _options.engines,
       budget: new SharedRetryBudget(clock, settings.retries, liveNodes),
       upstream,
       availabilityZone,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -7,6 +7,7 @@
 import { Execution, isUnrun, mayMove, worse } from '../common/Execution.js';
 import type { EngineProfile, TargetEntry } from '../common/Messages.js';
 import type { PlacedPrompt } from '../common/placement/EngineScheduler.js';
+import { PromptReservations } from '../common/placement/PromptReservations.js';
 import { OwnStatus } from './CallerResponse.js';
 import {
   connectionsFor,
@@ -22,11 +23,15 @@
 const ROOM_WAIT_SHARE = 0.25;
 /** A stream is silent when the expected time to its first event passed this many times … */
 const FIRST_SILENCE_FACTOR = 2;
-/** … and this long after. */
+/** … and this long after, … */
 const FIRST_SILENCE_MARGIN_MS = 800;
+/** … but not before its latency target passed this many times. */
+const FIRST_SILENCE_TARGETS = 1.2;
 /** After its first event a stream is silent after this many times its pause target. */
 const SILENCE_PAUSES = 3;
 const SILENCE_MARGIN_MS = 300;
+/** Timers of Node.js may fire this much early. */
+const TIMER_SLACK_MS = 2;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 1_500;
 /** Latency targets up to which a prompt is urgent to its engine, with the priority that it gets. */
@@ -36,6 +41,14 @@
 ] as const;
 const LEAST_PRIORITY = 6;
 
+/** Reservations that a run holds, or none. */
+interface HeldReservations {
+  readonly id: string | undefined;
+  dispose(): void;
+}
+
+const NO_RESERVATIONS: HeldReservations = { id: undefined, dispose: () => undefined };
+
 /** One stream under way. */
 class StreamForwarding {
   private readonly _splitter: EventStreamSplitter;
@@ -66,7 +79,13 @@
         break;
       }
       this._placement = placed;
-      const outcome = await this._tryPlacement(placed);
+      const reservations = await this._reserve(placed);
+      if (reservations === undefined) {
+        placed.end();
+        continue;
+      }
+      const outcome = await this._tryPlacement(placed, reservations.id);
+      reservations.dispose();
       placed.end();
       this._execution = worse(this._execution, outcome.execution);
       if (outcome.execution !== Execution.NotSent) {
@@ -92,11 +111,10 @@
 
   private _place(): Promise<PlacedPrompt | undefined> {
     const { clock, scheduler } = this._parts;
-    const { caller, deadlineAt, id, receivedAt, route, service, signal } = this._request;
+    const { caller, deadlineAt, receivedAt, route, service, signal } = this._request;
     const now = clock.now();
     const giveUpAt = now + (deadlineAt - now) * ROOM_WAIT_SHARE;
     const prompt = {
-      id,
       service: service.name,
       profile: this._profile,
       promptTokens: caller.promptTokens,
@@ -104,16 +122,46 @@
       latencyTargetMs: route.latencyTargetMs,
       pauseTargetMs: route.pauseTargetMs,
       dueAt: receivedAt + route.latencyTargetMs,
+      deadlineAt,
       excluded: this._excluded,
     };
     return scheduler.place(prompt, giveUpAt, signal);
   }
 
-  private _tryPlacement(placed: PlacedPrompt): Promise<StreamOutcome> {
+  /** Reserves the memory of a shared prompt; nothing when an engine turned out to be full. */
+  private async _reserve(placed: PlacedPrompt): Promise<HeldReservations | undefined> {
+    const { clock, engines, log, random } = this._parts;
+    if (placed.reservedTokens === 0) {
+      return NO_RESERVATIONS;
+    }
+    const id = random.identifier();
+    const { reservedTokens: tokens, targets } = placed;
+    const reservations = new PromptReservations({ clock, log, engines }, { id, targets, tokens });
+    const full = await reservations.acquire();
+    log.note('reservation.asked', {
+      request: this._request.id,
+      id,
+      tokens,
+      targets: targets.length,
+      full: full?.id,
+    });
+    if (full === undefined) {
+      return reservations;
+    }
+    reservations.dispose();
+    this._excluded.add(full.id);
+    return undefined;
+  }
+
+  private _tryPlacement(
+    placed: PlacedPrompt,
+    reservation: string | undefined,
+  ): Promise<StreamOutcome> {
     const { clock, dialect, upstream } = this._parts;
     const { body, caller, deadlineAt, headers, method, path, response, route, service, signal } =
       this._request;
-    const [target, ...readers] = placed.targets as [TargetEntry, ...TargetEntry[]];
+    const [target, ...others] = placed.targets as [TargetEntry, ...TargetEntry[]];
+    const readers = reservation === undefined ? others : placed.targets;
     this._tried.push(placed.targets.map(({ id }) => id).join('+'));
     const marked = dialect.markForwarded(headers, {
       targetId: target.id,
@@ -121,7 +169,7 @@
       workspace: this._request.workspace?.name,
       lastEventId: this._splitter.lastEventId,
       enginePriority: priorityOf(route.latencyTargetMs),
-      readers: readers.map(({ address }) => ({ address, reservation: undefined })),
+      readers: readers.map(({ address }) => ({ address, reservation })),
     });
     this._splitter.restart();
     return exchangeStream({
@@ -135,7 +183,10 @@
       splitter: this._splitter,
       response,
       deadlineAt,
-      firstSilenceMs: placed.firstEventMs * FIRST_SILENCE_FACTOR + FIRST_SILENCE_MARGIN_MS,
+      firstSilenceMs: Math.max(
+        placed.firstEventMs * FIRST_SILENCE_FACTOR + FIRST_SILENCE_MARGIN_MS,
+        route.latencyTargetMs * FIRST_SILENCE_TARGETS,
+      ),
       silenceMs: route.pauseTargetMs * SILENCE_PAUSES + SILENCE_MARGIN_MS,
       signal,
       onFirstEvent: () => {
@@ -217,7 +268,7 @@
       });
       return this._report(Ending.Refused);
     }
-    const isLate = clock.now() >= deadlineAt;
+    const isLate = clock.now() + TIMER_SLACK_MS >= deadlineAt;
     response.answer({
       status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
       kind: isLate ? 'deadline-exceeded' : 'target-failed',
--- a/packages/gateway/src/node/WholeExchange.ts
+++ b/packages/gateway/src/node/WholeExchange.ts
@@ -21,7 +21,13 @@
 /** How an exchange ended: with a complete answer or without one. */
 export type WholeOutcome =
   | { readonly whole: WholeAnswer; readonly execution: Execution }
-  | { readonly whole: undefined; readonly execution: Execution; readonly cause: string };
+  | {
+      readonly whole: undefined;
+      readonly execution: Execution;
+      readonly cause: string;
+      /** Whether the time ran out, which need not be the target's fault. */
+      readonly isLate: boolean;
+    };
 
 /** What an exchange needs. */
 export interface WholeExchangeOptions {
@@ -52,15 +58,18 @@
       signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
-    const giveUp = (cause: string): void => {
+    const fail = (cause: string, isLate = false): void => {
+      finish({ whole: undefined, execution, cause, isLate });
+    };
+    const giveUp = (cause: string, isLate = false): void => {
       exchange.abort();
-      finish({ whole: undefined, execution, cause });
+      fail(cause, isLate);
     };
     const onAbort = (): void => {
       giveUp('the caller left');
     };
     const timer = clock.schedule(giveUpAt - clock.now(), () => {
-      giveUp('no answer in time');
+      giveUp('no answer in time', true);
     });
     signal.addEventListener('abort', onAbort, { once: true });
     const exchange: Exchange = upstream.send(target, connections, request, {
@@ -80,14 +89,14 @@
       },
       onEnd: () => {
         if (answer === undefined || !isOwnAnswer(answer, attemptId)) {
-          finish({ whole: undefined, execution, cause: 'the answer belongs to another request' });
+          fail('the answer belongs to another request');
           return;
         }
         execution = answer.isNotRun ? Execution.RefusedUnrun : Execution.Ran;
         finish({ whole: { answer, headers, body: Buffer.concat(chunks) }, execution });
       },
       onError: (error) => {
-        finish({ whole: undefined, execution, cause: error.message });
+        fail(error.message);
       },
     });
   });
