Take no request that a leaving node may have to cut; spread news by zone

Beside it, broadcasts cross to each other zone once and two nodes of a zone poll the store, as 80 hosts would pay for every copy and every poll.

--- a/packages/gateway/src/common/placement/LoadNews.test.ts
+++ b/packages/gateway/src/common/placement/LoadNews.test.ts
@@ -1,5 +1,6 @@
 import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
 import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { ZoneBroadcast } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { type EngineWork, LoadBoard } from './LoadBoard.js';
 import { LoadNews } from './LoadNews.js';
@@ -34,7 +35,8 @@
       const membership = new FixedMembership(self, members);
       const board = new LoadBoard(clock, self.name);
       boards.push(board);
-      return new LoadNews({ clock, transport, membership, board });
+      const broadcast = new ZoneBroadcast({ clock, transport, membership });
+      return new LoadNews({ clock, broadcast, node: self.name, board });
     });
     news[0]?.start();
   });
@@ -97,7 +99,7 @@
     it.each(['', '{', '{"method":"load"}', '{"method":"load","params":{"node":"a","works":[1]}}'])(
       'change nothing: %s',
       async (payload) => {
-        network.find('127.0.0.1:1')?.sendDatagram('127.0.0.1:2', payload);
+        network.find('127.0.0.1:1')?.sendDatagram('127.0.0.1:2', `F${payload}`);
         await clock.advance(10);
         expect(boards[1]?.works).toEqual([]);
       },
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -3,7 +3,7 @@
  * a whole, which makes good for lost datagrams.
  */
 import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
-import type { Membership, Transport } from '@tanagerdyke/mesh';
+import type { ZoneBroadcast } from '@tanagerdyke/mesh';
 import { z } from 'zod';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
 
@@ -51,8 +51,9 @@
 /** What the news needs. */
 export interface LoadNewsOptions {
   readonly clock: Clock;
-  readonly transport: Transport;
-  readonly membership: Membership;
+  readonly broadcast: ZoneBroadcast;
+  /** Name of this node. */
+  readonly node: string;
   readonly board: LoadBoard;
 }
 
@@ -66,14 +67,13 @@
 
   constructor(private readonly _options: LoadNewsOptions) {
     super();
-    const { transport } = _options;
     this.register(
       toDisposable(() => {
         this._abort.abort();
       }),
     );
     this.register(
-      transport.onDatagram((payload) => {
+      _options.broadcast.onMessage((payload) => {
         this._receive(payload);
       }),
     );
@@ -111,7 +111,7 @@
   }
 
   private get _self(): string {
-    return this._options.membership.self.name;
+    return this._options.node;
   }
 
   private async _run(): Promise<void> {
@@ -167,13 +167,8 @@
   }
 
   private _send(params: LoadParams): void {
-    const { membership, transport } = this._options;
     const payload = JSON.stringify({ jsonrpc: '2.0', method: LOAD_METHOD, params });
-    for (const { name, peerAddress } of membership.live) {
-      if (name !== this._self) {
-        transport.sendDatagram(peerAddress, payload);
-      }
-    }
+    this._options.broadcast.send(payload);
   }
 
   private _receive(payload: string): void {
--- a/packages/gateway/src/common/state/KeyedFollower.test.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.test.ts
@@ -76,17 +76,26 @@
   let topic: TopicStandIn;
   let table: KeyedTable;
   let lines: string[];
+  let isPolling: boolean;
 
   beforeEach(() => {
     clock = new ManualClock();
     topic = new TopicStandIn(clock);
     table = new KeyedTable('topic');
     lines = [];
+    isPolling = true;
   });
 
   function start(): void {
     const log = new DecisionLog(clock, 'n', (line) => lines.push(line) > 0);
-    new KeyedFollower({ clock, random: new SeededRandom(1), topic, table, log }).start();
+    new KeyedFollower({
+      clock,
+      random: new SeededRandom(1),
+      topic,
+      table,
+      log,
+      isPolling: () => isPolling,
+    }).start();
   }
 
   it('takes the state at the start and follows changes within a poll', async () => {
@@ -112,6 +121,17 @@
     expect(table.records).toHaveLength(2);
   });
 
+  describe('a node that leaves polling to others', () => {
+    it('takes the state at the start and makes no more calls', async () => {
+      isPolling = false;
+      topic.write('a', '1');
+      start();
+      await clock.advance(10_000);
+      expect(table.find('a')?.value?.toString()).toBe('1');
+      expect(topic.calls).toBe(1);
+    });
+  });
+
   describe('an outage', () => {
     it('is told once, and its end too', async () => {
       topic.mode = Mode.Refuses;
--- a/packages/gateway/src/common/state/KeyedFollower.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.ts
@@ -23,6 +23,9 @@
 const POLL_MARGIN_MS = 1_000;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
+/** How often a node that does not poll looks whether it should. */
+const IDLE_MS = 200;
+const READ_TIMEOUT_MS = 800;
 
 /** What a follower needs. */
 export interface FollowerOptions {
@@ -31,6 +34,8 @@
   readonly topic: KeyedTopic;
   readonly table: KeyedTable;
   readonly log: DecisionLog;
+  /** Whether this node polls for changes, or leaves that to others. */
+  readonly isPolling: () => boolean;
 }
 
 /** The follower of one topic. */
@@ -49,6 +54,11 @@
     );
   }
 
+  /** Name of the topic. */
+  public get name(): string {
+    return this._options.topic.name;
+  }
+
   /** When the platform last answered, on this node's clock. */
   public get answeredAt(): number {
     return this._answeredAt;
@@ -68,6 +78,10 @@
     const { signal } = this._abort;
     let needsSnapshot = true;
     while (!signal.aborted) {
+      if (!needsSnapshot && !this._options.isPolling()) {
+        await clock.sleep(IDLE_MS, signal);
+        continue;
+      }
       const outcome = needsSnapshot ? await this._takeSnapshot() : await this._poll();
       if (outcome === undefined) {
         this._noteAnswer();
@@ -94,9 +108,21 @@
     return undefined;
   }
 
-  private async _poll(): Promise<ServiceError | undefined> {
+  /** Reads what the platform has beyond the table's end, without waiting. */
+  public async catchUp(): Promise<void> {
+    const error = await this._read(0, READ_TIMEOUT_MS);
+    if (error !== undefined && error.kind !== ErrorKind.RecordsExpired) {
+      this._noteFailure(error);
+    }
+  }
+
+  private _poll(): Promise<ServiceError | undefined> {
+    return this._read(POLL_WAIT_MS, POLL_WAIT_MS + POLL_MARGIN_MS);
+  }
+
+  private async _read(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
-    const answer = await topic.read(table.end, POLL_WAIT_MS, POLL_WAIT_MS + POLL_MARGIN_MS);
+    const answer = await topic.read(table.end, waitMs, timeoutMs);
     if (answer.isErr) {
       return answer.error;
     }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -11,7 +11,7 @@
   ServiceError,
   toDisposable,
 } from '@tanagerdyke/kernel';
-import type { Membership, Transport } from '@tanagerdyke/mesh';
+import type { Member, Membership, Transport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
@@ -23,6 +23,14 @@
 const PROGRESS_INTERVAL_MS = 500;
 /** Peers told in one interval; a bound for large systems. */
 const MAX_PEERS_TOLD = 8;
+/** Nodes of a zone that poll the platform for all. */
+const POLLERS_PER_ZONE = 2;
+/** Without news of a poller in touch with the platform for this long, a node polls itself. */
+const POLLER_SILENCE_MS = 2_500;
+/** News of an outage counts this long; senders repeat it while it lasts. */
+const OUTAGE_NEWS_MS = 1_200;
+/** A longer answer would take a small host's link too long; the platform has more room. */
+const MAX_ANSWER_BYTES = 100_000;
 const FETCH_TIMEOUT_MS = 1_000;
 /** A record on its way from the platform usually arrives before a fetch would bring it. */
 const FETCH_DELAY_MS = 60;
@@ -31,6 +39,10 @@
   method: z.literal(PROGRESS_METHOD),
   params: z.object({
     from: z.string(),
+    /** Whether the sender is in touch with the platform. */
+    inTouch: z.boolean(),
+    /** Whether the sender saw an outage of the platform lately. */
+    unsettled: z.boolean(),
     ends: z.array(z.tuple([z.string(), z.number().int()])),
   }),
 });
@@ -40,6 +52,8 @@
 const recordsSchema = z.object({
   end: z.number().int(),
   isKnown: z.boolean(),
+  /** Whether there is more than an answer takes. */
+  isTooLong: z.boolean(),
   records: z.array(z.tuple([z.string(), z.number().int(), z.string().nullable()])),
 });
 
@@ -50,6 +64,12 @@
   readonly transport: Transport;
   readonly membership: Membership;
   readonly tables: readonly KeyedTable[];
+  /** Whether the platform answered this node lately. */
+  readonly isInTouch: () => boolean;
+  /** Whether this node saw an outage of the platform lately. */
+  readonly isUnsettled: () => boolean;
+  /** Reads a topic from the platform. */
+  readonly catchUp: (topic: string) => Promise<void>;
   readonly log: DecisionLog;
 }
 
@@ -57,10 +77,14 @@
 export class PeerRelay extends DisposableOwner {
   private readonly _abort = new AbortController();
   private readonly _fetching = new Set<string>();
+  /** When a poller of the own zone last said that it is in touch. */
+  private _pollerHeardAt: number;
+  private _unsettledHeardAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly _options: RelayOptions) {
     super();
-    const { tables, transport } = _options;
+    const { clock, tables, transport } = _options;
+    this._pollerHeardAt = clock.now();
     this.register(
       toDisposable(() => {
         this._abort.abort();
@@ -73,12 +97,32 @@
     for (const table of tables) {
       this.register(
         table.onChange(() => {
-          this._tell();
+          this._tellZone();
         }),
       );
     }
   }
 
+  /** Whether this node polls the platform for its zone. */
+  public get isPoller(): boolean {
+    const { clock, membership } = this._options;
+    const names = this._zone.map(({ name }) => name).sort();
+    const rank = names.indexOf(membership.self.name);
+    return rank < POLLERS_PER_ZONE || clock.now() - this._pollerHeardAt > POLLER_SILENCE_MS;
+  }
+
+  /** Whether a peer told lately of an outage of the platform. */
+  public get heardOfOutage(): boolean {
+    return this._options.clock.now() - this._unsettledHeardAt < OUTAGE_NEWS_MS;
+  }
+
+  /** Live members of the own zone, this node included. */
+  private get _zone(): readonly Member[] {
+    const { membership } = this._options;
+    const { availabilityZone } = membership.self;
+    return membership.live.filter((member) => member.availabilityZone === availabilityZone);
+  }
+
   public start(): void {
     void this._run();
   }
@@ -92,19 +136,36 @@
     }
   }
 
+  /** Tells a few peers of any zone. */
   private _tell(): void {
-    const { membership, random, tables, transport } = this._options;
-    const ends = tables.map(({ name, end }) => [name, end]);
-    const payload = JSON.stringify({
-      jsonrpc: '2.0',
-      method: PROGRESS_METHOD,
-      params: { from: transport.address, ends },
-    });
-    const peers = membership.live.filter(({ name }) => name !== membership.self.name);
+    const { membership, random } = this._options;
+    const peers = membership.live;
     const first = peers.length > MAX_PEERS_TOLD ? random.integer(peers.length) : 0;
     const chosen = [...peers.slice(first), ...peers.slice(0, first)].slice(0, MAX_PEERS_TOLD);
-    for (const { peerAddress } of chosen) {
-      transport.sendDatagram(peerAddress, payload);
+    this._send(this.isPoller ? [...new Set([...chosen, ...this._zone])] : chosen);
+  }
+
+  /** Tells the zone at once of what this node learned from the platform. */
+  private _tellZone(): void {
+    if (this.isPoller) {
+      this._send(this._zone);
+    }
+  }
+
+  private _send(peers: readonly Member[]): void {
+    const { isInTouch, isUnsettled, membership, tables, transport } = this._options;
+    const ends = tables.map(({ name, end }) => [name, end]);
+    const params = {
+      from: transport.address,
+      inTouch: this.isPoller && isInTouch(),
+      unsettled: isUnsettled(),
+      ends,
+    };
+    const payload = JSON.stringify({ jsonrpc: '2.0', method: PROGRESS_METHOD, params });
+    for (const { name, peerAddress } of peers) {
+      if (name !== membership.self.name) {
+        transport.sendDatagram(peerAddress, payload);
+      }
     }
   }
 
@@ -113,6 +174,12 @@
     if (parsed === undefined) {
       return;
     }
+    if (parsed.inTouch && this._zone.some(({ peerAddress }) => peerAddress === parsed.from)) {
+      this._pollerHeardAt = this._options.clock.now();
+    }
+    if (parsed.unsettled) {
+      this._unsettledHeardAt = this._options.clock.now();
+    }
     for (const [name, end] of parsed.ends) {
       const table = this._options.tables.find((each) => each.name === name);
       if (table !== undefined && end > table.end) {
@@ -122,7 +189,7 @@
   }
 
   private async _fetch(peer: string, table: KeyedTable, end: number): Promise<void> {
-    const { clock, log, transport } = this._options;
+    const { catchUp, clock, log, transport } = this._options;
     if (this._fetching.has(table.name)) {
       return;
     }
@@ -135,7 +202,9 @@
       const question = { topic: table.name, after };
       const answer = await transport.request(peer, RECORDS_METHOD, question, FETCH_TIMEOUT_MS);
       const parsed = answer.isOk ? recordsSchema.safeParse(answer.value) : undefined;
-      if (parsed?.success === true) {
+      if (parsed?.success === true && parsed.data.isTooLong) {
+        await catchUp(table.name);
+      } else if (parsed?.success === true) {
         this._take(table, parsed.data);
         log.note('records.fetched', { topic: table.name, peer, after, end: parsed.data.end });
       } else {
@@ -174,8 +243,12 @@
     }
     const records = table
       .since(question.data.after)
-      .map(({ key, offset, value }) => [key, offset, value?.toString('base64') ?? null]);
-    return Result.ok({ end: table.end, isKnown: table.isKnown, records });
+      .map(({ key, offset, value }) => [key, offset, value?.toString('base64') ?? null] as const);
+    const length = records.reduce((sum, [, , value]) => sum + (value?.length ?? 0), 0);
+    // Without the platform the long answer is the only one.
+    const isTooLong = length > MAX_ANSWER_BYTES && this._options.isInTouch();
+    const { end, isKnown } = table;
+    return Result.ok({ end, isKnown, isTooLong, records: isTooLong ? [] : records });
   }
 }
 
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -32,8 +32,10 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Bodies held at once by all requests; more would endanger the memory limit of a small host. */
 const MAX_HELD_BYTES = 96 * 1024 * 1024;
-/** When callers should come back to a node that knows no configuration yet, or is full. */
+/** When callers should come back to a node that knows no configuration yet. */
 const UNREADY_RETRY_MS = 300;
+/** Other nodes serve already; the caller only has to change its address. */
+const LEAVING_RETRY_MS = 20;
 
 /** Whether new requests are refused, and whether connections close after their answer. */
 export interface FrontState {
@@ -150,7 +152,7 @@
     const caller = dialect.readCaller(incoming.rawHeaders);
     const { current } = configuration;
     if (current === undefined || this._state.isClosed()) {
-      return reject(caller, UNREADY);
+      return reject(caller, current === undefined ? UNREADY : LEAVING);
     }
     const path = incoming.url ?? '/';
     const route = configuration.findRoute(caller.host, pathOnly(path));
@@ -227,10 +229,16 @@
 
 const UNREADY: OwnAnswer = {
   status: OwnStatus.Refused,
-  kind: 'draining',
-  remedy: 'this node is starting or leaving; ask for addresses again',
+  kind: 'unready',
+  remedy: 'this node is starting; ask for addresses again',
   retryAfterMs: UNREADY_RETRY_MS,
 };
+const LEAVING: OwnAnswer = {
+  status: OwnStatus.Refused,
+  kind: 'draining',
+  remedy: 'this node is leaving; use another address',
+  retryAfterMs: LEAVING_RETRY_MS,
+};
 const NO_ROUTE: OwnAnswer = {
   status: OwnStatus.NotFound,
   kind: 'not-found',
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -10,8 +10,15 @@
   TimeLine,
   toDisposable,
 } from '@tanagerdyke/kernel';
-import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
+import {
+  type Member,
+  MemberStatus,
+  SwimMembership,
+  type Transport,
+  ZoneBroadcast,
+} from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../common/DecisionLog.js';
+import { DrainSchedule } from '../common/DrainSchedule.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import { LoadBoard } from '../common/placement/LoadBoard.js';
@@ -38,13 +45,8 @@
 
 const READY_POLL_MS = 50;
 const DRAIN_POLL_MS = 50;
-/** After a termination signal new requests are taken this long, as callers keep addresses. */
-const ACCEPT_WHILE_DRAINING_MS = 3_500;
-/** A draining node without requests for this long may end. */
-const QUIET_MS = 1_000;
-const MIN_DRAIN_MS = 2_500;
-/** Time before the forced end at which the node ends by itself. */
-const SHUTDOWN_MARGIN_MS = 700;
+/** Polls return within three seconds; without an answer for longer the platform is lost. */
+const IN_TOUCH_MS = 4_500;
 /** An outage of the platform counts this long after its end. */
 const UNSETTLED_MS = 2_500;
 
@@ -111,20 +113,41 @@
         table: this._targetRecords,
         decoder,
         log,
-        isUnsettled: () => this._isUnsettled(),
+        isUnsettled: () => this._isUnsettled() || this._relay.heardOfOutage,
       }),
     );
     this._followers = [
       { topic: _options.configurationTopic, table: configurationRecords },
       { topic: _options.targetTopic, table: this._targetRecords },
-    ].map((each) => this.register(new KeyedFollower({ clock, random, log, ...each })));
+    ].map((each) =>
+      this.register(
+        new KeyedFollower({
+          clock,
+          random,
+          log,
+          isPolling: () => this._relay.isPoller,
+          ...each,
+        }),
+      ),
+    );
     const tables = [configurationRecords, this._targetRecords];
     const membership = this._membership;
     this._relay = this.register(
-      new PeerRelay({ clock, random, transport, membership, tables, log }),
+      new PeerRelay({
+        clock,
+        random,
+        transport,
+        membership,
+        tables,
+        log,
+        isInTouch: () => this._isInTouch(),
+        isUnsettled: () => this._isUnsettled(),
+        catchUp: (topic) => this._catchUp(topic),
+      }),
     );
     const board = this.register(new LoadBoard(clock, name));
-    this._news = this.register(new LoadNews({ clock, transport, membership, board }));
+    const broadcast = this.register(new ZoneBroadcast({ clock, transport, membership }));
+    this._news = this.register(new LoadNews({ clock, broadcast, node: name, board }));
     this._nodes = this.register(
       new NodeDirectory({ clock, log, membership, registry: _options.registry }),
     );
@@ -223,12 +246,12 @@
   public async drain(): Promise<void> {
     const { clock, log, settings } = this._options;
     const startedAt = clock.now();
-    const endAt = startedAt + settings.shutdownMs - SHUTDOWN_MARGIN_MS;
+    const schedule = new DrainSchedule(startedAt, settings.shutdownMs);
     this._isDraining = true;
     this._membership.publish({ isReady: false, isDraining: true });
     log.note('node.draining', { running: this._front.running });
-    while (clock.now() < endAt && !this._isQuiet(startedAt)) {
-      this._isClosed ||= clock.now() - startedAt > ACCEPT_WHILE_DRAINING_MS;
+    while (!schedule.isOver(clock.now(), this._front)) {
+      this._isClosed ||= !schedule.accepts(clock.now());
       await clock.sleep(DRAIN_POLL_MS);
     }
     await this._membership.leave();
@@ -236,15 +259,6 @@
     log.note('node.drained', { cut: this._front.running, tookMs });
   }
 
-  private _isQuiet(drainingSince: number): boolean {
-    const now = this._options.clock.now();
-    return (
-      this._front.running === 0 &&
-      now - drainingSince > MIN_DRAIN_MS &&
-      now - this._front.lastRequestAt > QUIET_MS
-    );
-  }
-
   private get _version(): number {
     return this._configuration.current?.version ?? 0;
   }
@@ -254,6 +268,16 @@
     return this._followers.some(({ failedAt }) => now - failedAt < UNSETTLED_MS);
   }
 
+  /** Whether the platform answered every topic lately. */
+  private _isInTouch(): boolean {
+    const now = this._options.clock.now();
+    return this._followers.every(({ answeredAt }) => now - answeredAt < IN_TOUCH_MS);
+  }
+
+  private async _catchUp(topic: string): Promise<void> {
+    await this._followers.find(({ name }) => name === topic)?.catchUp();
+  }
+
   private _countNodes(): number {
     this._mostNodes = Math.max(this._mostNodes, this._membership.live.length);
     return this._mostNodes;
--- a/packages/mesh/src/common/ProbeMessages.ts
+++ b/packages/mesh/src/common/ProbeMessages.ts
@@ -31,6 +31,10 @@
 
 /** Reads a datagram; `undefined` when it is no probe. */
 export function parseProbe(payload: string): Probe | undefined {
+  // Other protocols share the port; most of their datagrams are told apart without parsing.
+  if (!payload.includes(PROBE_METHOD)) {
+    return undefined;
+  }
   try {
     const parsed = datagramSchema.safeParse(JSON.parse(payload));
     return parsed.success ? parsed.data.params : undefined;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -8,4 +8,5 @@
 export * from './common/Rendezvous.js';
 export * from './common/RpcErrors.js';
 export * from './common/SwimMembership.js';
+export * from './common/ZoneBroadcast.js';
 export * from './node/SocketTransport.js';
