Let chance part nodes that place streams on the same news

Ruled out: lost packets (their pauses are 250 ms, these waits 300 to 1,000) and the estimate (median error 39 ms). Change: a loss by chance, growing with the number of nodes, parts equal engines.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -12,6 +12,9 @@
 
 /** Without news of ended work, room is looked for again after this time. */
 const RECHECK_MS = 40;
+/** Chance in a placement for each node: more nodes decide on the same news at the same moment. */
+const SPREAD_PER_NODE = 0.004;
+const MAX_SPREAD = 0.2;
 /** Ids of work are counters, written short. */
 const ID_RADIX = 36;
 
@@ -36,6 +39,9 @@
   readonly publisher: WorkPublisher;
   readonly health: TargetHealth;
   readonly availabilityZone: string;
+  readonly random: RandomSource;
+  /** Nodes that place prompts at the same time. */
+  readonly liveNodes: () => number;
 }
 
 /** A prompt to be placed. */
@@ -118,12 +124,15 @@
       pauseTargetMs: request.pauseTargetMs,
       availabilityZone: this._options.availabilityZone,
     };
-    return (
-      placePrompt(request.profile, question, sound) ??
-      (sound.length === 0 ? placePrompt(request.profile, question, loads) : undefined)
-    );
+    const usable = sound.length === 0 ? loads : sound;
+    return placePrompt(request.profile, question, usable, this._tieBreak);
   }
 
+  private readonly _tieBreak = (): number => {
+    const { liveNodes, random } = this._options;
+    return random.next() * Math.min(MAX_SPREAD, SPREAD_PER_NODE * liveNodes());
+  };
+
   private _loads(service: string, profile: EngineProfile): EngineLoad[] {
     const { board, clock, targets } = this._options;
     return computeLoads(profile, targets.ofService(service), board.works, clock.now());
--- a/packages/gateway/src/common/placement/PromptPlacer.test.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.test.ts
@@ -1,4 +1,5 @@
 /** The placement under the load patterns that it answers. */
+import { SeededRandom } from '@tanagerdyke/kernel';
 import { describe, expect, it } from 'vitest';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads } from './EngineLoad.js';
@@ -98,6 +99,28 @@
     });
   });
 
+  describe('short streams that many nodes place on the same news', () => {
+    /** The fullest engine of the news would take them all. */
+    const works = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].flatMap((target, index) =>
+      Array.from({ length: index + 1 }, () => generating(target, short)),
+    );
+
+    function countChosen(spread: number): number {
+      const random = new SeededRandom(1);
+      const loads = computeLoads(profile, engines(18), works, 0);
+      const chosen = Array.from({ length: 8 }, () => {
+        const placement = placePrompt(profile, short, loads, () => random.next() * spread);
+        return placement?.targets[0]?.id;
+      });
+      return new Set(chosen).size;
+    }
+
+    it('do not all go to one engine', () => {
+      expect(countChosen(0)).toBe(1);
+      expect(countChosen(0.2)).toBeGreaterThan(3);
+    });
+  });
+
   describe('short streams while long prompts are read', () => {
     it('avoid engines that would make them late', () => {
       const busy = Array.from({ length: 15 }, (_each, index) => `e${index}`);
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -83,13 +83,17 @@
   return (promptTokens + OUTPUT_WEIGHT * outputTokens) / TOKENS_PER_VALUE;
 }
 
+/** Loss by chance that keeps nodes which decide at the same moment from choosing the same engine. */
+export type TieBreak = () => number;
+
 /** The best placement on the engines given, or `undefined` when none has room. */
 export function placePrompt(
   profile: EngineProfile,
   question: PromptQuestion,
   loads: readonly EngineLoad[],
+  tieBreak: TieBreak = () => 0,
 ): PromptPlacement | undefined {
-  const input = { profile, question, loads };
+  const input = { profile, question, loads, tieBreak };
   return placeBest({ ...input, isShared: false }) ?? placeBest({ ...input, isShared: true });
 }
 
@@ -116,6 +120,7 @@
   readonly loads: readonly EngineLoad[];
   /** Whether the memory is shared by all engines of the placement. */
   readonly isShared: boolean;
+  readonly tieBreak: TieBreak;
 }
 
 /** An engine as a candidate for one part of the prompt. */
@@ -222,13 +227,13 @@
   load: EngineLoad,
   partMs: number,
   count: number,
-  { profile, question }: PlacementInput,
+  { profile, question, tieBreak }: PlacementInput,
 ): PartCandidate {
   const finishMs = finishTime(profile, load, partMs);
   const displacedLoss = pauseLoss(load, partMs) + (count > 1 ? overtakeLoss(load, partMs) : 0);
   const value = valueOf(question.promptTokens, question.outputTokens);
   const score = displacedLoss + value * lateLoss(finishMs + load.passMs, question);
-  return { load, finishMs, displacedLoss, headLoss: headLoss(load, question), score };
+  return { load, finishMs, displacedLoss, headLoss: headLoss(load, question) + tieBreak(), score };
 }
 
 /** Time until an engine has read a further part. */
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -174,6 +174,8 @@
           publisher,
           health,
           availabilityZone,
+          random,
+          liveNodes: () => 1,
         }),
         engines: noReservations,
         budget: new SharedRetryBudget(
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -177,6 +177,8 @@
         publisher: this._news,
         health,
         availabilityZone,
+        random,
+        liveNodes,
       }),
     );
     const parts: ForwardingParts = {
