Prefer engines of the own zone more strongly

Cause: streams went to any zone, as chance outweighed the zone; bytes between zones are the highest price at Catania. Change: REMOTE_LOSS 0.02 to 0.08.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -3,7 +3,13 @@
  * prompt that finds no room waits until work ends somewhere, for as long as an answer in time stays
  * possible, and is refused otherwise.
  */
-import { type Clock, DisposableOwner, type Event, awaitEvent } from '@tanagerdyke/kernel';
+import {
+  awaitEvent,
+  type Clock,
+  DisposableOwner,
+  type Event,
+  type RandomSource,
+} from '@tanagerdyke/kernel';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { beginGenerating, type EngineWork, type LoadBoard } from './LoadBoard.js';
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -57,7 +57,7 @@
 /** Loss of each stream beyond that. */
 const CROWD_LOSS = 0.25;
 /** Bytes between availability zones cost money. */
-const REMOTE_LOSS = 0.02;
+const REMOTE_LOSS = 0.08;
 /** Each further reader is one more engine whose failure breaks the request. */
 const READER_LOSS_SHARE = 0.002;
 /** Expected time from the first event to the end of an answer, as a share of the time left. */
