--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,7 +11,7 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/*/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
   },
