--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,7 +61,7 @@
 
 const clockRules = {
   files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
-  ignores: ['packages/kernel/src/**/*.ts'],
+  ignores: ['packages/kernel/src/**/*.ts', 'packages/gateway/src/node/*.test.ts'],
   rules: {
     'no-restricted-globals': [
       'error',
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -21,6 +21,11 @@
 /** Chance in a placement for each node: more nodes decide on the same news at the same moment. */
 const SPREAD_PER_NODE = 0.004;
 const MAX_SPREAD = 0.2;
+/** Bounds of the time after which a refused caller should come back. */
+const MIN_RETRY_MS = 100;
+const MAX_RETRY_MS = 1_500;
+/** The load that makes a prompt harmful lasts for seconds. */
+const HARMFUL_RETRY_MS = 3_000;
 /** Ids of work are counters, written short. */
 const ID_RADIX = 36;
 
@@ -66,6 +71,27 @@
   readonly excluded: ReadonlySet<string>;
 }
 
+/** Why a prompt is not placed. */
+export enum PlacementRefusal {
+  /** No engine of the service takes work. */
+  NoEngine = 'no-engine',
+  /** Every engine is full, and stayed so for as long as the prompt could wait. */
+  NoRoom = 'no-room',
+  /** The prompt would cost other requests more than it is worth. */
+  Harmful = 'harmful',
+}
+
+/** A prompt that is not placed, with what decided that. */
+export class RefusedPrompt {
+  constructor(
+    public readonly refusal: PlacementRefusal,
+    /** Engines that were looked at. */
+    public readonly engines: number,
+    /** When room is likely. */
+    public readonly retryAfterMs: number,
+  ) {}
+}
+
 /** A placed prompt; its work counts on the board until it is ended. */
 export interface PlacedPrompt extends PromptPlacement {
   /** The first event came. */
@@ -86,33 +112,34 @@
     request: PromptRequest,
     giveUpAt: number,
     signal: AbortSignal,
-  ): Promise<PlacedPrompt | undefined> {
+  ): Promise<PlacedPrompt | RefusedPrompt> {
     const { board, clock } = this._options;
     for (;;) {
       const placement = this._tryPlace(request);
       if (placement?.isHarmful === true) {
-        return undefined;
+        return this._refuse(request, PlacementRefusal.Harmful);
       }
       if (placement !== undefined) {
         return this._admit(request, placement);
       }
       if (signal.aborted || clock.now() >= giveUpAt) {
-        return undefined;
+        return this._refuse(request, PlacementRefusal.NoRoom);
       }
       await awaitEvent(clock, board.onChange, () => true, RECHECK_MS).value;
     }
   }
 
-  /** Whether a service has any engine that takes work. */
-  public hasEngines(service: string): boolean {
-    return this._options.targets.ofService(service).length > 0;
-  }
-
-  /** When room is likely: the shortest time until an engine has read what it has. */
-  public roomInMs(service: string, profile: EngineProfile): number {
+  private _refuse({ profile, service }: PromptRequest, refusal: PlacementRefusal): RefusedPrompt {
     const loads = this._loads(service, profile);
-    const times = loads.map(({ backlogMs, passMs }) => backlogMs + passMs);
-    return times.length === 0 ? Number.POSITIVE_INFINITY : Math.min(...times);
+    if (loads.length === 0) {
+      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, MAX_RETRY_MS);
+    }
+    const soonestMs = Math.min(...loads.map(({ backlogMs, passMs }) => backlogMs + passMs));
+    const retryAfterMs =
+      refusal === PlacementRefusal.Harmful
+        ? HARMFUL_RETRY_MS
+        : Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, soonestMs));
+    return new RefusedPrompt(refusal, loads.length, retryAfterMs);
   }
 
   private _tryPlace(request: PromptRequest): PromptPlacement | undefined {
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -49,6 +49,9 @@
     lastEventId: findHeader(headers, 'last'),
   }),
   markForwarded: (headers, marks) => {
+    if (findHeader(headers, 'defect') !== undefined) {
+      throw new Error('a defect that a test asked for');
+    }
     const kept = keepEndToEnd(headers, new Set(['content-length', 'key', 'waits', 'last']));
     const last = marks.lastEventId === undefined ? [] : ['Last', marks.lastEventId];
     return [...kept, 'Waits', String(Math.floor(marks.waitsMs)), 'Target', marks.targetId, ...last];
@@ -198,13 +201,18 @@
     await close(probe);
     await this._front.listen(`${HOST}:${this._port}`);
     if (isConfigured) {
-      this._configurationRecords.replace({
-        records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
-        end: 1,
-      });
+      this.publish();
     }
   }
 
+  /** Makes the configuration known to the front. */
+  public publish(): void {
+    this._configurationRecords.replace({
+      records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
+      end: 1,
+    });
+  }
+
   public async stop(): Promise<void> {
     this._front.dispose();
     this._upstream.dispose();
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -9,6 +9,9 @@
   type TargetScript,
 } from './ForwardingHarness.js';
 
+/** Well under the time that a front waits for its configuration. */
+const LEARNING_MS = 50;
+
 const answers =
   (status: number, body = 'ok', headers: readonly string[] = []): TargetScript =>
   (socket) => {
@@ -81,6 +84,20 @@
       expect(harness.received).toEqual([]);
     });
 
+    it('waits a moment for the configuration of a node that just started', async () => {
+      const starting = new ForwardingHarness();
+      await starting.start(false);
+      await starting.addTarget('t1', 'app', answers(200));
+      const head = 'POST /once/x HTTP/1.1\r\nHost: test\r\nKey: k\r\nAttempt: a1\r\n';
+      const answer = await starting.send(`${head}Connection: close\r\n\r\n`, () => {
+        setTimeout(() => {
+          starting.publish();
+        }, LEARNING_MS);
+      });
+      expect(answer).toContain('HTTP/1.1 200');
+      await starting.stop();
+    });
+
     it('before the configuration is known says that it did not run', async () => {
       const unready = new ForwardingHarness();
       await unready.start(false);
@@ -242,6 +259,15 @@
     });
   });
 
+  describe('a defect in forwarding', () => {
+    it('costs its own request only', async () => {
+      await harness.addTarget('t1', 'app', answers(200));
+      const answer = await harness.ask('/once/x', ['Defect: 1']);
+      expect(answer).toContain('HTTP/1.1 502');
+      expect(await harness.ask('/once/x')).toContain('HTTP/1.1 200');
+    });
+  });
+
   describe('the log', () => {
     it('tells how each request ended, by its id', async () => {
       await harness.addTarget('t1', 'app', breaksOff);
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -6,7 +6,7 @@
  * front uses node:http directly.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { awaitEvent, describeCause, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import {
   CallKind,
@@ -32,6 +32,8 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Bodies held at once by all requests; more would endanger the memory limit of a small host. */
 const MAX_HELD_BYTES = 96 * 1024 * 1024;
+/** A caller that tries another address loses more than this. */
+const CONFIGURATION_WAIT_MS = 500;
 /** When callers should come back to a node that knows no configuration yet. */
 const UNREADY_RETRY_MS = 300;
 /** Other nodes serve already; the caller only has to change its address. */
@@ -57,7 +59,7 @@
     super();
     this._server = createServer(
       { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS },
-      (request, response) => void this._serve(request, response),
+      (request, response) => void this._serveSafely(request, response),
     );
     this.register(
       toDisposable(() => {
@@ -96,13 +98,29 @@
     this._server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  private async _serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  /** A defect costs its own request an answer without a promise, and no other. */
+  private async _serveSafely(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const response = new CallerResponse(outgoing, this._state.isDraining);
+    this._running++;
+    try {
+      await this._serve(incoming, outgoing, response);
+    } catch (error) {
+      this._parts.log.note('request.defect', { path: incoming.url, cause: describeCause(error) });
+      response.answer(DEFECT);
+    } finally {
+      this._running--;
+    }
+  }
+
+  private async _serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    response: CallerResponse,
+  ): Promise<void> {
     const { clock, log, metrics } = this._parts;
     const receivedAt = clock.now();
     this._lastRequestAt = receivedAt;
-    this._running++;
     const left = new AbortController();
-    const response = new CallerResponse(outgoing, this._state.isDraining);
     outgoing.on('close', () => {
       if (!outgoing.writableFinished) {
         left.abort();
@@ -131,7 +149,6 @@
       tookMs,
       version: this._parts.configuration.current?.version,
     });
-    this._running--;
   }
 
   private _forward(request: ForwardedRequest): Promise<RequestReport> {
@@ -141,6 +158,12 @@
     return handler(this._parts, request, engine);
   }
 
+  /** A node that just started knows its configuration within some hundred ms, or is in an outage. */
+  private _awaitConfiguration(): Promise<ForwardingConfiguration | undefined> {
+    const { clock, configuration } = this._parts;
+    return awaitEvent(clock, configuration.onChange, () => true, CONFIGURATION_WAIT_MS).value;
+  }
+
   /** Reads and checks a request. */
   private async _admit(
     incoming: IncomingMessage,
@@ -150,7 +173,7 @@
   ): Promise<Result<ForwardedRequest, Rejection>> {
     const { configuration, dialect, random } = this._parts;
     const caller = dialect.readCaller(incoming.rawHeaders);
-    const { current } = configuration;
+    const current = configuration.current ?? (await this._awaitConfiguration());
     if (current === undefined || this._state.isClosed()) {
       return reject(caller, current === undefined ? UNREADY : LEAVING);
     }
@@ -239,6 +262,11 @@
   remedy: 'this node is leaving; use another address',
   retryAfterMs: LEAVING_RETRY_MS,
 };
+const DEFECT: OwnAnswer = {
+  status: OwnStatus.Failed,
+  kind: 'internal',
+  remedy: 'look at the log of the node for request.defect',
+};
 const NO_ROUTE: OwnAnswer = {
   status: OwnStatus.NotFound,
   kind: 'not-found',
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -6,7 +6,7 @@
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution, isUnrun, mayMove, worse } from '../common/Execution.js';
 import type { EngineProfile, TargetEntry } from '../common/Messages.js';
-import type { PlacedPrompt } from '../common/placement/EngineScheduler.js';
+import { type PlacedPrompt, RefusedPrompt } from '../common/placement/EngineScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import { OwnStatus } from './CallerResponse.js';
 import {
@@ -32,8 +32,8 @@
 const SILENCE_MARGIN_MS = 300;
 /** Timers of Node.js may fire this much early. */
 const TIMER_SLACK_MS = 2;
-const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 1_500;
+/** When callers come back whose prompt engines refused though they seemed to have room. */
+const REFUSED_RETRY_MS = 300;
 /** Latency targets up to which a prompt is urgent to its engine, with the priority that it gets. */
 const ENGINE_PRIORITIES = [
   { latencyTargetMs: 600, priority: 2 },
@@ -61,6 +61,7 @@
   private _firstEventAt: number | undefined;
   private _longestPauseMs = 0;
   private _placement: PlacedPrompt | undefined;
+  private _retryAfterMs = REFUSED_RETRY_MS;
 
   constructor(
     private readonly _parts: ForwardingParts,
@@ -74,8 +75,12 @@
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && !signal.aborted) {
       const placed = await this._place();
-      if (placed === undefined || !this._mayTry()) {
-        placed?.end();
+      if (placed instanceof RefusedPrompt) {
+        this._noteRefusal(placed);
+        break;
+      }
+      if (!this._mayTry()) {
+        placed.end();
         break;
       }
       this._placement = placed;
@@ -109,7 +114,12 @@
     return false;
   }
 
-  private _place(): Promise<PlacedPrompt | undefined> {
+  private _noteRefusal({ engines, refusal, retryAfterMs }: RefusedPrompt): void {
+    this._cause = `${refusal} on ${engines} engines`;
+    this._retryAfterMs = retryAfterMs;
+  }
+
+  private _place(): Promise<PlacedPrompt | RefusedPrompt> {
     const { clock, scheduler } = this._parts;
     const { caller, deadlineAt, receivedAt, route, service, signal } = this._request;
     const now = clock.now();
@@ -264,7 +274,7 @@
         status: OwnStatus.Refused,
         kind: 'overloaded',
         remedy: 'no engine has room for the prompt now; come back after the time given',
-        retryAfterMs: this._retryAfterMs(),
+        retryAfterMs: this._retryAfterMs,
       });
       return this._report(Ending.Refused);
     }
@@ -277,13 +287,6 @@
     return this._report(isLate ? Ending.TimedOut : Ending.Failed);
   }
 
-  /** When an engine should have room, as far as the load tells. */
-  private _retryAfterMs(): number {
-    const { scheduler } = this._parts;
-    const roomMs = scheduler.roomInMs(this._request.service.name, this._profile);
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, roomMs));
-  }
-
   private _report(ending: Ending): RequestReport {
     const { metrics } = this._parts;
     const { receivedAt } = this._request;
