--- /dev/null
+++ b/packages/gateway/src/common/AddressBook.test.ts
@@ -0,0 +1,37 @@
+import { FixedMembership, memberOf } from '@tanagerdyke/fakes';
+import { type Member, MemberStatus } from '@tanagerdyke/mesh';
+import { describe, expect, it } from 'vitest';
+import { findAddresses } from './AddressBook.js';
+
+function member(index: number, availabilityZone: string, status = MemberStatus.Alive): Member {
+  return { ...memberOf(`n${index}`, `10.0.0.${index}:1`), availabilityZone, status };
+}
+
+function addressesFor(zone: string, members: readonly Member[]): string[] {
+  const membership = new FixedMembership(member(0, 'x'), members);
+  return findAddresses(membership, { region: 'r', availabilityZone: zone });
+}
+
+describe('findAddresses', () => {
+  const members = [member(1, 'a'), member(2, 'a'), member(3, 'b')];
+
+  it('names the nodes of the own zone when there are enough', () => {
+    expect(addressesFor('a', members)).toEqual(['10.0.0.1:1', '10.0.0.2:1']);
+  });
+
+  it('names all when the own zone has too few to bear a loss', () => {
+    expect(addressesFor('b', members)).toHaveLength(3);
+  });
+
+  it('does not name a suspect, which is probably dead', () => {
+    const suspect = member(2, 'a', MemberStatus.Suspect);
+    expect(addressesFor('a', [member(1, 'a'), suspect, member(3, 'b')])).toEqual([
+      '10.0.0.1:1',
+      '10.0.0.3:1',
+    ]);
+  });
+
+  it('names none of none', () => {
+    expect(addressesFor('a', [])).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -0,0 +1,145 @@
+import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { Result } from 'true-myth';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { DecisionLog } from '../DecisionLog.js';
+import type { TargetEntry } from '../Messages.js';
+import type { EngineReservation, EngineReservations } from '../services/Services.js';
+import { PromptReservations } from './PromptReservations.js';
+
+/** How orders to the engines go. */
+enum Orders {
+  Answered = 'answered',
+  /** Nothing is answered, and what was ordered happens seconds later. */
+  Late = 'late',
+  /** Nothing arrives. */
+  Lost = 'lost',
+}
+
+const LATE_MS = 5_000;
+const CAPACITY_TOKENS = 1_000;
+
+/** Engines that hold reservations until they expire. */
+class EnginesStandIn implements EngineReservations {
+  public orders = Orders.Answered;
+  /** End of each reservation by `target/id`. */
+  private readonly _held = new Map<string, number>();
+
+  constructor(private readonly _clock: ManualClock) {}
+
+  public get held(): number {
+    return [...this._held.values()].filter((until) => until > this._clock.now()).length;
+  }
+
+  public reserve(
+    { id: target }: TargetEntry,
+    { holdMs, id, tokens }: EngineReservation,
+    timeoutMs: number,
+  ): Promise<Result<void, ServiceError>> {
+    if (tokens > CAPACITY_TOKENS && target === 'small') {
+      return Promise.resolve(Result.err(errorOf(ErrorKind.Overloaded)));
+    }
+    return this._order(timeoutMs, () => {
+      this._held.set(`${target}/${id}`, this._clock.now() + holdMs);
+    });
+  }
+
+  public release(
+    { id: target }: TargetEntry,
+    id: string,
+    timeoutMs: number,
+  ): Promise<Result<void, ServiceError>> {
+    return this._order(timeoutMs, () => {
+      this._held.delete(`${target}/${id}`);
+    });
+  }
+
+  private async _order(timeoutMs: number, effect: () => void): Promise<Result<void, ServiceError>> {
+    if (this.orders === Orders.Answered) {
+      effect();
+      return Result.ok(undefined);
+    }
+    if (this.orders === Orders.Late) {
+      this._clock.schedule(LATE_MS, effect);
+    }
+    await this._clock.sleep(timeoutMs);
+    return Result.err(errorOf(ErrorKind.TargetFailed));
+  }
+}
+
+function errorOf(kind: ErrorKind): ServiceError {
+  return new ServiceError(kind, 'scripted', { remedy: 'none' });
+}
+
+function targetOf(id: string): TargetEntry {
+  return {
+    id,
+    service: 'm',
+    address: `${id}:80`,
+    availabilityZone: 'a',
+    slots: 4,
+    isDraining: false,
+    bornAt: undefined,
+  };
+}
+
+describe('PromptReservations', () => {
+  let clock: ManualClock;
+  let engines: EnginesStandIn;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    engines = new EnginesStandIn(clock);
+  });
+
+  function create(tokens: number, ids = ['a', 'b', 'c']): PromptReservations {
+    const log = new DecisionLog(clock, 'n', () => true);
+    return new PromptReservations(
+      { clock, log, engines },
+      { id: 'r1', targets: ids.map(targetOf), tokens },
+    );
+  }
+
+  it('holds memory on every engine for as long as the prompt runs', async () => {
+    const reservations = create(100);
+    expect(await reservations.acquire()).toBeUndefined();
+    await clock.advance(30_000);
+    expect(engines.held).toBe(3);
+  });
+
+  it('frees all memory when the prompt ends', async () => {
+    const reservations = create(100);
+    await reservations.acquire();
+    reservations.dispose();
+    await clock.advance(10);
+    expect(engines.held).toBe(0);
+  });
+
+  it('names the engine that has no room, and the others are free again', async () => {
+    const reservations = create(2_000, ['a', 'small', 'c']);
+    expect((await reservations.acquire())?.id).toBe('small');
+    reservations.dispose();
+    await clock.advance(10);
+    expect(engines.held).toBe(0);
+  });
+
+  it('of a dead node are free within four seconds', async () => {
+    const reservations = create(100);
+    await reservations.acquire();
+    // The node dies: nothing that it sends arrives any more.
+    engines.orders = Orders.Lost;
+    await clock.advance(4_000);
+    expect(engines.held).toBe(0);
+  });
+
+  it('that orders bring back late are released again', async () => {
+    engines.orders = Orders.Late;
+    const reservations = create(100);
+    const failed = reservations.acquire();
+    await clock.advance(500);
+    expect(await failed).toBeDefined();
+    reservations.dispose();
+    engines.orders = Orders.Answered;
+    await clock.advance(LATE_MS + 2_000);
+    expect(engines.held).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/common/placement/ServicePlacer.test.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from 'vitest';
+import { placeCall, type ServiceCandidate } from './ServicePlacer.js';
+
+function candidate(id: string, state: Partial<ServiceCandidate> = {}): ServiceCandidate {
+  return {
+    entry: {
+      id,
+      service: 'app',
+      address: `${id}:80`,
+      availabilityZone: 'a',
+      slots: 6,
+      isDraining: false,
+      bornAt: undefined,
+    },
+    inFlight: 0,
+    failureRate: 0,
+    isSuspect: false,
+    ...state,
+  };
+}
+
+function inZone(id: string, availabilityZone: string, inFlight: number): ServiceCandidate {
+  const base = candidate(id, { inFlight });
+  return { ...base, entry: { ...base.entry, availabilityZone } };
+}
+
+describe('placeCall', () => {
+  it('chooses none of none', () => {
+    expect(placeCall([], 'a')).toBeUndefined();
+  });
+
+  it('chooses the target with the fewest requests in flight', () => {
+    const chosen = placeCall([candidate('t1', { inFlight: 3 }), candidate('t2')], 'a');
+    expect(chosen?.id).toBe('t2');
+  });
+
+  it('prefers its zone until that is busier', () => {
+    expect(placeCall([inZone('near', 'a', 1), inZone('far', 'b', 0)], 'a')?.id).toBe('near');
+    expect(placeCall([inZone('near', 'a', 4), inZone('far', 'b', 0)], 'a')?.id).toBe('far');
+  });
+
+  it('leaves a suspect out while another is there', () => {
+    const suspect = candidate('t1', { isSuspect: true });
+    expect(placeCall([suspect, candidate('t2', { inFlight: 20 })], 'a')?.id).toBe('t2');
+    expect(placeCall([suspect], 'a')?.id).toBe('t1');
+  });
+
+  describe('failures', () => {
+    it('that all targets show do not move calls away', () => {
+      const both = [
+        candidate('t1', { failureRate: 0.14 }),
+        candidate('t2', { failureRate: 0.16, inFlight: 0 }),
+      ];
+      expect(placeCall(both, 'a')?.id).toBe('t1');
+    });
+
+    it('of one target alone do', () => {
+      const grey = candidate('t1', { failureRate: 0.5 });
+      expect(placeCall([grey, candidate('t2', { inFlight: 2 })], 'a')?.id).toBe('t2');
+    });
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/common/state/ConfigurationState.test.ts
@@ -0,0 +1,97 @@
+import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { Result } from 'true-myth';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { DecisionLog } from '../DecisionLog.js';
+import { CallKind, type ForwardingConfiguration, type ForwardRoute } from '../Messages.js';
+import type { RecordDecoder } from '../services/Services.js';
+import { ConfigurationState } from './ConfigurationState.js';
+import { KeyedTable } from './KeyedTable.js';
+
+const unreadable = new ServiceError(ErrorKind.BadRequest, 'unreadable', { remedy: 'none' });
+
+function routeOf(pathPrefix: string): ForwardRoute {
+  return {
+    name: pathPrefix,
+    host: 'h',
+    pathPrefix,
+    kind: CallKind.Idempotent,
+    timeoutMs: 1_000,
+    latencyTargetMs: 200,
+    pauseTargetMs: 200,
+    maxAttempts: 1,
+    isOpen: false,
+    isResumable: false,
+    priority: 1,
+    shares: [{ service: 's', weight: 1 }],
+  };
+}
+
+/** The version is the record's text. */
+function configurationOf(text: string): ForwardingConfiguration {
+  return {
+    version: Number(text),
+    routes: [routeOf('/'), routeOf('/a/b/'), routeOf('/a/')],
+    services: [{ name: 's', maxConnections: 10, engine: undefined }],
+    workspaces: [{ name: 'w', keys: [`key-${text}`], priority: undefined }],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+const decoder: RecordDecoder = {
+  isConfiguration: (key) => key === 'config',
+  configuration: (value) => {
+    const text = value.toString();
+    return /^\d+$/.test(text) ? Result.ok(configurationOf(text)) : Result.err(unreadable);
+  },
+  target: () => Result.err(unreadable),
+};
+
+describe('ConfigurationState', () => {
+  let records: KeyedTable;
+  let state: ConfigurationState;
+  let offset: number;
+
+  beforeEach(() => {
+    offset = 0;
+    records = new KeyedTable('configuration');
+    const log = new DecisionLog(new ManualClock(), 'n', () => true);
+    state = new ConfigurationState(records, decoder, log);
+  });
+
+  function write(text: string, key = 'config'): void {
+    records.apply([{ key, offset: offset++, value: Buffer.from(text) }], offset);
+  }
+
+  it('knows nothing at first', () => {
+    expect(state.current).toBeUndefined();
+    expect(state.findRoute('h', '/')).toBeUndefined();
+  });
+
+  it('takes the newest version, and never an older one again', () => {
+    write('7');
+    write('9');
+    write('8');
+    expect(state.current?.version).toBe(9);
+    expect(state.findWorkspace('key-9')?.name).toBe('w');
+    expect(state.findWorkspace('key-7')).toBeUndefined();
+  });
+
+  it('keeps what is in force when a record is unreadable or another one', () => {
+    write('7');
+    write('not a configuration');
+    write('8', 'other');
+    expect(state.current?.version).toBe(7);
+  });
+
+  describe('findRoute', () => {
+    it.each([
+      ['/a/b/c', '/a/b/'],
+      ['/a/x', '/a/'],
+      ['/x', '/'],
+    ])('of %s is the one with the longest prefix, %s', (path, prefix) => {
+      write('1');
+      expect(state.findRoute('h', path)?.pathPrefix).toBe(prefix);
+      expect(state.findRoute('other', path)).toBeUndefined();
+    });
+  });
+});
