Model that engines read parts for others before their own prompts

Change: EngineLoad schedules parts for others first; a candidate is judged apart as reader and as head.

--- /dev/null
+++ b/packages/gateway/src/common/placement/EngineLoad.test.ts
@@ -0,0 +1,84 @@
+import { describe, expect, it } from 'vitest';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { computeLoads, type EngineLoad } from './EngineLoad.js';
+import type { EngineWork } from './LoadBoard.js';
+
+const profile: EngineProfile = {
+  slots: 8,
+  memoryTokens: 450_000,
+  stepMs: 1,
+  sequenceMs: 0,
+  contextThousandMs: 0,
+  prefillTokensPerMs: 256,
+  pairsMillionMs: 0.1,
+  chunkTokens: 2_000,
+  stride: 40,
+};
+
+const entry: TargetEntry = {
+  id: 'e1',
+  service: 'm',
+  address: 'e1:80',
+  availabilityZone: 'a',
+  slots: 8,
+  isDraining: false,
+  bornAt: undefined,
+};
+
+function workOf(targets: readonly string[], partMs: number, startedAt: number): EngineWork {
+  return {
+    id: `${targets.join()}@${startedAt}`,
+    targets,
+    isShared: false,
+    partMs,
+    startedAt,
+    dueAt: 3_000,
+    isGenerating: false,
+    pauseTargetMs: 800,
+    value: 10,
+    memoryTokens: 1_000,
+    contextTokens: 1_000,
+  };
+}
+
+function loadOf(works: readonly EngineWork[], now: number): EngineLoad | undefined {
+  return computeLoads(profile, [entry], works, now)[0];
+}
+
+describe('computeLoads', () => {
+  it('works reads off as time passes', () => {
+    const works = [workOf(['e1'], 500, 0)];
+    expect(loadOf(works, 0)?.backlogMs).toBe(500);
+    expect(loadOf(works, 300)?.backlogMs).toBe(200);
+    expect(loadOf(works, 900)?.backlogMs).toBe(0);
+  });
+
+  it('counts an idle time between reads as lost', () => {
+    const works = [workOf(['e1'], 100, 0), workOf(['e1'], 100, 500)];
+    expect(loadOf(works, 550)?.backlogMs).toBe(50);
+  });
+
+  describe('parts for other engines', () => {
+    const own = workOf(['e1'], 400, 0);
+    const help = workOf(['e9', 'e1'], 300, 100);
+
+    it('are read before those of own prompts, though they came later', () => {
+      const load = loadOf([own, help], 100);
+      expect(load?.helpBacklogMs).toBe(300);
+      expect(load?.backlogMs).toBe(600);
+      const ends = new Map(load?.reads.map(({ endsAt, work }) => [work.id, endsAt]));
+      expect(ends.get(help.id)).toBe(400);
+      expect(ends.get(own.id)).toBe(700);
+    });
+
+    it('take no memory and no slot', () => {
+      const load = loadOf([help], 100);
+      expect(load).toMatchObject({ heads: 0, helps: 1, memoryTokens: 0 });
+    });
+  });
+
+  it('counts shared memory on every engine that holds a part', () => {
+    const shared = { ...workOf(['e9', 'e1'], 300, 0), isShared: true, isGenerating: true };
+    expect(loadOf([shared], 0)).toMatchObject({ memoryTokens: 1_000, backlogMs: 0 });
+  });
+});
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -22,8 +22,10 @@
   readonly helps: number;
   readonly generating: readonly EngineWork[];
   readonly reads: readonly PendingRead[];
-  /** Time until all parts are read. */
+  /** Time until all parts are read, in the order in which the engine reads them. */
   readonly backlogMs: number;
+  /** Time until the parts of prompts that generate elsewhere are read; they go first. */
+  readonly helpBacklogMs: number;
   /** Time of a pass without prefill. */
   readonly passMs: number;
   readonly memoryTokens: number;
@@ -59,29 +61,55 @@
   const contextTokens = holding
     .filter(({ isGenerating }) => isGenerating)
     .reduce((sum, work) => sum + work.contextTokens, 0);
-  const reads = scheduleReads(
-    works.filter(({ isGenerating }) => !isGenerating),
-    now,
-  );
-  const lastEnd = reads.at(-1)?.endsAt ?? now;
+  const pending = works.filter(({ isGenerating }) => !isGenerating);
+  const { backlogMs, helpBacklogMs, reads } = scheduleReads(entry.id, pending, now);
   return {
     entry,
     heads: heads.length,
     helps: works.length - heads.length,
     generating,
     reads,
-    backlogMs: Math.max(0, lastEnd - now),
+    backlogMs,
+    helpBacklogMs,
     passMs: passMs(profile, generating.length, contextTokens),
     memoryTokens: holding.reduce((sum, work) => sum + work.memoryTokens, 0),
   };
 }
 
-/** Reads follow each other; what should be done but isn't reported yet counts as done now. */
-function scheduleReads(works: readonly EngineWork[], now: number): PendingRead[] {
+type Schedule = Pick<EngineLoad, 'reads' | 'backlogMs' | 'helpBacklogMs'>;
+
+/**
+ * An engine reads parts for other engines before those of its own prompts, whenever they arrive. What
+ * should be done but isn't reported yet counts as done now.
+ */
+function scheduleReads(target: string, works: readonly EngineWork[], now: number): Schedule {
   const ordered = [...works].sort((a, b) => a.startedAt - b.startedAt);
-  let cursor = Number.NEGATIVE_INFINITY;
-  return ordered.map((work) => {
-    cursor = Math.max(cursor, work.startedAt) + work.partMs;
-    return { work, endsAt: Math.max(cursor, now) };
+  const helps = ordered.filter(({ targets }) => targets[0] !== target);
+  const heads = ordered.filter(({ targets }) => targets[0] === target);
+  const backlogMs = Math.max(0, endOf(ordered) - now);
+  const helpBacklogMs = Math.max(0, endOf(helps) - now);
+  let helpEnd = Number.NEGATIVE_INFINITY;
+  const helpReads = helps.map((work) => {
+    helpEnd = Math.max(helpEnd, work.startedAt) + work.partMs;
+    return { work, endsAt: Math.max(helpEnd, now) };
   });
+  // What is left of the own prompts is left of the last ones.
+  let headEnd = now + backlogMs;
+  let leftMs = backlogMs - helpBacklogMs;
+  const headReads = [...heads].reverse().map((work) => {
+    const endsAt = headEnd;
+    const remainingMs = Math.min(work.partMs, leftMs);
+    headEnd -= remainingMs;
+    leftMs -= remainingMs;
+    return { work, endsAt };
+  });
+  return { reads: [...helpReads, ...headReads.reverse()], backlogMs, helpBacklogMs };
+}
+
+/** When an engine that never idles while it has work is done with all of it. */
+function endOf(ordered: readonly EngineWork[]): number {
+  return ordered.reduce(
+    (end, { partMs, startedAt }) => Math.max(end, startedAt) + partMs,
+    Number.NEGATIVE_INFINITY,
+  );
 }
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -126,10 +126,19 @@
 /** An engine as a candidate for one part of the prompt. */
 interface PartCandidate {
   readonly load: EngineLoad;
+  readonly asReader: PartCost;
+  readonly asHead: PartCost;
+}
+
+/** What a part costs on one engine. */
+interface PartCost {
+  /** When the part is read. */
   readonly finishMs: number;
   readonly displacedLoss: number;
+  /** Loss by this part alone: displaced, late, and for generating there. */
+  readonly total: number;
+  /** The part of the total that generating costs. */
   readonly headLoss: number;
-  readonly score: number;
 }
 
 function placeOn(
@@ -144,8 +153,8 @@
     : 0;
   const candidates = loads
     .filter((load) => hasRoom(load, reservedTokens, profile))
-    .map((load) => toCandidate(load, partMs, count, input));
-  candidates.sort((a, b) => a.score - b.score);
+    .map((load) => toCandidate(load, partMs, input));
+  candidates.sort((a, b) => a.asReader.total - b.asReader.total);
   const head = chooseHead(candidates, count, isShared ? 0 : neededTokens, profile);
   if (head === undefined) {
     return undefined;
@@ -156,23 +165,23 @@
   if (readers.length < count - 1) {
     return undefined;
   }
-  const chosen = [head, ...readers];
+  const parts = [head.asHead, ...readers.map(({ asReader }) => asReader)];
   const firstEventMs =
-    Math.max(...chosen.map(({ finishMs }) => finishMs)) +
+    Math.max(...parts.map(({ finishMs }) => finishMs)) +
     passMs(profile, head.load.generating.length + 1, question.promptTokens);
   const value = valueOf(question.promptTokens, question.outputTokens);
   const loss =
-    chosen.reduce((sum, { displacedLoss }) => sum + displacedLoss, 0) +
+    parts.reduce((sum, { displacedLoss }) => sum + displacedLoss, 0) +
     value * lateLoss(firstEventMs, question) +
     value * READER_LOSS_SHARE * (count - 1);
   const wholeMs = partMs * count;
   const opportunity = (wholeMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(loads);
   return {
-    targets: chosen.map(({ load }) => load.entry),
+    targets: [head, ...readers].map(({ load }) => load.entry),
     reservedTokens,
     partMs,
     firstEventMs,
-    cost: loss + head.headLoss,
+    cost: loss + head.asHead.headLoss,
     // A prompt that one engine reads in time is never worth a refusal.
     isHarmful: wholeMs > question.latencyTargetMs && loss + opportunity > HARM_FACTOR * value,
   };
@@ -215,8 +224,7 @@
     const { load } = candidate;
     const isOpen =
       load.heads < load.entry.slots && load.memoryTokens + neededTokens <= profile.memoryTokens;
-    const total = candidate.score + candidate.headLoss;
-    if (isOpen && (best === undefined || total < best.score + best.headLoss)) {
+    if (isOpen && (best === undefined || candidate.asHead.total < best.asHead.total)) {
       best = candidate;
     }
   }
@@ -226,19 +234,25 @@
 function toCandidate(
   load: EngineLoad,
   partMs: number,
-  count: number,
   { profile, question, tieBreak }: PlacementInput,
 ): PartCandidate {
-  const finishMs = finishTime(profile, load, partMs);
-  const displacedLoss = pauseLoss(load, partMs) + (count > 1 ? overtakeLoss(load, partMs) : 0);
   const value = valueOf(question.promptTokens, question.outputTokens);
-  const score = displacedLoss + value * lateLoss(finishMs + load.passMs, question);
-  return { load, finishMs, displacedLoss, headLoss: headLoss(load, question) + tieBreak(), score };
+  const costOf = (backlogMs: number, displacedLoss: number, generatingLoss: number): PartCost => {
+    const finishMs = finishTime(profile, load, backlogMs + partMs);
+    const ownLoss = value * lateLoss(finishMs + load.passMs, question);
+    const total = displacedLoss + ownLoss + generatingLoss;
+    return { finishMs, displacedLoss, headLoss: generatingLoss, total };
+  };
+  const paused = pauseLoss(load, partMs);
+  return {
+    load,
+    asReader: costOf(load.helpBacklogMs, paused + overtakeLoss(load, partMs), 0),
+    asHead: costOf(load.backlogMs, paused, headLoss(load, question) + tieBreak()),
+  };
 }
 
-/** Time until an engine has read a further part. */
-function finishTime(profile: EngineProfile, load: EngineLoad, partMs: number): number {
-  const readMs = load.backlogMs + partMs;
+/** Time in which an engine reads for `readMs` beside what it generates. */
+function finishTime(profile: EngineProfile, load: EngineLoad, readMs: number): number {
   const chunkMs = profile.chunkTokens / profile.prefillTokensPerMs;
   if (load.generating.length === 0) {
     return readMs * (1 + profile.stepMs / chunkMs);
