Cut no stream for a pause its caller bears, and resume past refusals

Ruled out: a broken target; the run ended when this node closed its connection. Change: silence counts from 1.5 s on, and two refusals of a begun stream cost none of its attempts. Before: GatewayFront.test 'is not cut for a pause ...' and 'goes on to a third engine ...' red. After: green.

--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -12,6 +12,9 @@
 /** Well under the time that a front waits for its configuration. */
 const LEARNING_MS = 50;
 
+/** Callers leave a stream after two seconds; this pause left a begun stream without an end. */
+const BORNE_PAUSE_MS = 1_050;
+
 const answers =
   (status: number, body = 'ok', headers: readonly string[] = []): TargetScript =>
   (socket) => {
@@ -214,6 +217,38 @@
       expect(answer.endsWith(STREAM_END)).toBe(true);
     });
 
+    it('goes on to a third engine when the second one does not run it', async () => {
+      const runs: string[] = [];
+      const script: TargetScript = (socket, request) => {
+        runs.push(request);
+        if (runs.length === 1) {
+          socket.write(STREAM_HEAD + chunkOf(eventOf(1)));
+          setImmediate(() => socket.destroy());
+        } else if (runs.length === 2) {
+          socket.write(answerOf(503, ['Not-Run: 1'], ''));
+        } else {
+          socket.write(STREAM_HEAD + chunkOf(eventOf(2)) + STREAM_END);
+        }
+      };
+      for (const id of ['e1', 'e2', 'e3']) {
+        await harness.addTarget(id, 'engine', script);
+      }
+      const answer = await harness.ask('/stream/x', ['Prompt: 10', 'Output: 10']);
+      expect(answer).toContain('data: event 2');
+      expect(answer.endsWith(STREAM_END)).toBe(true);
+    });
+
+    it('is not cut for a pause that its caller still bears', async () => {
+      await harness.addTarget('e1', 'engine', (socket) => {
+        socket.write(STREAM_HEAD + chunkOf(eventOf(1)));
+        setTimeout(() => {
+          socket.write(chunkOf(eventOf(2)) + STREAM_END);
+        }, BORNE_PAUSE_MS);
+      });
+      const answer = await harness.ask('/stream/x', ['Prompt: 10', 'Output: 10']);
+      expect(answer.endsWith(STREAM_END)).toBe(true);
+    });
+
     it('that can not be resumed any more does not look complete', async () => {
       const script: TargetScript = (socket) => {
         socket.write(STREAM_HEAD + chunkOf(eventOf(1)));
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -24,12 +24,16 @@
 /** A stream is silent when the expected time to its first event passed this many times … */
 const FIRST_SILENCE_FACTOR = 2;
 /** … and this long after, … */
-const FIRST_SILENCE_MARGIN_MS = 800;
+const FIRST_SILENCE_MARGIN_MS = 1_000;
 /** … but not before its latency target passed this many times. */
 const FIRST_SILENCE_TARGETS = 1.2;
 /** After its first event a stream is silent after this many times its pause target. */
 const SILENCE_PAUSES = 3;
 const SILENCE_MARGIN_MS = 300;
+/** … and at least this: engines pause over a second for a long read, callers leave after two. */
+const MIN_SILENCE_MS = 1_500;
+/** Engines beyond the route's attempts that may refuse a begun stream without having run it. */
+const EXTRA_REFUSALS = 2;
 /** Timers of Node.js may fire this much early. */
 const TIMER_SLACK_MS = 2;
 /** When callers come back whose prompt engines refused though they seemed to have room. */
@@ -54,6 +58,7 @@
   private readonly _splitter: EventStreamSplitter;
   private _execution = Execution.NotSent;
   private _attempts = 0;
+  private _refusals = 0;
   private _cause: string | undefined;
   private _failure: WholeAnswer | undefined;
   private readonly _excluded = new Set<string>();
@@ -93,9 +98,7 @@
       reservations.dispose();
       placed.end();
       this._execution = worse(this._execution, outcome.execution);
-      if (outcome.execution !== Execution.NotSent) {
-        this._attempts++;
-      }
+      this._countAttempt(outcome.execution);
       const report = this._conclude(placed, outcome);
       if (report !== undefined) {
         return report;
@@ -104,6 +107,16 @@
     return this._giveUp();
   }
 
+  /** A begun stream is lost when it can't go on, so refusals of it count less. */
+  private _countAttempt(execution: Execution): void {
+    const isBegun = this._request.response.isBegun;
+    if (isBegun && execution === Execution.RefusedUnrun && this._refusals < EXTRA_REFUSALS) {
+      this._refusals++;
+    } else if (execution !== Execution.NotSent) {
+      this._attempts++;
+    }
+  }
+
   private _mayTry(): boolean {
     const { budget, log } = this._parts;
     const { id, service } = this._request;
@@ -197,7 +210,7 @@
         placed.firstEventMs * FIRST_SILENCE_FACTOR + FIRST_SILENCE_MARGIN_MS,
         route.latencyTargetMs * FIRST_SILENCE_TARGETS,
       ),
-      silenceMs: route.pauseTargetMs * SILENCE_PAUSES + SILENCE_MARGIN_MS,
+      silenceMs: Math.max(MIN_SILENCE_MS, route.pauseTargetMs * SILENCE_PAUSES + SILENCE_MARGIN_MS),
       signal,
       onFirstEvent: () => {
         placed.markGenerating();
