--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -17,6 +17,7 @@
   Unauthorized = 401,
   NotFound = 404,
   TooLarge = 413,
+  HeadersTooLarge = 431,
   Failed = 502,
   Refused = 503,
   TimedOut = 504,
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -87,6 +87,13 @@
       expect(harness.received).toEqual([]);
     });
 
+    it('with more headers than the configuration allows is refused', async () => {
+      await harness.addTarget('t1', 'app', answers(200));
+      const long = `X-Long: ${'x'.repeat(9_000)}`;
+      expect(await harness.ask('/once/x', [long])).toContain('HTTP/1.1 431');
+      expect(harness.received).toEqual([]);
+    });
+
     it('waits a moment for the configuration of a node that just started', async () => {
       const starting = new ForwardingHarness();
       await starting.start(false);
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -13,6 +13,7 @@
   type CallerRequest,
   type EngineProfile,
   type ForwardingConfiguration,
+  type RawHeaders,
 } from '../common/Messages.js';
 import { chooseShare } from '../common/RouteShares.js';
 import { CallerResponse, type OwnAnswer, OwnStatus } from './CallerResponse.js';
@@ -30,6 +31,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Room over the configured idle time, so that callers close first. */
 const IDLE_MARGIN_MS = 1_000;
+/** Colon and space, or the end of a line. */
+const SEPARATOR_BYTES = 2;
 /** Bodies held at once by all requests; more would endanger the memory limit of a small host. */
 const MAX_HELD_BYTES = 96 * 1024 * 1024;
 /** A caller that tries another address loses more than this. */
@@ -177,6 +180,9 @@
     if (current === undefined || this._state.isClosed()) {
       return reject(caller, current === undefined ? UNREADY : LEAVING);
     }
+    if (lengthOf(incoming.rawHeaders) > current.limits.headerBytes) {
+      return reject(caller, HEADERS_TOO_LARGE);
+    }
     const path = incoming.url ?? '/';
     const route = configuration.findRoute(caller.host, pathOnly(path));
     if (route === undefined) {
@@ -282,6 +288,11 @@
   kind: 'too-large',
   remedy: 'send a shorter body',
 };
+const HEADERS_TOO_LARGE: OwnAnswer = {
+  status: OwnStatus.HeadersTooLarge,
+  kind: 'headers-too-large',
+  remedy: 'send fewer or shorter headers',
+};
 const CALLER_LEFT: OwnAnswer = {
   status: OwnStatus.BadRequest,
   kind: 'cancelled',
@@ -302,6 +313,11 @@
     engine === undefined ? forwardCall(parts, request) : forwardStream(parts, request, engine),
 };
 
+/** Bytes of a header block, with the separators of each line. */
+function lengthOf(headers: RawHeaders): number {
+  return headers.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
+}
+
 function pathOnly(path: string): string {
   const query = path.indexOf('?');
   return query === -1 ? path : path.slice(0, query);
