Keep a prompt's attempts when an engine that reads for it is at fault

Ruled out: a full engine; the second try went to the same one. Change: up to two such refusals cost no attempt; they draw on the retry budget. Before: GatewayFront.test 'is tried again when refusals blame ...' red. After: green.

--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -12,6 +12,8 @@
   Ending,
   type ForwardedRequest,
   type ForwardingParts,
+  isOverdue,
+  mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
 import { exchangeWhole, type WholeAnswer, type WholeOutcome } from './WholeExchange.js';
@@ -22,8 +24,6 @@
 /** Without a sound target a call waits for one this long. */
 const TARGET_WAIT_MS = 250;
 const TARGET_POLL_MS = 25;
-/** Timers of Node.js may fire this much early. */
-const TIMER_SLACK_MS = 2;
 /** When callers of a service without targets should come back. */
 const NO_TARGET_RETRY_MS = 300;
 
@@ -45,7 +45,7 @@
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && !signal.aborted) {
       const target = await this._chooseTarget();
-      if (target === undefined || !this._mayTry()) {
+      if (target === undefined || !mayTry(this._parts, this._request, this._tried.length)) {
         break;
       }
       this._tried.push(target.id);
@@ -63,17 +63,6 @@
     return this._giveUp();
   }
 
-  /** The first try is free, others draw on the budget. */
-  private _mayTry(): boolean {
-    const { log, budget } = this._parts;
-    const { id, service } = this._request;
-    if (this._tried.length === 0 || budget.trySpend(service.name)) {
-      return true;
-    }
-    log.note('request.no-budget', { request: id, service: service.name });
-    return false;
-  }
-
   private async _chooseTarget(): Promise<TargetEntry | undefined> {
     const { clock } = this._parts;
     const { deadlineAt, signal } = this._request;
@@ -143,7 +132,7 @@
     sentAt: number,
   ): RequestReport | undefined {
     const { clock, health } = this._parts;
-    const { deadlineAt, route, signal } = this._request;
+    const { route, signal } = this._request;
     if (signal.aborted) {
       return this._report(Ending.CallerLeft);
     }
@@ -153,7 +142,7 @@
       const isBlamed = !outcome.isLate || waitedMs >= PATIENCE_TARGETS * route.latencyTargetMs;
       const suspectMs = isBlamed ? health.noteBreak(target.id) : 0;
       this._noteMove(target, outcome, suspectMs);
-      this._isLate = outcome.isLate && clock.now() + TIMER_SLACK_MS >= deadlineAt;
+      this._isLate = outcome.isLate && isOverdue(this._parts, this._request);
       const mayTryOn = !this._isLate && mayMove(route, outcome.execution);
       return mayTryOn ? undefined : this._giveUp();
     }
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -83,6 +83,25 @@
   readonly placementCost?: number;
 }
 
+/** Timers of Node.js may fire this much early. */
+const TIMER_SLACK_MS = 2;
+
+/** Whether the time of a request has run out. */
+export function isOverdue(parts: ForwardingParts, request: ForwardedRequest): boolean {
+  return parts.clock.now() + TIMER_SLACK_MS >= request.deadlineAt;
+}
+
+/** Whether a request may be sent once more: the first try is free, others draw on the budget. */
+export function mayTry(parts: ForwardingParts, request: ForwardedRequest, tried: number): boolean {
+  const { budget, log } = parts;
+  const { id, service } = request;
+  if (tried === 0 || budget.trySpend(service.name)) {
+    return true;
+  }
+  log.note('request.no-budget', { request: id, service: service.name });
+  return false;
+}
+
 /** Share of a target's connections that all nodes together use. */
 const CONNECTION_SHARE = 0.85;
 
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -61,7 +61,7 @@
     attemptId: findHeader(headers, 'attempt'),
     isNotRun: findHeader(headers, 'not-run') !== undefined,
     isMisdirected: false,
-    failedAddress: undefined,
+    failedAddress: findHeader(headers, 'failed-at'),
     isEventStream: true,
   }),
   readAddressQuestion: () => ({ region: '', availabilityZone: '' }),
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -245,6 +245,23 @@
       expect(answer.endsWith(STREAM_END)).toBe(true);
     });
 
+    it('is tried again when refusals blame engines that only read for it', async () => {
+      const runs: string[] = [];
+      const script: TargetScript = (socket, request) => {
+        runs.push(request);
+        if (runs.length <= 2) {
+          socket.write(answerOf(503, ['Not-Run: 1', 'Failed-At: 10.0.0.1:1'], ''));
+        } else {
+          socket.write(STREAM_HEAD + chunkOf(eventOf(1)) + STREAM_END);
+        }
+      };
+      await harness.addTarget('e1', 'engine', script);
+      await harness.addTarget('e2', 'engine', script);
+      await harness.addTarget('e3', 'engine', script);
+      const answer = await harness.ask('/stream/x', ['Prompt: 10', 'Output: 10']);
+      expect(answer).toContain('HTTP/1.1 200');
+    });
+
     it('is not cut for a pause that its caller still bears', async () => {
       await harness.addTarget('e1', 'engine', (socket) => {
         socket.write(STREAM_HEAD + chunkOf(eventOf(1)));
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -16,13 +16,23 @@
   type RawHeaders,
 } from '../common/Messages.js';
 import { chooseShare } from '../common/RouteShares.js';
-import { CallerResponse, type OwnAnswer, OwnStatus } from './CallerResponse.js';
+import { CallerResponse, type OwnAnswer } from './CallerResponse.js';
 import { forwardCall } from './CallForwarder.js';
 import {
   type ForwardedRequest,
   type ForwardingParts,
   type RequestReport,
 } from './ForwardedRequest.js';
+import {
+  CALLER_LEFT,
+  DEFECT,
+  HEADERS_TOO_LARGE,
+  LEAVING,
+  NO_ROUTE,
+  TOO_LARGE,
+  UNKNOWN_KEY,
+  UNREADY,
+} from './OwnAnswers.js';
 import { forwardStream } from './StreamForwarder.js';
 
 /** A header block beyond this is refused by the parser; the configured limit is below it. */
@@ -37,11 +47,6 @@
 const MAX_HELD_BYTES = 96 * 1024 * 1024;
 /** A caller that tries another address loses more than this. */
 const CONFIGURATION_WAIT_MS = 500;
-/** When callers should come back to a node that knows no configuration yet. */
-const UNREADY_RETRY_MS = 300;
-/** Other nodes serve already; the caller only has to change its address. */
-const LEAVING_RETRY_MS = 20;
-
 /** Whether new requests are refused, and whether connections close after their answer. */
 export interface FrontState {
   readonly isClosed: () => boolean;
@@ -256,49 +261,6 @@
   return Result.err({ caller, answer });
 }
 
-const UNREADY: OwnAnswer = {
-  status: OwnStatus.Refused,
-  kind: 'unready',
-  remedy: 'this node is starting; ask for addresses again',
-  retryAfterMs: UNREADY_RETRY_MS,
-};
-const LEAVING: OwnAnswer = {
-  status: OwnStatus.Refused,
-  kind: 'draining',
-  remedy: 'this node is leaving; use another address',
-  retryAfterMs: LEAVING_RETRY_MS,
-};
-const DEFECT: OwnAnswer = {
-  status: OwnStatus.Failed,
-  kind: 'internal',
-  remedy: 'look at the log of the node for request.defect',
-};
-const NO_ROUTE: OwnAnswer = {
-  status: OwnStatus.NotFound,
-  kind: 'not-found',
-  remedy: 'no route of this host begins the path; check both',
-};
-const UNKNOWN_KEY: OwnAnswer = {
-  status: OwnStatus.Unauthorized,
-  kind: 'unauthorized',
-  remedy: 'send a key of a workspace as a bearer token',
-};
-const TOO_LARGE: OwnAnswer = {
-  status: OwnStatus.TooLarge,
-  kind: 'too-large',
-  remedy: 'send a shorter body',
-};
-const HEADERS_TOO_LARGE: OwnAnswer = {
-  status: OwnStatus.HeadersTooLarge,
-  kind: 'headers-too-large',
-  remedy: 'send fewer or shorter headers',
-};
-const CALLER_LEFT: OwnAnswer = {
-  status: OwnStatus.BadRequest,
-  kind: 'cancelled',
-  remedy: 'send the whole body',
-};
-
 type Forwarder = (
   parts: ForwardingParts,
   request: ForwardedRequest,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -14,6 +14,8 @@
   Ending,
   type ForwardedRequest,
   type ForwardingParts,
+  isOverdue,
+  mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
@@ -32,10 +34,8 @@
 const SILENCE_MARGIN_MS = 300;
 /** … and at least this: engines pause over a second for a long read, callers leave after two. */
 const MIN_SILENCE_MS = 1_500;
-/** Engines beyond the route's attempts that may refuse a begun stream without having run it. */
+/** Refusals of engines that did not run the request and that may cost none of its attempts. */
 const EXTRA_REFUSALS = 2;
-/** Timers of Node.js may fire this much early. */
-const TIMER_SLACK_MS = 2;
 /** When callers come back whose prompt engines refused though they seemed to have room. */
 const REFUSED_RETRY_MS = 300;
 /** Latency targets up to which a prompt is urgent to its engine, with the priority that it gets. */
@@ -84,7 +84,7 @@
         this._noteRefusal(placed);
         break;
       }
-      if (!this._mayTry()) {
+      if (!mayTry(this._parts, this._request, this._tried.length)) {
         placed.end();
         break;
       }
@@ -98,7 +98,7 @@
       reservations.dispose();
       placed.end();
       this._execution = worse(this._execution, outcome.execution);
-      this._countAttempt(outcome.execution);
+      this._countAttempt(outcome);
       const report = this._conclude(placed, outcome);
       if (report !== undefined) {
         return report;
@@ -107,26 +107,21 @@
     return this._giveUp();
   }
 
-  /** A begun stream is lost when it can't go on, so refusals of it count less. */
-  private _countAttempt(execution: Execution): void {
-    const isBegun = this._request.response.isBegun;
-    if (isBegun && execution === Execution.RefusedUnrun && this._refusals < EXTRA_REFUSALS) {
+  /**
+   * Some refusals cost no attempt: a begun stream is lost when it can't go on, and an engine that only
+   * reads for another one is replaced while the request stays where it is.
+   */
+  private _countAttempt(outcome: StreamOutcome): void {
+    const { execution, failure } = outcome;
+    const isReaderAtFault = failure?.answer.failedAddress !== undefined;
+    const isExcused = isReaderAtFault || this._request.response.isBegun;
+    if (execution === Execution.RefusedUnrun && isExcused && this._refusals < EXTRA_REFUSALS) {
       this._refusals++;
     } else if (execution !== Execution.NotSent) {
       this._attempts++;
     }
   }
 
-  private _mayTry(): boolean {
-    const { budget, log } = this._parts;
-    const { id, service } = this._request;
-    if (this._tried.length === 0 || budget.trySpend(service.name)) {
-      return true;
-    }
-    log.note('request.no-budget', { request: id, service: service.name });
-    return false;
-  }
-
   private _noteRefusal({ engines, refusal, retryAfterMs }: RefusedPrompt): void {
     this._cause = `${refusal} on ${engines} engines`;
     this._retryAfterMs = retryAfterMs;
@@ -268,8 +263,7 @@
   }
 
   private _giveUp(): RequestReport {
-    const { clock } = this._parts;
-    const { deadlineAt, response, signal } = this._request;
+    const { response, signal } = this._request;
     if (signal.aborted) {
       return this._report(Ending.CallerLeft);
     }
@@ -291,7 +285,7 @@
       });
       return this._report(Ending.Refused);
     }
-    const isLate = clock.now() + TIMER_SLACK_MS >= deadlineAt;
+    const isLate = isOverdue(this._parts, this._request);
     response.answer({
       status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
       kind: isLate ? 'deadline-exceeded' : 'target-failed',
