--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -32,12 +32,8 @@
   RecordDecoder,
 } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
-import { ConfigurationState } from '../common/state/ConfigurationState.js';
-import { KeyedFollower } from '../common/state/KeyedFollower.js';
-import { KeyedTable } from '../common/state/KeyedTable.js';
 import { NodeDirectory } from '../common/state/NodeDirectory.js';
-import { PeerRelay } from '../common/state/PeerRelay.js';
-import { TargetTable } from '../common/state/TargetTable.js';
+import { PlatformView } from '../common/state/PlatformView.js';
 import { ControlFronts } from './ControlFronts.js';
 import type { ForwardingParts } from './ForwardedRequest.js';
 import { GatewayFront } from './GatewayFront.js';
@@ -45,11 +41,6 @@
 
 const READY_POLL_MS = 50;
 const DRAIN_POLL_MS = 50;
-/** Polls return within three seconds; without an answer for longer the platform is lost. */
-const IN_TOUCH_MS = 4_500;
-/** An outage of the platform counts this long after its end. */
-const UNSETTLED_MS = 2_500;
-
 /** Everything a gateway node meets. */
 export interface GatewayOptions {
   readonly clock: Clock;
@@ -69,14 +60,11 @@
 /** One gateway node with all its parts. */
 export class GatewayNode extends DisposableOwner {
   private readonly _membership: SwimMembership;
-  private readonly _configuration: ConfigurationState;
-  private readonly _followers: readonly KeyedFollower[];
-  private readonly _relay: PeerRelay;
+  private readonly _platform: PlatformView;
   private readonly _news: LoadNews;
   private readonly _nodes: NodeDirectory;
   private readonly _front: GatewayFront;
   private readonly _control: ControlFronts;
-  private readonly _targetRecords: KeyedTable;
   private _isDraining = false;
   private _isClosed = false;
   /** The most nodes seen alive, so that a mass failure doesn't enlarge this node's shares. */
@@ -84,124 +72,20 @@
 
   constructor(private readonly _options: GatewayOptions) {
     super();
-    const { clock, decoder, dialect, log, metrics, random, settings, transport } = _options;
-    const { name, availabilityZone } = settings.node;
-    const startedAt = clock.wallTime();
-    const timeLine = new TimeLine(clock, name, startedAt);
-    this.register(
-      timeLine.onEvent((event) => {
-        log.note(event.name, event.fields);
-      }),
-    );
-    const self = describeSelf(settings, transport.address, startedAt);
-    this._membership = this.register(
-      new SwimMembership({
-        clock,
-        random,
-        transport,
-        timeLine,
-        seeds: settings.seeds,
-        self,
-      }),
-    );
-    const configurationRecords = this.register(new KeyedTable(_options.configurationTopic.name));
-    this._targetRecords = this.register(new KeyedTable(_options.targetTopic.name));
-    this._configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
-    const targets = this.register(
-      new TargetTable({
-        clock,
-        table: this._targetRecords,
-        decoder,
-        log,
-        isUnsettled: () => this._isUnsettled() || this._relay.heardOfOutage,
-      }),
-    );
-    this._followers = [
-      { topic: _options.configurationTopic, table: configurationRecords },
-      { topic: _options.targetTopic, table: this._targetRecords },
-    ].map((each) =>
-      this.register(
-        new KeyedFollower({
-          clock,
-          random,
-          log,
-          isPolling: () => this._relay.isPoller,
-          ...each,
-        }),
-      ),
-    );
-    const tables = [configurationRecords, this._targetRecords];
-    const membership = this._membership;
-    this._relay = this.register(
-      new PeerRelay({
-        clock,
-        random,
-        transport,
-        membership,
-        tables,
-        log,
-        isInTouch: () => this._isInTouch(),
-        isUnsettled: () => this._isUnsettled(),
-        catchUp: (topic) => this._catchUp(topic),
-      }),
-    );
+    const { clock, dialect, log, metrics, registry, settings, transport } = _options;
+    const { name } = settings.node;
+    const membership = this._createMembership();
+    this._membership = membership;
+    this._platform = this.register(new PlatformView({ ..._options, membership }));
     const board = this.register(new LoadBoard(clock, name));
     const broadcast = this.register(new ZoneBroadcast({ clock, transport, membership }));
     this._news = this.register(new LoadNews({ clock, broadcast, node: name, board }));
-    this._nodes = this.register(
-      new NodeDirectory({ clock, log, membership, registry: _options.registry }),
-    );
-    const health = new TargetHealth(clock);
-    const upstream = this.register(new Upstream());
-    this.register(
-      targets.onChange((entry) => {
-        if (entry.isDraining && targets.find(entry.id) === undefined) {
-          upstream.forget(entry);
-          health.forget(entry.id);
-        }
-      }),
-    );
-    this.register(
-      this._membership.onChange((member) => {
-        if (member.status === MemberStatus.Dead || member.status === MemberStatus.Left) {
-          board.forget(member.name);
-        }
-      }),
-    );
-    const liveNodes = (): number => this._countNodes();
-    const scheduler = this.register(
-      new EngineScheduler({
-        clock,
-        targets,
-        board,
-        publisher: this._news,
-        health,
-        availabilityZone,
-        random,
-        liveNodes,
-      }),
-    );
-    const parts: ForwardingParts = {
-      clock,
-      random,
-      metrics,
-      log,
-      dialect,
-      configuration: this._configuration,
-      targets,
-      health,
-      scheduler,
-      engines: _options.engines,
-      budget: new SharedRetryBudget(clock, settings.retries, liveNodes),
-      upstream,
-      availabilityZone,
-      liveNodes,
-    };
+    this._nodes = this.register(new NodeDirectory({ clock, log, membership, registry }));
     const state = {
       isClosed: () => this._isClosed,
       isDraining: () => this._isDraining,
     };
-    this._front = this.register(new GatewayFront(parts, state));
+    this._front = this.register(new GatewayFront(this._createForwardingParts(board), state));
     this._control = this.register(
       new ControlFronts({
         dialect,
@@ -211,27 +95,19 @@
         isReady: () => this.isReady,
       }),
     );
-    metrics.gauge('tanager_members_live', () => membership.live.length);
-    metrics.gauge('tanager_requests_running', () => this._front.running);
-    metrics.gauge('tanager_configuration_version', () => this._version);
-    metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
+    this._registerGauges();
   }
 
   /** Whether callers should be sent here. */
   public get isReady(): boolean {
-    return (
-      this._configuration.current !== undefined && this._targetRecords.isKnown && !this._isDraining
-    );
+    return this._platform.isKnown && !this._isDraining;
   }
 
   /** Listens and starts to follow the platform and the peers. */
   public async start(): Promise<void> {
     const { listen } = this._options.settings;
     this._membership.start();
-    for (const follower of this._followers) {
-      follower.start();
-    }
-    this._relay.start();
+    this._platform.start();
     this._news.start();
     this._nodes.start();
     await this._front.listen(listen.caller);
@@ -261,23 +137,57 @@
     log.note('node.drained', { cut: this._front.running, tookMs });
   }
 
-  private get _version(): number {
-    return this._configuration.current?.version ?? 0;
-  }
-
-  private _isUnsettled(): boolean {
-    const now = this._options.clock.now();
-    return this._followers.some(({ failedAt }) => now - failedAt < UNSETTLED_MS);
+  private _createMembership(): SwimMembership {
+    const { clock, log, random, settings, transport } = this._options;
+    // A restarted node has a higher incarnation than before, without any stored state.
+    const startedAt = clock.wallTime();
+    const timeLine = new TimeLine(clock, settings.node.name, startedAt);
+    this.register(
+      timeLine.onEvent((event) => {
+        log.note(event.name, event.fields);
+      }),
+    );
+    const self = describeSelf(settings, transport.address, startedAt);
+    const { seeds } = settings;
+    return this.register(new SwimMembership({ clock, random, transport, timeLine, seeds, self }));
   }
 
-  /** Whether the platform answered every topic lately. */
-  private _isInTouch(): boolean {
-    const now = this._options.clock.now();
-    return this._followers.every(({ answeredAt }) => now - answeredAt < IN_TOUCH_MS);
+  private _createForwardingParts(board: LoadBoard): ForwardingParts {
+    const { clock, random, settings } = this._options;
+    const { configuration, targets } = this._platform;
+    const { availabilityZone } = settings.node;
+    const health = new TargetHealth(clock);
+    const upstream = this.register(new Upstream());
+    const liveNodes = (): number => this._countNodes();
+    this.register(
+      targets.onChange((entry) => {
+        if (targets.find(entry.id) === undefined) {
+          upstream.forget(entry);
+          health.forget(entry.id);
+        }
+      }),
+    );
+    this.register(
+      this._membership.onChange((member) => {
+        if (member.status === MemberStatus.Dead || member.status === MemberStatus.Left) {
+          board.forget(member.name);
+        }
+      }),
+    );
+    const common = { clock, random, targets, health, availabilityZone, liveNodes };
+    const scheduler = this.register(
+      new EngineScheduler({ ...common, board, publisher: this._news }),
+    );
+    const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
+    return { ...this._options, ...common, configuration, scheduler, budget, upstream };
   }
 
-  private async _catchUp(topic: string): Promise<void> {
-    await this._followers.find(({ name }) => name === topic)?.catchUp();
+  private _registerGauges(): void {
+    const { log, metrics } = this._options;
+    metrics.gauge('tanager_members_live', () => this._membership.live.length);
+    metrics.gauge('tanager_requests_running', () => this._front.running);
+    metrics.gauge('tanager_configuration_version', () => this._platform.version);
+    metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
   }
 
   private _countNodes(): number {
@@ -295,10 +205,11 @@
     );
     while (!abort.signal.aborted) {
       const { isReady } = this;
+      const { version } = this._platform;
       const { state } = this._membership.self;
-      if (isReady !== state.isReady || this._version !== state.configurationOffset) {
-        this._membership.publish({ isReady, configurationOffset: this._version });
-        log.note(isReady ? 'node.ready' : 'node.unready', { version: this._version });
+      if (isReady !== state.isReady || version !== state.configurationOffset) {
+        this._membership.publish({ isReady, configurationOffset: version });
+        log.note(isReady ? 'node.ready' : 'node.unready', { version });
       }
       await clock.sleep(READY_POLL_MS, abort.signal);
     }
