Do not send a request whose caller left while it waited

Cause: an exchange listened for the abort of its caller only after the wait for an engine or a reservation. A caller that left during that wait had aborted already, so the listener never fired and the request was sent and run for nobody (the platform's rule about callers that left). Ruled out: the loops of the forwarders check the signal only before they ask for a place; the scheduler placed once more after the abort. Change: both exchanges and the scheduler look at the signal first. The ending that promises 'not run' stood twice and is one function now.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -72,6 +72,8 @@
   NoRoom = 'no-room',
   /** The prompt would cost other requests more than it is worth. */
   Harmful = 'harmful',
+  /** The caller left while the prompt waited. */
+  CallerLeft = 'caller-left',
 }
 
 /** A prompt that is not placed, with what decided that. */
@@ -106,6 +108,9 @@
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { board, clock } = this._options;
     for (;;) {
+      if (signal.aborted) {
+        return this._refuse(request, PlacementRefusal.CallerLeft);
+      }
       const placement = this._tryPlace(request);
       if (placement?.isHarmful === true) {
         return this._refuse(request, PlacementRefusal.Harmful);
@@ -113,7 +118,7 @@
       if (placement !== undefined) {
         return this._admit(request, placement);
       }
-      if (signal.aborted || clock.now() >= giveUpAt) {
+      if (clock.now() >= giveUpAt) {
         return this._refuse(request, PlacementRefusal.NoRoom);
       }
       await awaitEvent(clock, board.onChange, () => true, RECHECK_MS).value;
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -3,10 +3,9 @@
  * the route's attempts and the retry budget; a call that may not be repeated moves on only when it
  * certainly did not run.
  */
-import { Execution, isRepeatable, isUnrun, mayMove, worse } from '../common/Execution.js';
+import { Execution, isRepeatable, mayMove, worse } from '../common/Execution.js';
 import type { TargetEntry } from '../common/Messages.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
-import { OwnStatus } from './CallerResponse.js';
 import {
   connectionsFor,
   Ending,
@@ -16,6 +15,7 @@
   mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
+import { answerUnserved } from './UnservedAnswer.js';
 import { exchangeWhole, type WholeAnswer, type WholeOutcome } from './WholeExchange.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -176,29 +176,20 @@
 
   /** The final answer when no target is left to try. */
   private _giveUp(): RequestReport {
-    const { response, signal } = this._request;
-    if (signal.aborted) {
+    if (this._request.signal.aborted) {
       return this._report(Ending.CallerLeft);
     }
     if (this._failure !== undefined) {
       return this._pass(this._failure, Ending.TargetFailure);
     }
-    if (isUnrun(this._execution)) {
-      response.answer({
-        status: OwnStatus.Refused,
-        kind: 'overloaded',
-        remedy: 'no target of the service takes the request now; repeat it',
-        retryAfterMs: NO_TARGET_RETRY_MS,
-      });
-      return this._report(Ending.Refused);
-    }
-    const isLate = this._isLate;
-    response.answer({
-      status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
-      kind: isLate ? 'deadline-exceeded' : 'target-failed',
-      remedy: 'the request may have run; look at its effect before repeating it',
+    const ending = answerUnserved(this._request, {
+      execution: this._execution,
+      isLate: this._isLate,
+      retryAfterMs: NO_TARGET_RETRY_MS,
+      unrunRemedy: 'no target of the service takes the request now; repeat it',
+      uncertainRemedy: 'the request may have run; look at its effect before repeating it',
     });
-    return this._report(isLate ? Ending.TimedOut : Ending.Failed);
+    return this._report(ending);
   }
 
   private _pass({ answer, body, headers }: WholeAnswer, ending: Ending): RequestReport {
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -9,7 +9,7 @@
 import type { Dialect } from '../common/services/Services.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { Exchange, Upstream, UpstreamRequest } from './Upstream.js';
-import { isOwnAnswer, type WholeAnswer } from './WholeExchange.js';
+import { CALLER_LEFT_CAUSE, isOwnAnswer, type WholeAnswer } from './WholeExchange.js';
 
 const FIRST_ERROR = 300;
 /** Bodies of failures are short; more than this is not kept. */
@@ -75,7 +75,7 @@
   private _deadline: Disposable | undefined;
   private _resolve: (outcome: StreamOutcome) => void = () => undefined;
   private readonly _onAbort = (): void => {
-    this._giveUp(StreamEnd.Unwanted, 'the caller left');
+    this._giveUp(StreamEnd.Unwanted, CALLER_LEFT_CAUSE);
   };
 
   constructor(private readonly _options: StreamExchangeOptions) {}
@@ -87,6 +87,10 @@
       this._deadline = clock.schedule(deadlineAt - clock.now(), () => {
         this._giveUp(StreamEnd.Unwanted, 'the deadline passed');
       });
+      if (signal.aborted) {
+        this._finish(StreamEnd.Unwanted, CALLER_LEFT_CAUSE);
+        return;
+      }
       this._watchSilence(this._options.firstSilenceMs);
       signal.addEventListener('abort', this._onAbort, { once: true });
       this._exchange = upstream.send(target, connections, request, {
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -4,11 +4,10 @@
  * caller's answer breaks off visibly.
  */
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
-import { Execution, isUnrun, mayMove, worse } from '../common/Execution.js';
+import { Execution, mayMove, worse } from '../common/Execution.js';
 import type { EngineProfile, TargetEntry } from '../common/Messages.js';
 import { type PlacedPrompt, RefusedPrompt } from '../common/placement/EngineScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
-import { OwnStatus } from './CallerResponse.js';
 import {
   connectionsFor,
   Ending,
@@ -19,6 +18,7 @@
   type RequestReport,
 } from './ForwardedRequest.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
+import { answerUnserved } from './UnservedAnswer.js';
 import type { WholeAnswer } from './WholeExchange.js';
 
 /** Share of the time left for which a prompt waits for room before it is refused. */
@@ -276,22 +276,14 @@
       response.passWhole(answer.status, headers, body, false);
       return this._report(Ending.TargetFailure);
     }
-    if (isUnrun(this._execution)) {
-      response.answer({
-        status: OwnStatus.Refused,
-        kind: 'overloaded',
-        remedy: 'no engine has room for the prompt now; come back after the time given',
-        retryAfterMs: this._retryAfterMs,
-      });
-      return this._report(Ending.Refused);
-    }
-    const isLate = isOverdue(this._parts, this._request);
-    response.answer({
-      status: isLate ? OwnStatus.TimedOut : OwnStatus.Failed,
-      kind: isLate ? 'deadline-exceeded' : 'target-failed',
-      remedy: 'repeat the request with the id of the last event, if there was one',
+    const ending = answerUnserved(this._request, {
+      execution: this._execution,
+      isLate: isOverdue(this._parts, this._request),
+      retryAfterMs: this._retryAfterMs,
+      unrunRemedy: 'no engine has room for the prompt now; come back after the time given',
+      uncertainRemedy: 'repeat the request with the id of the last event, if there was one',
     });
-    return this._report(isLate ? Ending.TimedOut : Ending.Failed);
+    return this._report(ending);
   }
 
   private _report(ending: Ending): RequestReport {
--- a/packages/gateway/src/node/WholeExchange.ts
+++ b/packages/gateway/src/node/WholeExchange.ts
@@ -10,6 +10,8 @@
 
 /** A larger answer of a target is treated as broken. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Why an exchange ends that nobody waits for any more. */
+export const CALLER_LEFT_CAUSE = 'the caller left';
 
 /** A complete answer. */
 export interface WholeAnswer {
@@ -66,11 +68,15 @@
       fail(cause, isLate);
     };
     const onAbort = (): void => {
-      giveUp('the caller left');
+      giveUp(CALLER_LEFT_CAUSE);
     };
     const timer = clock.schedule(giveUpAt - clock.now(), () => {
       giveUp('no answer in time', true);
     });
+    if (signal.aborted) {
+      fail(CALLER_LEFT_CAUSE);
+      return;
+    }
     signal.addEventListener('abort', onAbort, { once: true });
     const exchange: Exchange = upstream.send(target, connections, request, {
       onSent: () => {
