Tell peers of readiness only, not of every configuration version

Cause: a gateway node published each version in force as part of its member state, so each change of the configuration became one state update of every node, gossiped to every other one; the log called each 'node.ready'. Ruled out: a need for it; peers learn versions from the progress datagrams. Change: the state is published when the readiness changes, logged only then.

--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -203,11 +203,9 @@
     );
     while (!abort.signal.aborted) {
       const { isReady } = this;
-      const { version } = this._platform;
-      const { state } = this._membership.self;
-      if (isReady !== state.isReady || version !== state.configurationOffset) {
-        this._membership.publish({ isReady, configurationOffset: version });
-        log.note(isReady ? 'node.ready' : 'node.unready', { version });
+      if (isReady !== this._membership.self.state.isReady) {
+        this._membership.publish({ isReady });
+        log.note(isReady ? 'node.ready' : 'node.unready', { version: this._platform.version });
       }
       await clock.sleep(READY_POLL_MS, abort.signal);
     }
