--- a/packages/claims/src/common/Messages.ts
+++ b/packages/claims/src/common/Messages.ts
@@ -2,7 +2,7 @@
  * The records of the claim streams. A record is a batch of entries that one committer appended; the
  * position of an entry is its record's offset and its index in the batch.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The kinds of entries. */
 export enum EntryKind {
--- a/packages/configuration/src/common/Checkpoint.ts
+++ b/packages/configuration/src/common/Checkpoint.ts
@@ -3,7 +3,7 @@
  * after older records expired can still learn it. Any node may write one; writing it twice changes
  * nothing.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { type InForce, RecordKind } from './ConfigurationRule.js';
 import { type ConfigurationObject, objectSchema } from './Objects.js';
 import { canonicalJson, ObjectSet } from './ObjectSet.js';
--- a/packages/configuration/src/common/ConfigurationRule.ts
+++ b/packages/configuration/src/common/ConfigurationRule.ts
@@ -3,7 +3,7 @@
  * effect. It depends on nothing but the records in log order, so all nodes agree on the winner of a
  * race and no node ever goes back.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { checkObjects, checkTransition, describeFinding } from './ConfigurationCheck.js';
 import { objectSchema, ObjectKind } from './Objects.js';
 import { canonicalJson, ObjectSet } from './ObjectSet.js';
--- a/packages/configuration/src/common/Messages.ts
+++ b/packages/configuration/src/common/Messages.ts
@@ -1,5 +1,5 @@
 /** The peer and operator messages of the configuration layer. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { objectSchema } from './Objects.js';
 
 /** The JSON-RPC method by which a node that is behind asks a peer. */
--- a/packages/configuration/src/common/Objects.ts
+++ b/packages/configuration/src/common/Objects.ts
@@ -3,7 +3,7 @@
  * a whole set of them together. Durations are milliseconds, lengths are tokens.
  */
 import { MAX_PROMPT_TOKENS, TargetRole } from '@tanagerdyke/contracts';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The closed set of object kinds. */
 export enum ObjectKind {
--- a/packages/contracts/src/common/CallerMessages.ts
+++ b/packages/contracts/src/common/CallerMessages.ts
@@ -2,7 +2,7 @@
  * The schemas of what callers and operators send. They bound every length, so that a body that
  * passes them can be used as it is.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Longest prompt, in tokens. */
 export const MAX_PROMPT_TOKENS = 1_048_576;
--- a/packages/ctl/src/node/CallerClient.ts
+++ b/packages/ctl/src/node/CallerClient.ts
@@ -12,7 +12,7 @@
 import { type Clock, ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   callerAgent,
   connectionError,
--- a/packages/ctl/src/node/ConfigurationFile.ts
+++ b/packages/ctl/src/node/ConfigurationFile.ts
@@ -3,7 +3,7 @@
 import { type ConfigurationObject, objectSchema } from '@tanagerdyke/configuration';
 import { describeCause, ErrorKind, parseSettings, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const fileSchema = z.strictObject({ objects: z.array(objectSchema) });
 
--- a/packages/ctl/src/node/HttpExchange.ts
+++ b/packages/ctl/src/node/HttpExchange.ts
@@ -2,7 +2,7 @@
 import { describeCause, ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const HTTP_SUCCESS_END = 300;
 const CONNECTIONS = 512;
--- a/packages/ctl/src/node/OperatorClient.ts
+++ b/packages/ctl/src/node/OperatorClient.ts
@@ -6,7 +6,7 @@
 } from '@tanagerdyke/configuration';
 import type { ServiceError } from '@tanagerdyke/kernel';
 import type { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { requestJson } from './HttpExchange.js';
 
 const inForceSchema = z.object({
--- a/packages/daemon/src/common/Settings.ts
+++ b/packages/daemon/src/common/Settings.ts
@@ -1,5 +1,5 @@
 /** The settings of a daemon, as the YAML file gives them. Durations are milliseconds. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_DURATION_MS = 86_400_000;
 const MAX_PORT = 65_535;
--- a/packages/daemon/src/node/adapters/HttpClient.ts
+++ b/packages/daemon/src/node/adapters/HttpClient.ts
@@ -2,7 +2,7 @@
 import { describeCause, ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const CONNECTIONS_PER_ADDRESS = 256;
 const CONNECT_TIMEOUT_MS = 1_000;
--- a/packages/daemon/src/node/adapters/HttpEngine.ts
+++ b/packages/daemon/src/node/adapters/HttpEngine.ts
@@ -13,7 +13,7 @@
 } from '@tanagerdyke/contracts';
 import { Result } from 'true-myth';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { agent, exchangeError, exchangeJson, parseProblem } from './HttpClient.js';
 
 const CONTROL_TIMEOUT_MS = 2_000;
--- a/packages/daemon/src/node/adapters/HttpPlatform.ts
+++ b/packages/daemon/src/node/adapters/HttpPlatform.ts
@@ -9,7 +9,7 @@
   type WeightStore,
 } from '@tanagerdyke/contracts';
 import { type Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { exchangeJson } from './HttpClient.js';
 
 const APPEND_TIMEOUT_MS = 2_000;
--- a/packages/daemon/src/node/adapters/HttpService.ts
+++ b/packages/daemon/src/node/adapters/HttpService.ts
@@ -2,7 +2,7 @@
 import { ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import type { Service, ServiceAnswer, ServiceCall } from '@tanagerdyke/contracts';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { exchange, exchangeJson } from './HttpClient.js';
 
 const LOOK_UP_TIMEOUT_MS = 2_000;
--- a/packages/daemon/src/node/http/OperatorRoutes.ts
+++ b/packages/daemon/src/node/http/OperatorRoutes.ts
@@ -2,7 +2,7 @@
 import { objectSchema, ObjectKind, type ObjectChange } from '@tanagerdyke/configuration';
 import { setNamespaces } from '@tanagerdyke/kernel';
 import type { HttpApp } from './HttpApp.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ServedNode } from './ServedNode.js';
 import { authenticateOperator } from './Authentication.js';
 import { problemResponse } from './Problem.js';
--- a/packages/fleet/src/common/LeaseRule.ts
+++ b/packages/fleet/src/common/LeaseRule.ts
@@ -5,7 +5,7 @@
  * of the effective acquisition is the fencing number (Gray and Cheriton 1989 for leases). Renewals
  * repeat it, so that a reader that starts after the acquisition expired learns the holder.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The kinds of lease records. */
 export enum LeaseRecordKind {
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -4,7 +4,7 @@
  */
 import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser, type ZoneBroadcast } from '@tanagerdyke/mesh';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
 
 const LOAD_METHOD = 'load';
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -20,7 +20,7 @@
   type Transport,
 } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedRecord } from '../services/Services.js';
 import type { KeyedTable } from './KeyedTable.js';
--- a/packages/mesh/src/common/MemberCodec.ts
+++ b/packages/mesh/src/common/MemberCodec.ts
@@ -2,7 +2,7 @@
  * Members as they ride on datagrams: positional, and without the addresses and the zone unless the
  * receiver may not know the process yet. A datagram with a full load then fits one packet.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Member, MemberStatus } from './Messages.js';
 
 /** Statuses by their number on the wire. */
--- a/packages/mesh/src/common/Messages.ts
+++ b/packages/mesh/src/common/Messages.ts
@@ -1,5 +1,5 @@
 /** The messages between nodes, with their schemas. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a node knows of another. */
 export enum MemberStatus {
--- a/packages/mesh/src/common/Notifications.ts
+++ b/packages/mesh/src/common/Notifications.ts
@@ -1,6 +1,6 @@
 /** Datagrams as JSON-RPC 2.0 notifications. Several protocols share one port, told apart by method. */
 import { createJSONRPCNotification } from 'json-rpc-2.0';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The text of a notification. */
 export function encodeNotification(method: string, params: unknown): string {
--- a/packages/mesh/src/common/ProbeMessages.ts
+++ b/packages/mesh/src/common/ProbeMessages.ts
@@ -1,5 +1,5 @@
 /** The datagrams of the failure detector, with their schema. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { wireMemberSchema } from './MemberCodec.js';
 import { PROBE_METHOD } from './Messages.js';
 import { notificationParser } from './Notifications.js';
--- a/packages/mesh/src/common/RpcErrors.ts
+++ b/packages/mesh/src/common/RpcErrors.ts
@@ -1,7 +1,7 @@
 /** Service errors as JSON-RPC 2.0 error objects and back. */
 import { ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import { JSONRPCErrorException } from 'json-rpc-2.0';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The JSON-RPC error code of expected failures; the kind is in the data. */
 const SERVICE_ERROR_CODE = -32_000;
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, DisposableOwner, type RandomSource, toDisposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { isLive, type MemberTable } from './MemberTable.js';
 import { JOIN_METHOD, type Member, memberSchema, MemberStatus } from './Messages.js';
 import type { Transport } from './services/Services.js';
--- a/packages/serving/src/common/Messages.ts
+++ b/packages/serving/src/common/Messages.ts
@@ -1,6 +1,6 @@
 /** The peer messages of the serving layer: reservations that the owner of a target grants. */
 import type { LengthClass } from '@tanagerdyke/contracts';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** JSON-RPC method: asks the owner of a target for a reservation. */
 export const RESERVE_METHOD = 'serving.reserve';
--- a/packages/serving/src/common/ReservationCodec.ts
+++ b/packages/serving/src/common/ReservationCodec.ts
@@ -3,7 +3,7 @@
  * frequent messages between nodes, and with named fields they would take most of a node's bytes.
  */
 import { LengthClass } from '@tanagerdyke/contracts';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ReserveAnswer, ReserveRequest } from './Messages.js';
 
 const GRANTED_FLAG = 1;
--- a/packages/standins/src/common/LinkRules.ts
+++ b/packages/standins/src/common/LinkRules.ts
@@ -1,5 +1,5 @@
 /** Rules for the links of one daemon, as a run sets them: delay, loss and cuts towards peers. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** How the link towards one peer behaves. */
 export const linkRuleSchema = z.object({
--- a/packages/standins/src/common/prove/Evidence.ts
+++ b/packages/standins/src/common/prove/Evidence.ts
@@ -2,7 +2,7 @@
  * What a proof run gathers outside the daemons: the records of the stand-ins, what each caller
  * received, polls of the daemons and the run's own actions. Times are wall times of the one machine.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Ending } from '../Ending.js';
 
 /** The kinds of records that stand-ins write. */
--- a/packages/standins/src/node/LogStandIn.ts
+++ b/packages/standins/src/node/LogStandIn.ts
@@ -1,7 +1,7 @@
 /** The platform log stand-in over HTTP, with an administrative route for its faults. */
 import { type Clock, ErrorKind, type RandomSource } from '@tanagerdyke/kernel';
 import { type Context, Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type LogLimits, LogStore } from '../common/LogStore.js';
 import { RecordKind } from '../common/prove/Evidence.js';
 import { standInProblem } from '../common/StandInError.js';
--- a/packages/standins/src/node/PlatformStandIn.ts
+++ b/packages/standins/src/node/PlatformStandIn.ts
@@ -2,7 +2,7 @@
 import { type Clock, ErrorKind } from '@tanagerdyke/kernel';
 import { type HostState, HostStatus } from '@tanagerdyke/contracts';
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { standInProblem } from '../common/StandInError.js';
 
 const MS_PER_MINUTE = 60_000;
--- a/packages/standins/src/node/ServiceStandIn.ts
+++ b/packages/standins/src/node/ServiceStandIn.ts
@@ -4,7 +4,7 @@
  */
 import { type Clock, ErrorKind, type RandomSource } from '@tanagerdyke/kernel';
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { neverAnswer } from './LogStandIn.js';
 import { RecordKind } from '../common/prove/Evidence.js';
 import { standInProblem } from '../common/StandInError.js';
--- a/packages/standins/src/node/demo.ts
+++ b/packages/standins/src/node/demo.ts
@@ -8,7 +8,7 @@
 import { NotRun, type ServiceError } from '@tanagerdyke/kernel';
 import { request } from 'undici';
 import { v7 as uuidv7 } from 'uuid';
-import { z } from 'zod';
+import * as z from 'zod';
 import { COMPLETION_ROUTE, DEFAULT_FLEET, SERVICE_ROUTE, zoneOf } from '../common/FleetPlan.js';
 import { noCounts, type RunCounts } from '../common/RunCounts.js';
 import { Fleet } from './Fleet.js';
--- a/packages/standins/src/node/measure/MeasuredFleet.ts
+++ b/packages/standins/src/node/measure/MeasuredFleet.ts
@@ -5,7 +5,7 @@
 import { readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { routeOf, zoneOf } from '../../common/FleetPlan.js';
 import { IdleCurve, type IdlePoint } from '../../common/measure/IdleCurve.js';
 import { quantile, rounded } from '../../common/measure/Quantiles.js';
--- a/packages/standins/src/node/prove/Monitor.ts
+++ b/packages/standins/src/node/prove/Monitor.ts
@@ -5,7 +5,7 @@
 import { setMaxListeners } from 'node:events';
 import { HeldKind } from '@tanagerdyke/contracts';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { RunState } from './RunState.js';
 
 const STATUS_INTERVAL_MS = 250;
