--- a/packages/gateway/src/node/Exchanges.test.ts
+++ b/packages/gateway/src/node/Exchanges.test.ts
@@ -7,7 +7,7 @@
 import type { CallerResponse } from './CallerResponse.js';
 import { testDialect } from './ForwardingHarness.js';
 import { exchangeStream, StreamEnd } from './StreamExchange.js';
-import type { Exchange, Upstream } from './Upstream.js';
+import type { Exchange, RequestSender } from './Upstream.js';
 import { exchangeWhole } from './WholeExchange.js';
 
 const TIME_LIMIT_MS = 60;
@@ -23,7 +23,7 @@
 };
 
 /** Never answers, and counts what is sent. */
-class SilentUpstream {
+class SilentUpstream implements RequestSender {
   public sent = 0;
 
   public send(): Exchange {
@@ -37,7 +37,7 @@
   return {
     clock,
     dialect: testDialect,
-    upstream: upstream as unknown as Upstream,
+    upstream,
     target,
     connections: 1,
     request: { method: 'POST', path: '/', headers: [], body: Buffer.alloc(0) },
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -16,7 +16,7 @@
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import type { CallerResponse } from './CallerResponse.js';
-import type { Upstream } from './Upstream.js';
+import type { RequestSender } from './Upstream.js';
 
 /** What forwarders use. */
 export interface ForwardingParts {
@@ -31,7 +31,7 @@
   readonly scheduler: EngineScheduler;
   readonly engines: EngineReservations;
   readonly budget: SharedRetryBudget;
-  readonly upstream: Upstream;
+  readonly upstream: RequestSender;
   readonly availabilityZone: string;
   /** Nodes that share the connections of a target. */
   readonly liveNodes: () => number;
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -30,7 +30,8 @@
 /** Answers one request that a target received. */
 export type TargetScript = (socket: Socket, request: string) => void;
 
-const noReservations: EngineReservations = {
+/** Engines that take no reservations. */
+export const noReservations: EngineReservations = {
   reserve: () => Promise.resolve(Result.err(refusal('no reservations here'))),
   release: () => Promise.resolve(Result.ok(undefined)),
 };
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -8,7 +8,7 @@
 import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
 import type { Dialect } from '../common/services/Services.js';
 import type { CallerResponse } from './CallerResponse.js';
-import type { Exchange, Upstream, UpstreamRequest } from './Upstream.js';
+import type { Exchange, RequestSender, UpstreamRequest } from './Upstream.js';
 import { CALLER_LEFT_CAUSE, isOwnAnswer, type WholeAnswer } from './WholeExchange.js';
 
 const FIRST_ERROR = 300;
@@ -41,7 +41,7 @@
 export interface StreamExchangeOptions {
   readonly clock: Clock;
   readonly dialect: Dialect;
-  readonly upstream: Upstream;
+  readonly upstream: RequestSender;
   readonly target: TargetEntry;
   readonly connections: number;
   readonly request: UpstreamRequest;
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -41,8 +41,19 @@
   resume(): void;
 }
 
+/** Sends requests to targets. */
+export interface RequestSender {
+  /** `connections` bounds those of the target when it is first used. */
+  send(
+    target: TargetEntry,
+    connections: number,
+    request: UpstreamRequest,
+    observer: ExchangeObserver,
+  ): Exchange;
+}
+
 /** The pools of all targets. */
-export class Upstream extends DisposableOwner {
+export class Upstream extends DisposableOwner implements RequestSender {
   private readonly _pools = new Map<string, Pool>();
 
   constructor() {
@@ -56,7 +67,6 @@
     );
   }
 
-  /** Sends a request; `connections` bounds the pool when it is first used. */
   public send(
     target: TargetEntry,
     connections: number,
--- a/packages/gateway/src/node/WholeExchange.ts
+++ b/packages/gateway/src/node/WholeExchange.ts
@@ -6,7 +6,7 @@
 import { Execution } from '../common/Execution.js';
 import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
 import type { Dialect } from '../common/services/Services.js';
-import type { Exchange, Upstream, UpstreamRequest } from './Upstream.js';
+import type { Exchange, RequestSender, UpstreamRequest } from './Upstream.js';
 
 /** A larger answer of a target is treated as broken. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -35,7 +35,7 @@
 export interface WholeExchangeOptions {
   readonly clock: Clock;
   readonly dialect: Dialect;
-  readonly upstream: Upstream;
+  readonly upstream: RequestSender;
   readonly target: TargetEntry;
   readonly connections: number;
   readonly request: UpstreamRequest;
