--- a/packages/gateway/src/node/Endings.test.ts
+++ b/packages/gateway/src/node/Endings.test.ts
@@ -2,8 +2,9 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import * as execution from '../common/Execution.js';
 import { CallKind } from '../common/Messages.js';
+import { type Forwarders, playRequest, Violation } from './EndingsModel.js';
+import { Step } from './EndingsSteps.js';
 import { configuration } from './ForwardingHarness.js';
-import { type Forwarders, playRequest, Step, Violation } from './EndingsModel.js';
 import * as answers from './WholeExchange.js';
 
 const SCRIPT_STEPS = 3;
--- a/packages/mesh/src/common/NewsSpreader.ts
+++ b/packages/mesh/src/common/NewsSpreader.ts
@@ -2,12 +2,12 @@
  * Sends the datagrams of a node and what rides on them: its own state, updates still to be passed on,
  * and, pushed at once through the overlay, the news that can't wait for a probe.
  */
-import { createJSONRPCNotification } from 'json-rpc-2.0';
 import { EagerPush } from './EagerPush.js';
 import { GossipQueue, type NewsKind } from './GossipQueue.js';
 import { encodeMember } from './MemberCodec.js';
 import { isLive, type MemberTable } from './MemberTable.js';
 import { type Member, PROBE_METHOD } from './Messages.js';
+import { encodeNotification } from './Notifications.js';
 import { type Probe, ProbeKind } from './ProbeMessages.js';
 import type { Transport } from './services/Services.js';
 
@@ -71,7 +71,6 @@
 
   private _sendProbe(address: string, content: Omit<Probe, 'from'>): void {
     const probe: Probe = { ...content, from: this._options.self().peerAddress };
-    const notification = createJSONRPCNotification(PROBE_METHOD, probe);
-    this._options.transport.sendDatagram(address, JSON.stringify(notification));
+    this._options.transport.sendDatagram(address, encodeNotification(PROBE_METHOD, probe));
   }
 }
