Publish readiness on the event that brings it, not on a poll

Ruled out: readiness that is lost again; a configuration is never forgotten. Change: the view of the platform tells when it is known; nodes that do not poll look every 0.5 s. Callers are listened for before the platform is asked. Before and after: 186 tests of gateway and platform pass.

--- a/packages/gateway/src/common/state/KeyedFollower.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.ts
@@ -23,8 +23,8 @@
 const POLL_MARGIN_MS = 1_000;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
-/** How often a node that does not poll looks whether it should. */
-const IDLE_MS = 200;
+/** How often a node that does not poll looks whether it should; a fifth of a poller's silence. */
+const IDLE_MS = 500;
 const READ_TIMEOUT_MS = 800;
 
 /** What a follower needs. */
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -2,7 +2,7 @@
  * What one node knows of the platform: the configuration in force and the targets, followed at the
  * platform itself and through peers.
  */
-import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, Emitter, type RandomSource } from '@tanagerdyke/kernel';
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTopic, RecordDecoder } from '../services/Services.js';
@@ -36,6 +36,9 @@
   private readonly _targetRecords: KeyedTable;
   private readonly _followers: readonly KeyedFollower[];
   private readonly _relay: PeerRelay;
+  private readonly _onKnown = this.register(new Emitter<void>());
+  /** Fires with each change while requests can be routed and placed. */
+  public readonly onKnown = this._onKnown.event;
 
   constructor(private readonly _options: PlatformViewOptions) {
     super();
@@ -52,6 +55,15 @@
         isUnsettled: () => this._isUnsettled() || this._relay.heardOfOutage,
       }),
     );
+    for (const event of [this.configuration.onChange, this._targetRecords.onChange]) {
+      this.register(
+        event(() => {
+          if (this.isKnown) {
+            this._onKnown.fire();
+          }
+        }),
+      );
+    }
     this._followers = [
       this._follow(configurationTopic, configurationRecords),
       this._follow(targetTopic, this._targetRecords),
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -8,7 +8,6 @@
   type Metrics,
   type RandomSource,
   TimeLine,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import {
   type Member,
@@ -39,7 +38,6 @@
 import { GatewayFront } from './GatewayFront.js';
 import { Upstream } from './Upstream.js';
 
-const READY_POLL_MS = 50;
 const DRAIN_POLL_MS = 50;
 /** Everything a gateway node meets. */
 export interface GatewayOptions {
@@ -77,6 +75,11 @@
     const membership = this._createMembership();
     this._membership = membership;
     this._platform = this.register(new PlatformView({ ..._options, membership }));
+    this.register(
+      this._platform.onKnown(() => {
+        this._publishReadiness();
+      }),
+    );
     const board = this.register(new LoadBoard(clock, name));
     const broadcast = this.register(new ZoneBroadcast({ clock, transport, membership }));
     this._news = this.register(new LoadNews({ clock, broadcast, node: name, board }));
@@ -106,15 +109,14 @@
   /** Listens and starts to follow the platform and the peers. */
   public async start(): Promise<void> {
     const { listen } = this._options.settings;
-    this._membership.start();
-    this._platform.start();
-    this._news.start();
-    this._nodes.start();
     await this._front.listen(listen.caller);
     for (const address of new Set(listen.control)) {
       await this._control.listen(address);
     }
-    void this._readinessTask();
+    this._membership.start();
+    this._platform.start();
+    this._news.start();
+    this._nodes.start();
   }
 
   /**
@@ -193,21 +195,10 @@
     return this._mostNodes;
   }
 
-  private async _readinessTask(): Promise<void> {
-    const { clock, log } = this._options;
-    const abort = new AbortController();
-    this.register(
-      toDisposable(() => {
-        abort.abort();
-      }),
-    );
-    while (!abort.signal.aborted) {
-      const { isReady } = this;
-      if (isReady !== this._membership.self.state.isReady) {
-        this._membership.publish({ isReady });
-        log.note(isReady ? 'node.ready' : 'node.unready', { version: this._platform.version });
-      }
-      await clock.sleep(READY_POLL_MS, abort.signal);
+  private _publishReadiness(): void {
+    if (this.isReady && !this._membership.self.state.isReady) {
+      this._membership.publish({ isReady: true });
+      this._options.log.note('node.ready', { version: this._platform.version });
     }
   }
 }
