Place prompts and read load news at a fraction of the processor time

At 60 engines and 700 works one placement took 2 to 5 ms, tried for all 11 numbers of readers, and a waiting prompt tried again on every change; one piece of news took 50 us, most of it in zod. With it, since both touch the loads: an engine that is behind its schedule (EngineLag) counts as late by as much again.

--- /dev/null
+++ b/packages/gateway/src/common/placement/EngineLag.test.ts
@@ -0,0 +1,92 @@
+/** Engines that are behind their schedule, and what the placement makes of it. */
+import { describe, expect, it } from 'vitest';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { engineLagMs } from './EngineLag.js';
+import { computeLoads } from './EngineLoad.js';
+import type { EngineWork } from './LoadBoard.js';
+import { placePrompt, type PromptQuestion, valueOf } from './PromptPlacer.js';
+
+const PASS_MS = 40;
+
+const profile: EngineProfile = {
+  slots: 8,
+  memoryTokens: 450_000,
+  stepMs: 1,
+  sequenceMs: 0,
+  contextThousandMs: 0,
+  prefillTokensPerMs: 256,
+  pairsMillionMs: 0.1,
+  chunkTokens: 2_000,
+  stride: PASS_MS,
+};
+
+const short: PromptQuestion = {
+  promptTokens: 5_000,
+  outputTokens: 1_600,
+  dueInMs: 300,
+  deadlineInMs: 10_000,
+  latencyTargetMs: 300,
+  pauseTargetMs: 200,
+  availabilityZone: 'a',
+};
+
+function entryOf(id: string): TargetEntry {
+  return {
+    id,
+    service: 'm',
+    address: `${id}:80`,
+    availabilityZone: 'a',
+    slots: profile.slots,
+    isDraining: false,
+    bornAt: undefined,
+  };
+}
+
+function workOf(target: string, startedAt: number, more: Partial<EngineWork> = {}): EngineWork {
+  return {
+    id: `${target}@${startedAt}`,
+    targets: [target],
+    isShared: false,
+    partMs: 20,
+    startedAt,
+    dueAt: startedAt + short.latencyTargetMs,
+    isGenerating: false,
+    pauseTargetMs: short.pauseTargetMs,
+    value: valueOf(short.promptTokens, short.outputTokens),
+    memoryTokens: 6_600,
+    contextTokens: 5_000,
+    ...more,
+  };
+}
+
+describe('engineLagMs', () => {
+  it('is 0 while no prompt is overdue', () => {
+    expect(engineLagMs([], PASS_MS, 1_000)).toBe(0);
+    expect(engineLagMs([workOf('e1', 1_000)], PASS_MS, 1_100)).toBe(0);
+  });
+
+  it('grows with the lateness of the oldest prompt, whatever was placed after it', () => {
+    const works = [workOf('e1', 1_000), workOf('e1', 1_290)];
+    expect(engineLagMs(works, PASS_MS, 1_300)).toBe(180);
+  });
+
+  it('is 0 when a later prompt was answered', () => {
+    const works = [workOf('e1', 1_000), workOf('e1', 1_100, { isGenerating: true })];
+    expect(engineLagMs(works, PASS_MS, 1_400)).toBe(0);
+  });
+
+  it('waits for the longer reads that came first', () => {
+    const works = [workOf('e1', 900, { partMs: 500 }), workOf('e1', 1_000)];
+    expect(engineLagMs(works, PASS_MS, 1_500)).toBe(0);
+  });
+});
+
+describe('short prompts that arrive while one engine is stuck with work of a lost node', () => {
+  it('go to other engines as soon as the first of them is overdue', () => {
+    // Packing prefers the engine that has streams already, which is the stuck one.
+    const stuck = [workOf('e0', 0), workOf('e0', 10), workOf('e0', 20)];
+    const entries = ['e0', 'e1', 'e2'].map(entryOf);
+    const loads = computeLoads(profile, entries, stuck, 400);
+    expect(placePrompt(profile, short, loads)?.targets.map(({ id }) => id)).toEqual(['e1']);
+  });
+});
--- a/packages/gateway/src/common/placement/EngineLoad.test.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.test.ts
@@ -66,14 +66,12 @@
       const load = loadOf([own, help], 100);
       expect(load?.helpBacklogMs).toBe(300);
       expect(load?.backlogMs).toBe(600);
-      const ends = new Map(load?.reads.map(({ endsAt, work }) => [work.id, endsAt]));
-      expect(ends.get(help.id)).toBe(400);
-      expect(ends.get(own.id)).toBe(700);
+      expect(load?.ownReads).toEqual([{ work: own, endsAt: 700 }]);
     });
 
     it('take no memory and no slot', () => {
       const load = loadOf([help], 100);
-      expect(load).toMatchObject({ heads: 0, helps: 1, memoryTokens: 0 });
+      expect(load).toMatchObject({ heads: [], helps: 1, memoryTokens: 0 });
     });
   });
 
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -3,6 +3,7 @@
  * read, who generates there, and what memory is left.
  */
 import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { engineLagMs } from './EngineLag.js';
 import { passMs } from './EngineModel.js';
 import type { EngineWork } from './LoadBoard.js';
 
@@ -17,15 +18,19 @@
 export interface EngineLoad {
   readonly entry: TargetEntry;
   /** Requests that generate here, or will. */
-  readonly heads: number;
+  readonly heads: readonly EngineWork[];
   /** Prompt parts of requests that generate elsewhere. */
   readonly helps: number;
-  readonly generating: readonly EngineWork[];
-  readonly reads: readonly PendingRead[];
+  /** Requests that generate here. */
+  readonly generating: number;
+  /** Parts of prompts that will generate here. */
+  readonly ownReads: readonly PendingRead[];
   /** Time until all parts are read, in the order in which the engine reads them. */
   readonly backlogMs: number;
   /** Time until the parts of prompts that generate elsewhere are read; they go first. */
   readonly helpBacklogMs: number;
+  /** How long the engine has been behind this schedule; it is expected to stay so as long again. */
+  readonly lagMs: number;
   /** Time of a pass without prefill. */
   readonly passMs: number;
   readonly memoryTokens: number;
@@ -41,9 +46,12 @@
   const byTarget = new Map<string, EngineWork[]>();
   for (const work of works) {
     for (const target of work.targets) {
-      const group = byTarget.get(target) ?? [];
-      group.push(work);
-      byTarget.set(target, group);
+      const group = byTarget.get(target);
+      if (group === undefined) {
+        byTarget.set(target, [work]);
+      } else {
+        group.push(work);
+      }
     }
   }
   return entries.map((entry) => loadOf(profile, entry, byTarget.get(entry.id) ?? [], now));
@@ -55,28 +63,41 @@
   works: readonly EngineWork[],
   now: number,
 ): EngineLoad {
-  const heads = works.filter(({ targets }) => targets[0] === entry.id);
-  const generating = heads.filter(({ isGenerating }) => isGenerating);
-  const holding = works.filter(({ isShared, targets }) => isShared || targets[0] === entry.id);
-  const contextTokens = holding
-    .filter(({ isGenerating }) => isGenerating)
-    .reduce((sum, work) => sum + work.contextTokens, 0);
-  const pending = works.filter(({ isGenerating }) => !isGenerating);
-  const { backlogMs, helpBacklogMs, reads } = scheduleReads(entry.id, pending, now);
+  const heads: EngineWork[] = [];
+  const pending: EngineWork[] = [];
+  let generating = 0;
+  let contextTokens = 0;
+  let memoryTokens = 0;
+  for (const work of works) {
+    const isHead = work.targets[0] === entry.id;
+    const holdsMemory = isHead || work.isShared;
+    if (isHead) {
+      heads.push(work);
+      generating += work.isGenerating ? 1 : 0;
+    }
+    if (holdsMemory) {
+      memoryTokens += work.memoryTokens;
+      contextTokens += work.isGenerating ? work.contextTokens : 0;
+    }
+    if (!work.isGenerating) {
+      pending.push(work);
+    }
+  }
+  const loadPassMs = passMs(profile, generating, contextTokens);
+  const alone = heads.filter(({ targets }) => targets.length === 1);
   return {
+    ...scheduleReads(entry.id, pending, now),
     entry,
-    heads: heads.length,
+    heads,
     helps: works.length - heads.length,
     generating,
-    reads,
-    backlogMs,
-    helpBacklogMs,
-    passMs: passMs(profile, generating.length, contextTokens),
-    memoryTokens: holding.reduce((sum, work) => sum + work.memoryTokens, 0),
+    lagMs: engineLagMs(alone, loadPassMs, now),
+    passMs: loadPassMs,
+    memoryTokens,
   };
 }
 
-type Schedule = Pick<EngineLoad, 'reads' | 'backlogMs' | 'helpBacklogMs'>;
+type Schedule = Pick<EngineLoad, 'ownReads' | 'backlogMs' | 'helpBacklogMs'>;
 
 /**
  * An engine reads parts for other engines before those of its own prompts, whenever they arrive. What
@@ -88,22 +109,17 @@
   const heads = ordered.filter(({ targets }) => targets[0] === target);
   const backlogMs = Math.max(0, endOf(ordered) - now);
   const helpBacklogMs = Math.max(0, endOf(helps) - now);
-  let helpEnd = Number.NEGATIVE_INFINITY;
-  const helpReads = helps.map((work) => {
-    helpEnd = Math.max(helpEnd, work.startedAt) + work.partMs;
-    return { work, endsAt: Math.max(helpEnd, now) };
-  });
   // What is left of the own prompts is left of the last ones.
   let headEnd = now + backlogMs;
   let leftMs = backlogMs - helpBacklogMs;
-  const headReads = [...heads].reverse().map((work) => {
+  const ownReads = heads.reverse().map((work) => {
     const endsAt = headEnd;
     const remainingMs = Math.min(work.partMs, leftMs);
     headEnd -= remainingMs;
     leftMs -= remainingMs;
     return { work, endsAt };
   });
-  return { reads: [...helpReads, ...headReads.reverse()], backlogMs, helpBacklogMs };
+  return { ownReads: ownReads.reverse(), backlogMs, helpBacklogMs };
 }
 
 /** When an engine that never idles while it has work is done with all of it. */
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -12,6 +12,8 @@
 
 /** Without news of ended work, room is looked for again after this time. */
 const RECHECK_MS = 40;
+/** Under a burst something changes every ms, and each look costs some ms of a small host. */
+const LEAST_WAIT_MS = 15;
 /** Chance in a placement for each node: more nodes decide on the same news at the same moment. */
 const SPREAD_PER_NODE = 0.004;
 const MAX_SPREAD = 0.2;
@@ -121,6 +123,7 @@
       if (clock.now() >= giveUpAt) {
         return this._refuse(request, PlacementRefusal.NoRoom);
       }
+      await clock.sleep(LEAST_WAIT_MS, signal);
       await awaitEvent(clock, board.onChange, () => true, RECHECK_MS).value;
     }
   }
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -4,12 +4,10 @@
  */
 import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser, type ZoneBroadcast } from '@tanagerdyke/mesh';
-import * as z from 'zod';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
+import { decodeWork, encodeWork, readLoad, type WireLoad } from './LoadCodec.js';
 
 const LOAD_METHOD = 'load';
-const GENERATING_FLAG = 1;
-const SHARED_FLAG = 2;
 /** Changes within this time travel together. */
 const COALESCE_MS = 3;
 const WHOLE_INTERVAL_MS = 1_000;
@@ -18,36 +16,7 @@
 /** Keeps a datagram within one packet. */
 const WORKS_PER_DATAGRAM = 8;
 
-/**
- * Id, targets, part, age, time until due, flags, pause target, value, memory, context. Positional and
- * rounded, since every change goes to every node.
- */
-const workSchema = z.tuple([
-  z.string(),
-  z.array(z.string()),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number().int(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-]);
-
-const loadSchema = z.object({
-  node: z.string(),
-  works: z.array(workSchema).optional(),
-  /** Ids of work that began to generate. */
-  began: z.array(z.string()).optional(),
-  ended: z.array(z.string()).optional(),
-  /** Ids of all work of the node. */
-  all: z.array(z.string()).optional(),
-});
-
-type LoadParams = z.infer<typeof loadSchema>;
-
-const parseLoad = notificationParser(LOAD_METHOD, loadSchema);
+const parseLoad = notificationParser(LOAD_METHOD, readLoad);
 
 /** What the news needs. */
 export interface LoadNewsOptions {
@@ -163,13 +132,13 @@
     const now = this._options.clock.now();
     this._send({
       node: this._self,
-      ...(works.length > 0 && { works: works.map((work) => encode(work, now)) }),
+      ...(works.length > 0 && { works: works.map((work) => encodeWork(work, now)) }),
       ...(began.length > 0 && { began }),
       ...(ended.length > 0 && { ended }),
     });
   }
 
-  private _send(params: LoadParams): void {
+  private _send(params: WireLoad): void {
     this._options.broadcast.send(encodeNotification(LOAD_METHOD, params));
   }
 
@@ -181,7 +150,7 @@
     const { board, clock } = this._options;
     const now = clock.now();
     for (const work of params.works ?? []) {
-      board.set(params.node, decode(work, now));
+      board.set(params.node, decodeWork(work, now));
     }
     for (const id of params.began ?? []) {
       board.begin(params.node, id);
@@ -194,35 +163,3 @@
     }
   }
 }
-
-function encode(work: EngineWork, now: number): z.infer<typeof workSchema> {
-  return [
-    work.id,
-    [...work.targets],
-    Math.round(work.partMs),
-    Math.round(now - work.startedAt),
-    Math.round(work.dueAt - now),
-    (work.isGenerating ? GENERATING_FLAG : 0) | (work.isShared ? SHARED_FLAG : 0),
-    work.pauseTargetMs,
-    Math.round(work.value * 10) / 10,
-    Math.round(work.memoryTokens),
-    Math.round(work.contextTokens),
-  ];
-}
-
-function decode(wire: z.infer<typeof workSchema>, now: number): EngineWork {
-  const [id, targets, partMs, ageMs, dueInMs, flags, pauseTargetMs, value, memory, context] = wire;
-  return {
-    id,
-    targets,
-    partMs,
-    startedAt: now - ageMs,
-    dueAt: now + dueInMs,
-    isGenerating: (flags & GENERATING_FLAG) !== 0,
-    isShared: (flags & SHARED_FLAG) !== 0,
-    pauseTargetMs,
-    value,
-    memoryTokens: memory,
-    contextTokens: context,
-  };
-}
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -33,7 +33,9 @@
   readonly partMs: number;
   /** Expected time to the first event. */
   readonly firstEventMs: number;
-  /** Expected loss of value, own and displaced. */
+  /** Expected loss of value by lateness, own and displaced. */
+  readonly loss: number;
+  /** The loss, and what generating on the first target costs others. */
   readonly cost: number;
   /** Whether the placement takes more from others than the prompt is worth. */
   readonly isHarmful: boolean;
@@ -86,6 +88,8 @@
 const HARM_FACTOR = 1.3;
 /** Prefers the earlier of two placements in time. */
 const DELAY_LOSS_SHARE = 0.03;
+/** A placement that is surely in time and displaces nothing is not improved on. */
+const NEGLIGIBLE_LOSS_SHARE = 0.02;
 
 /** The value of an answer in time. */
 export function valueOf(promptTokens: number, outputTokens: number): number {
@@ -102,7 +106,8 @@
   loads: readonly EngineLoad[],
   tieBreak: TieBreak = () => 0,
 ): PromptPlacement | undefined {
-  const input = { profile, question, loads, tieBreak };
+  const engines = loads.map((load) => ({ load, headLoss: headLoss(load, question) + tieBreak() }));
+  const input = { profile, question, engines };
   return placeBest({ ...input, isShared: false }) ?? placeBest({ ...input, isShared: true });
 }
 
@@ -110,15 +115,19 @@
   const wholeMs = prefillMs(input.profile, input.question.promptTokens);
   // The first engine names its own reservation too, which takes the place of a reader.
   const most = input.isShared ? MAX_READERS : MAX_READERS + 1;
+  const value = valueOf(input.question.promptTokens, input.question.outputTokens);
   let best: PromptPlacement | undefined;
   for (const count of READER_COUNTS) {
-    if (count > input.loads.length || count > most) {
+    if (count > input.engines.length || count > most) {
       break;
     }
     const placement = placeOn(count, wholeMs / count, input);
     if (placement !== undefined && (best === undefined || placement.cost < best.cost)) {
       best = placement;
     }
+    if (placement !== undefined && placement.loss <= NEGLIGIBLE_LOSS_SHARE * value) {
+      break;
+    }
   }
   return best;
 }
@@ -126,10 +135,16 @@
 interface PlacementInput {
   readonly profile: EngineProfile;
   readonly question: PromptQuestion;
-  readonly loads: readonly EngineLoad[];
+  readonly engines: readonly Engine[];
   /** Whether the memory is shared by all engines of the placement. */
   readonly isShared: boolean;
-  readonly tieBreak: TieBreak;
+}
+
+/** An engine with what is the same for parts of every size. */
+interface Engine {
+  readonly load: EngineLoad;
+  /** What generating there costs beyond the read. */
+  readonly headLoss: number;
 }
 
 /** An engine as a candidate for one part of the prompt. */
@@ -155,14 +170,14 @@
   partMs: number,
   input: PlacementInput,
 ): PromptPlacement | undefined {
-  const { isShared, loads, profile, question } = input;
+  const { engines, isShared, profile, question } = input;
   const neededTokens = question.promptTokens + question.outputTokens;
   const reservedTokens = isShared
     ? Math.ceil(neededTokens / count / BLOCK_TOKENS + 1) * BLOCK_TOKENS
     : 0;
-  const candidates = loads
-    .filter((load) => hasRoom(load, reservedTokens, profile))
-    .map((load) => toCandidate(load, partMs, input));
+  const candidates = engines
+    .filter(({ load }) => hasRoom(load, reservedTokens, profile))
+    .map((engine) => toCandidate(engine, partMs, input));
   candidates.sort((a, b) => a.asReader.total - b.asReader.total);
   const head = chooseHead(candidates, count, isShared ? 0 : neededTokens, profile);
   if (head === undefined) {
@@ -177,19 +192,20 @@
   const parts = [head.asHead, ...readers.map(({ asReader }) => asReader)];
   const firstEventMs =
     Math.max(...parts.map(({ finishMs }) => finishMs)) +
-    passMs(profile, head.load.generating.length + 1, question.promptTokens);
+    passMs(profile, head.load.generating + 1, question.promptTokens);
   const value = valueOf(question.promptTokens, question.outputTokens);
   const loss =
     parts.reduce((sum, { displacedLoss }) => sum + displacedLoss, 0) +
     value * lateLoss(firstEventMs, question) +
     value * READER_LOSS_SHARE * (count - 1);
   const wholeMs = partMs * count;
-  const opportunity = (wholeMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(loads);
+  const opportunity = (wholeMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(engines);
   return {
     targets: [head, ...readers].map(({ load }) => load.entry),
     reservedTokens,
     partMs,
     firstEventMs,
+    loss,
     cost: loss + head.asHead.headLoss,
     // A prompt that one engine reads in time is never worth a refusal.
     isHarmful: wholeMs > question.latencyTargetMs && loss + opportunity > HARM_FACTOR * value,
@@ -197,11 +213,11 @@
 }
 
 /** Share of the engines that read, or generate for many. */
-function busyShare(loads: readonly EngineLoad[]): number {
-  const busy = loads.reduce((sum, { backlogMs, generating, entry }) => {
-    return sum + (backlogMs > 0 ? 1 : generating.length / entry.slots);
+function busyShare(engines: readonly Engine[]): number {
+  const busy = engines.reduce((sum, { load: { backlogMs, generating, entry } }) => {
+    return sum + (backlogMs > 0 ? 1 : generating / entry.slots);
   }, 0);
-  return busy / loads.length;
+  return busy / engines.length;
 }
 
 function hasRoom(load: EngineLoad, tokens: number, profile: EngineProfile): boolean {
@@ -232,7 +248,8 @@
   for (const candidate of count === 1 ? candidates : candidates.slice(0, count + 2)) {
     const { load } = candidate;
     const isOpen =
-      load.heads < load.entry.slots && load.memoryTokens + neededTokens <= profile.memoryTokens;
+      load.heads.length < load.entry.slots &&
+      load.memoryTokens + neededTokens <= profile.memoryTokens;
     if (isOpen && (best === undefined || candidate.asHead.total < best.asHead.total)) {
       best = candidate;
     }
@@ -241,29 +258,29 @@
 }
 
 function toCandidate(
-  load: EngineLoad,
+  { headLoss: generatingLoss, load }: Engine,
   partMs: number,
-  { profile, question, tieBreak }: PlacementInput,
+  { profile, question }: PlacementInput,
 ): PartCandidate {
   const value = valueOf(question.promptTokens, question.outputTokens);
-  const costOf = (backlogMs: number, displacedLoss: number, generatingLoss: number): PartCost => {
-    const finishMs = finishTime(profile, load, backlogMs + partMs);
+  const costOf = (backlogMs: number, displacedLoss: number, ownHeadLoss: number): PartCost => {
+    const finishMs = finishTime(profile, load, backlogMs + load.lagMs + partMs);
     const ownLoss = value * lateLoss(finishMs + load.passMs, question);
-    const total = displacedLoss + ownLoss + generatingLoss;
-    return { finishMs, displacedLoss, headLoss: generatingLoss, total };
+    const total = displacedLoss + ownLoss + ownHeadLoss;
+    return { finishMs, displacedLoss, headLoss: ownHeadLoss, total };
   };
   const paused = pauseLoss(load, partMs);
   return {
     load,
     asReader: costOf(load.helpBacklogMs, paused + overtakeLoss(load, partMs), 0),
-    asHead: costOf(load.backlogMs, paused, headLoss(load, question) + tieBreak()),
+    asHead: costOf(load.backlogMs, paused, generatingLoss),
   };
 }
 
 /** Time in which an engine reads for `readMs` beside what it generates. */
 function finishTime(profile: EngineProfile, load: EngineLoad, readMs: number): number {
   const chunkMs = profile.chunkTokens / profile.prefillTokensPerMs;
-  if (load.generating.length === 0) {
+  if (load.generating === 0) {
     return readMs * (1 + profile.stepMs / chunkMs);
   }
   const passes = 1 + Math.floor(readMs / (chunkMs * profile.stride));
@@ -272,9 +289,7 @@
 
 /** What the streams of an engine lose by a further read in one of their passes. */
 function pauseLoss(load: EngineLoad, partMs: number): number {
-  const headReads = load.reads.filter(({ work }) => work.targets[0] === load.entry.id);
-  const heads = [...load.generating, ...headReads.map(({ work }) => work)];
-  return heads.reduce((sum, work) => sum + pauseLossOf(work, load, partMs), 0);
+  return load.heads.reduce((sum, work) => sum + pauseLossOf(work, load, partMs), 0);
 }
 
 function pauseLossOf(work: EngineWork, load: EngineLoad, partMs: number): number {
@@ -287,28 +302,23 @@
 /** What prompts read here for this engine's own streams lose, as parts for others go first. */
 function overtakeLoss(load: EngineLoad, partMs: number): number {
   let loss = 0;
-  for (const { endsAt, work } of load.reads) {
-    if (work.targets[0] === load.entry.id) {
-      const limitMs = Math.max(1, work.dueAt - work.startedAt);
-      const expectedMs = endsAt - work.startedAt + load.passMs;
-      const before = ramp(expectedMs / limitMs, TIME_RAMP);
-      const after = ramp((expectedMs + partMs) / limitMs, TIME_RAMP);
-      loss += work.value * LATE_LOSS * (after - before);
-    }
+  for (const { endsAt, work } of load.ownReads) {
+    const limitMs = Math.max(1, work.dueAt - work.startedAt);
+    const expectedMs = endsAt - work.startedAt + load.passMs;
+    const before = ramp(expectedMs / limitMs, TIME_RAMP);
+    const after = ramp((expectedMs + partMs) / limitMs, TIME_RAMP);
+    loss += work.value * LATE_LOSS * (after - before);
   }
   return loss;
 }
 
 /** What generating on an engine costs beyond the read. */
 function headLoss(load: EngineLoad, question: PromptQuestion): number {
-  const heads = [...load.generating, ...load.reads.map(({ work }) => work)].filter(
-    ({ targets }) => targets[0] === load.entry.id,
-  );
-  const isOpen = heads.some(({ pauseTargetMs }) => pauseTargetMs <= question.pauseTargetMs);
+  const isOpen = load.heads.some(({ pauseTargetMs }) => pauseTargetMs <= question.pauseTargetMs);
   const packed = PACKED_SHARE * load.entry.slots;
-  const crowd = Math.max(0, load.heads + 1 - packed) * CROWD_LOSS;
+  const crowd = Math.max(0, load.heads.length + 1 - packed) * CROWD_LOSS;
   const remote = load.entry.availabilityZone === question.availabilityZone ? 0 : REMOTE_LOSS;
-  const filled = Math.min(load.heads, packed) / load.entry.slots;
+  const filled = Math.min(load.heads.length, packed) / load.entry.slots;
   const fill = isOpen ? -FILL_GAIN * filled : OPEN_LOSS;
   return fill + crowd + remote;
 }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -12,6 +12,7 @@
   toDisposable,
 } from '@tanagerdyke/kernel';
 import {
+  bySchema,
   checkedHandler,
   encodeNotification,
   type Member,
@@ -51,7 +52,7 @@
   ends: z.array(z.tuple([z.string(), z.number().int()])),
 });
 
-const parseProgress = notificationParser(PROGRESS_METHOD, progressSchema);
+const parseProgress = notificationParser(PROGRESS_METHOD, bySchema(progressSchema));
 
 const questionSchema = z.object({ topic: z.string(), after: z.number().int() });
 
--- a/packages/mesh/src/common/ProbeMessages.ts
+++ b/packages/mesh/src/common/ProbeMessages.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import { wireMemberSchema } from './MemberCodec.js';
 import { PROBE_METHOD } from './Messages.js';
-import { notificationParser } from './Notifications.js';
+import { bySchema, notificationParser } from './Notifications.js';
 
 /** The kinds of datagrams. */
 export enum ProbeKind {
@@ -29,4 +29,4 @@
 export type Probe = z.infer<typeof probeSchema>;
 
 /** Reads a datagram; `undefined` when it is no probe. */
-export const parseProbe = notificationParser(PROBE_METHOD, probeSchema);
+export const parseProbe = notificationParser(PROBE_METHOD, bySchema(probeSchema));
