--- a/packages/gateway/src/common/state/KeyedFollower.test.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.test.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, ManualClock, SeededRandom, ServiceError } from '@tanagerdyke/kernel';
+import { ErrorKind, ManualClock, Metrics, SeededRandom, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
@@ -94,6 +94,7 @@
       topic,
       table,
       log,
+      metrics: new Metrics(),
       isPolling: () => isPolling,
     }).start();
   }
--- a/packages/gateway/src/common/state/KeyedFollower.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.ts
@@ -7,6 +7,7 @@
   type Clock,
   DisposableOwner,
   ErrorKind,
+  type Metrics,
   type RandomSource,
   type ServiceError,
   toDisposable,
@@ -34,6 +35,7 @@
   readonly topic: KeyedTopic;
   readonly table: KeyedTable;
   readonly log: DecisionLog;
+  readonly metrics: Metrics;
   /** Whether this node polls for changes, or leaves that to others. */
   readonly isPolling: () => boolean;
 }
@@ -101,6 +103,7 @@
   private async _takeSnapshot(): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
     const answer = await topic.newest(SNAPSHOT_TIMEOUT_MS);
+    this._count('newest', answer.isOk);
     if (answer.isErr) {
       return answer.error;
     }
@@ -123,6 +126,7 @@
   private async _read(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
     const answer = await topic.read(table.end, waitMs, timeoutMs);
+    this._count('read', answer.isOk);
     if (answer.isErr) {
       return answer.error;
     }
@@ -130,6 +134,11 @@
     return undefined;
   }
 
+  private _count(call: string, isAnswered: boolean): void {
+    const outcome = isAnswered ? 'answered' : 'failed';
+    this._options.metrics.increment('tanager_platform_calls_total', { call, outcome });
+  }
+
   private _noteAnswer(): void {
     const { clock, log, table } = this._options;
     this._answeredAt = clock.now();
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -84,7 +84,6 @@
 export class PeerRelay extends DisposableOwner {
   private readonly _abort = new AbortController();
   private readonly _fetching = new Set<string>();
-  /** When a poller of the own zone last said that it is in touch. */
   private _pollerHeardAt: number;
   private _unsettledHeardAt = Number.NEGATIVE_INFINITY;
 
@@ -121,6 +120,11 @@
     return rank < POLLERS_PER_ZONE || clock.now() - this._pollerHeardAt > POLLER_SILENCE_MS;
   }
 
+  /** When a poller of the own zone last said that it is in touch with the platform. */
+  public get pollerHeardAt(): number {
+    return this._pollerHeardAt;
+  }
+
   /** Whether a peer told lately of an outage of the platform. */
   public get heardOfOutage(): boolean {
     return this._options.clock.now() - this._unsettledHeardAt < OUTAGE_NEWS_MS;
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -2,7 +2,13 @@
  * What one node knows of the platform: the configuration in force and the targets, followed at the
  * platform itself and through peers.
  */
-import { type Clock, DisposableOwner, Emitter, type RandomSource } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  Emitter,
+  type Metrics,
+  type RandomSource,
+} from '@tanagerdyke/kernel';
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTopic, RecordDecoder } from '../services/Services.js';
@@ -22,6 +28,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
+  readonly metrics: Metrics;
   readonly transport: Transport;
   readonly membership: Membership;
   readonly decoder: RecordDecoder;
@@ -89,6 +96,12 @@
     return this.configuration.current?.version ?? 0;
   }
 
+  /** Time since the platform last answered this node or a poller of its zone; both topics count. */
+  public get silenceMs(): number {
+    const answeredAt = Math.min(...this._followers.map((each) => each.answeredAt));
+    return this._options.clock.now() - Math.max(answeredAt, this._relay.pollerHeardAt);
+  }
+
   public start(): void {
     for (const follower of this._followers) {
       follower.start();
@@ -97,9 +110,8 @@
   }
 
   private _follow(topic: KeyedTopic, table: KeyedTable): KeyedFollower {
-    const { clock, log, random } = this._options;
     const isPolling = (): boolean => this._relay.isPoller;
-    return this.register(new KeyedFollower({ clock, random, log, topic, table, isPolling }));
+    return this.register(new KeyedFollower({ ...this._options, topic, table, isPolling }));
   }
 
   private _isUnsettled(): boolean {
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -93,9 +93,15 @@
 
 /** Whether a request may be sent once more: the first try is free, others draw on the budget. */
 export function mayTry(parts: ForwardingParts, request: ForwardedRequest, tried: number): boolean {
-  const { budget, log } = parts;
+  const { budget, log, metrics } = parts;
   const { id, service } = request;
-  if (tried === 0 || budget.trySpend(service.name)) {
+  if (tried === 0) {
+    return true;
+  }
+  const isGranted = budget.trySpend(service.name);
+  const outcome = isGranted ? 'granted' : 'refused';
+  metrics.increment('tanager_retries_total', { outcome, service: service.name });
+  if (isGranted) {
     return true;
   }
   log.note('request.no-budget', { request: id, service: service.name });
