--- /dev/null
+++ b/packages/ctl/src/node/commands/GatewayCommands.ts
@@ -0,0 +1,111 @@
+/** Commands for gateway nodes on a platform: `gateway` and `explain`. */
+import { readFile } from 'node:fs/promises';
+import type { CAC } from 'cac';
+import { describeCause } from '@tanagerdyke/kernel';
+import { request } from 'undici';
+import { callerAgent, connectionError } from '../HttpExchange.js';
+import { parseMetrics, type Sample, sumOf, sumsBy } from '../MetricsText.js';
+import { ExitCode, print, printError, printUsage } from '../Output.js';
+import { type Decision, describeDecision, readDecisions, traceRequest } from '../RequestTrace.js';
+import { type CommonOptions, isJson } from './CommandContext.js';
+
+const READ_TIMEOUT_MS = 5_000;
+
+interface ExplainOptions extends CommonOptions {
+  readonly log?: string | readonly string[];
+}
+
+/** Registers the commands. */
+export function registerGatewayCommands(cli: CAC): void {
+  cli
+    .command('gateway <metrics-url>', 'print the state of a gateway node from its metrics')
+    .action(async (url: string, options: CommonOptions) => {
+      const read = await readMetrics(url);
+      if (typeof read === 'string') {
+        print(summarize(parseMetrics(read)), isJson(options), renderSummary);
+      } else {
+        printError(connectionError(url, read), isJson(options));
+      }
+    });
+
+  cli
+    .command('explain <request>', 'print what the logs of gateway nodes say of a request')
+    .option('--log <file>', 'a log; may be given more than once')
+    .action(explain);
+}
+
+async function explain(id: string, options: ExplainOptions): Promise<void> {
+  const files = [options.log ?? []].flat();
+  if (files.length === 0) {
+    printUsage('explain needs a log; give --log FILE for each node or one of all');
+    return;
+  }
+  const decisions: Decision[] = [];
+  for (const file of files) {
+    try {
+      decisions.push(...readDecisions(await readFile(file, 'utf8')));
+    } catch (error) {
+      printUsage(`${file} can not be read: ${describeCause(error)}`);
+      return;
+    }
+  }
+  const trace = traceRequest(decisions, id);
+  if (trace.length === 0) {
+    process.stderr.write(`tanagerctl: no line of ${files.length} logs names the request ${id}\n`);
+    process.stderr.write('remedy: give the logs of all nodes that the caller may have asked\n');
+    process.exitCode = ExitCode.Failure;
+    return;
+  }
+  print(trace, isJson(options), (each) => each.map(describeDecision).join('\n'));
+}
+
+/** The text of the metrics, or why they could not be read. */
+async function readMetrics(url: string): Promise<unknown> {
+  try {
+    const signal = AbortSignal.timeout(READ_TIMEOUT_MS);
+    const { body } = await request(url, { dispatcher: callerAgent, signal });
+    return await body.text();
+  } catch (error) {
+    return error;
+  }
+}
+
+interface GatewaySummary {
+  readonly members: number;
+  readonly running: number;
+  readonly configurationVersion: number;
+  readonly platformSilenceMs: number;
+  readonly linesDropped: number;
+  readonly endings: Readonly<Record<string, number>>;
+  readonly retries: Readonly<Record<string, number>>;
+  readonly platformCalls: Readonly<Record<string, number>>;
+}
+
+function summarize(samples: readonly Sample[]): GatewaySummary {
+  const by = (name: string, label: string): Record<string, number> =>
+    Object.fromEntries(sumsBy(samples, name, label));
+  return {
+    members: sumOf(samples, 'tanager_members_live'),
+    running: sumOf(samples, 'tanager_requests_running'),
+    configurationVersion: sumOf(samples, 'tanager_configuration_version'),
+    platformSilenceMs: sumOf(samples, 'tanager_platform_silence_ms'),
+    linesDropped: sumOf(samples, 'tanager_log_lines_dropped'),
+    endings: by('tanager_requests_total', 'ending'),
+    retries: by('tanager_retries_total', 'outcome'),
+    platformCalls: by('tanager_platform_calls_total', 'outcome'),
+  };
+}
+
+function renderSummary(summary: GatewaySummary): string {
+  const list = (counts: Readonly<Record<string, number>>): string =>
+    Object.entries(counts)
+      .map(([name, count]) => `${name} ${count}`)
+      .join(', ') || 'none';
+  return [
+    `configuration ${summary.configurationVersion}, platform silent for ${summary.platformSilenceMs} ms`,
+    `members ${summary.members}, running ${summary.running}, log lines dropped ${summary.linesDropped}`,
+    `requests: ${list(summary.endings)}`,
+    `retries: ${list(summary.retries)}`,
+    `calls of the platform: ${list(summary.platformCalls)}`,
+  ].join('\n');
+}
--- a/packages/ctl/src/node/main.ts
+++ b/packages/ctl/src/node/main.ts
@@ -2,6 +2,7 @@
 import { cac } from 'cac';
 import { registerCallerCommands } from './commands/CallerCommands.js';
 import { registerConfigurationCommands } from './commands/ConfigurationCommands.js';
+import { registerGatewayCommands } from './commands/GatewayCommands.js';
 import { registerNodeCommands } from './commands/NodeCommands.js';
 import { registerTimeLineCommand } from './commands/TimeLineCommand.js';
 import { printUsage } from './Output.js';
@@ -13,6 +14,7 @@
   cli.option('--address <url>', 'address of a daemon, http://IP:port; also TANAGER_ADDRESS');
   cli.option('--json', 'print one JSON line');
   registerConfigurationCommands(cli);
+  registerGatewayCommands(cli);
   registerNodeCommands(cli);
   registerTimeLineCommand(cli);
   registerCallerCommands(cli);
