--- a/packages/gateway/src/common/placement/EngineLag.test.ts
+++ b/packages/gateway/src/common/placement/EngineLag.test.ts
@@ -4,7 +4,8 @@
 import { engineLagMs } from './EngineLag.js';
 import { computeLoads } from './EngineLoad.js';
 import type { EngineWork } from './LoadBoard.js';
-import { placePrompt, type PromptQuestion, valueOf } from './PromptPlacer.js';
+import { type PromptQuestion, valueOf } from './PlacementLoss.js';
+import { placePrompt } from './PromptPlacer.js';
 
 const PASS_MS = 40;
 
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -7,7 +7,8 @@
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { beginGenerating, type EngineWork, type LoadBoard } from './LoadBoard.js';
-import { placePrompt, type PromptPlacement, type PromptQuestion, valueOf } from './PromptPlacer.js';
+import { type PromptQuestion, valueOf } from './PlacementLoss.js';
+import { placePrompt, type PromptPlacement } from './PromptPlacer.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Without news of ended work, room is looked for again after this time. */
--- a/packages/gateway/src/common/placement/PromptPlacer.test.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.test.ts
@@ -4,7 +4,8 @@
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads } from './EngineLoad.js';
 import type { EngineWork } from './LoadBoard.js';
-import { placePrompt, type PromptPlacement, type PromptQuestion, valueOf } from './PromptPlacer.js';
+import { type PromptQuestion, valueOf } from './PlacementLoss.js';
+import { placePrompt, type PromptPlacement } from './PromptPlacer.js';
 
 const profile: EngineProfile = {
   slots: 11,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -17,34 +17,17 @@
   mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
+import { enginePriority, firstSilenceMs, laterSilenceMs } from './StreamLimits.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
 import { answerUnserved } from './UnservedAnswer.js';
 import type { WholeAnswer } from './WholeExchange.js';
 
 /** Share of the time left for which a prompt waits for room before it is refused. */
 const ROOM_WAIT_SHARE = 0.25;
-/** A stream is silent when the expected time to its first event passed this many times … */
-const FIRST_SILENCE_FACTOR = 2;
-/** … and this long after, … */
-const FIRST_SILENCE_MARGIN_MS = 1_000;
-/** … but not before its latency target passed this many times. */
-const FIRST_SILENCE_TARGETS = 1.2;
-/** After its first event a stream is silent after this many times its pause target. */
-const SILENCE_PAUSES = 3;
-const SILENCE_MARGIN_MS = 300;
-/** … and at least this: engines pause over a second for a long read, callers leave after two. */
-const MIN_SILENCE_MS = 1_500;
 /** Refusals of engines that did not run the request and that may cost none of its attempts. */
 const EXTRA_REFUSALS = 2;
 /** When callers come back whose prompt engines refused though they seemed to have room. */
 const REFUSED_RETRY_MS = 300;
-/** Latency targets up to which a prompt is urgent to its engine, with the priority that it gets. */
-const ENGINE_PRIORITIES = [
-  { latencyTargetMs: 600, priority: 2 },
-  { latencyTargetMs: 2_000, priority: 4 },
-] as const;
-const LEAST_PRIORITY = 6;
-
 /** Reservations that a run holds, or none. */
 interface HeldReservations {
   readonly id: string | undefined;
@@ -186,7 +169,7 @@
       waitsMs: deadlineAt - clock.now(),
       workspace: this._request.workspace?.name,
       lastEventId: this._splitter.lastEventId,
-      enginePriority: priorityOf(route.latencyTargetMs),
+      enginePriority: enginePriority(route),
       readers: readers.map(({ address }) => ({ address, reservation })),
     });
     this._splitter.restart();
@@ -201,11 +184,8 @@
       splitter: this._splitter,
       response,
       deadlineAt,
-      firstSilenceMs: Math.max(
-        placed.firstEventMs * FIRST_SILENCE_FACTOR + FIRST_SILENCE_MARGIN_MS,
-        route.latencyTargetMs * FIRST_SILENCE_TARGETS,
-      ),
-      silenceMs: Math.max(MIN_SILENCE_MS, route.pauseTargetMs * SILENCE_PAUSES + SILENCE_MARGIN_MS),
+      firstSilenceMs: firstSilenceMs(placed.firstEventMs, route),
+      silenceMs: laterSilenceMs(route),
       signal,
       onFirstEvent: () => {
         placed.markGenerating();
@@ -318,8 +298,3 @@
 ): Promise<RequestReport> {
   return new StreamForwarding(parts, request, profile).run();
 }
-
-function priorityOf(latencyTargetMs: number): number {
-  const found = ENGINE_PRIORITIES.find((each) => latencyTargetMs <= each.latencyTargetMs);
-  return found?.priority ?? LEAST_PRIORITY;
-}
