--- a/packages/gateway/src/common/placement/EngineLag.test.ts
+++ b/packages/gateway/src/common/placement/EngineLag.test.ts
@@ -1,48 +1,18 @@
 /** Engines that are behind their schedule, and what the placement makes of it. */
 import { describe, expect, it } from 'vitest';
-import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { engineLagMs } from './EngineLag.js';
 import { computeLoads } from './EngineLoad.js';
 import type { EngineWork } from './LoadBoard.js';
-import { type PromptQuestion, valueOf } from './PlacementLoss.js';
+import {
+  engineEntry,
+  shortPrompt as short,
+  simpleProfile as profile,
+} from './PlacementFixtures.js';
+import { valueOf } from './PlacementLoss.js';
 import { placePrompt } from './PromptPlacer.js';
 
 const PASS_MS = 40;
 
-const profile: EngineProfile = {
-  slots: 8,
-  memoryTokens: 450_000,
-  stepMs: 1,
-  sequenceMs: 0,
-  contextThousandMs: 0,
-  prefillTokensPerMs: 256,
-  pairsMillionMs: 0.1,
-  chunkTokens: 2_000,
-  stride: PASS_MS,
-};
-
-const short: PromptQuestion = {
-  promptTokens: 5_000,
-  outputTokens: 1_600,
-  dueInMs: 300,
-  deadlineInMs: 10_000,
-  latencyTargetMs: 300,
-  pauseTargetMs: 200,
-  availabilityZone: 'a',
-};
-
-function entryOf(id: string): TargetEntry {
-  return {
-    id,
-    service: 'm',
-    address: `${id}:80`,
-    availabilityZone: 'a',
-    slots: profile.slots,
-    isDraining: false,
-    bornAt: undefined,
-  };
-}
-
 function workOf(target: string, startedAt: number, more: Partial<EngineWork> = {}): EngineWork {
   return {
     id: `${target}@${startedAt}`,
@@ -86,7 +56,7 @@
   it('go to other engines as soon as the first of them is overdue', () => {
     // Packing prefers the engine that has streams already, which is the stuck one.
     const stuck = [workOf('e0', 0), workOf('e0', 10), workOf('e0', 20)];
-    const entries = ['e0', 'e1', 'e2'].map(entryOf);
+    const entries = ['e0', 'e1', 'e2'].map((id) => engineEntry(id));
     const loads = computeLoads(profile, entries, stuck, 400);
     expect(placePrompt(profile, short, loads)?.targets.map(({ id }) => id)).toEqual(['e1']);
   });
--- a/packages/gateway/src/common/placement/EngineLoad.test.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.test.ts
@@ -1,29 +1,9 @@
 import { describe, expect, it } from 'vitest';
-import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import type { EngineWork } from './LoadBoard.js';
+import { engineEntry, simpleProfile as profile } from './PlacementFixtures.js';
 
-const profile: EngineProfile = {
-  slots: 8,
-  memoryTokens: 450_000,
-  stepMs: 1,
-  sequenceMs: 0,
-  contextThousandMs: 0,
-  prefillTokensPerMs: 256,
-  pairsMillionMs: 0.1,
-  chunkTokens: 2_000,
-  stride: 40,
-};
-
-const entry: TargetEntry = {
-  id: 'e1',
-  service: 'm',
-  address: 'e1:80',
-  availabilityZone: 'a',
-  slots: 8,
-  isDraining: false,
-  bornAt: undefined,
-};
+const entry = engineEntry('e1');
 
 function workOf(targets: readonly string[], partMs: number, startedAt: number): EngineWork {
   return {
--- /dev/null
+++ b/packages/gateway/src/common/placement/PlacementFixtures.ts
@@ -0,0 +1,40 @@
+/** An engine profile, entries and a short prompt for tests of the placement. Not shipped. */
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import type { PromptQuestion } from './PlacementLoss.js';
+
+/** An engine whose empty pass takes 40 ms. */
+export const simpleProfile: EngineProfile = {
+  slots: 8,
+  memoryTokens: 450_000,
+  stepMs: 1,
+  sequenceMs: 0,
+  contextThousandMs: 0,
+  prefillTokensPerMs: 256,
+  pairsMillionMs: 0.1,
+  chunkTokens: 2_000,
+  stride: 40,
+};
+
+/** A prompt of the users' most frequent kind. */
+export const shortPrompt: PromptQuestion = {
+  promptTokens: 5_000,
+  outputTokens: 1_600,
+  dueInMs: 300,
+  deadlineInMs: 10_000,
+  latencyTargetMs: 300,
+  pauseTargetMs: 200,
+  availabilityZone: 'a',
+};
+
+/** An engine that takes work. */
+export function engineEntry(id: string, slots = simpleProfile.slots): TargetEntry {
+  return {
+    id,
+    service: 'm',
+    address: `${id}:80`,
+    availabilityZone: 'a',
+    slots,
+    isDraining: false,
+    bornAt: undefined,
+  };
+}
--- a/packages/gateway/src/common/placement/PromptPlacer.test.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.test.ts
@@ -4,6 +4,7 @@
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { computeLoads } from './EngineLoad.js';
 import type { EngineWork } from './LoadBoard.js';
+import { engineEntry, shortPrompt as short } from './PlacementFixtures.js';
 import { type PromptQuestion, valueOf } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement } from './PromptPlacer.js';
 
@@ -19,16 +20,6 @@
   stride: 46,
 };
 
-const short: PromptQuestion = {
-  promptTokens: 5_000,
-  outputTokens: 1_600,
-  dueInMs: 300,
-  deadlineInMs: 10_000,
-  latencyTargetMs: 300,
-  pauseTargetMs: 200,
-  availabilityZone: 'a',
-};
-
 const audit: PromptQuestion = {
   promptTokens: 210_000,
   outputTokens: 800,
@@ -42,15 +33,7 @@
 const giant: PromptQuestion = { ...audit, promptTokens: 730_000 };
 
 function engines(count: number): TargetEntry[] {
-  return Array.from({ length: count }, (_each, index) => ({
-    id: `e${index}`,
-    service: 'm',
-    address: `10.0.0.${index}:80`,
-    availabilityZone: 'a',
-    slots: profile.slots,
-    isDraining: false,
-    bornAt: undefined,
-  }));
+  return Array.from({ length: count }, (_each, index) => engineEntry(`e${index}`, profile.slots));
 }
 
 let ids = 0;
--- a/packages/gateway/src/node/EndingsModel.ts
+++ b/packages/gateway/src/node/EndingsModel.ts
@@ -18,7 +18,7 @@
 import { TargetTable } from '../common/state/TargetTable.js';
 import { CallerResponse, OwnStatus } from './CallerResponse.js';
 import type { ForwardedRequest, ForwardingParts, RequestReport } from './ForwardedRequest.js';
-import { configuration, noReservations, testDialect } from './ForwardingHarness.js';
+import { configuration, noReservations, publisherTo, testDialect } from './ForwardingHarness.js';
 import type { Exchange, ExchangeObserver, RequestSender, UpstreamRequest } from './Upstream.js';
 import { type Attempt, PlayedTarget, PLAYS, Step, UNRUN, wholeBody } from './EndingsSteps.js';
 
@@ -137,17 +137,7 @@
     const health = new TargetHealth(clock);
     const targets = targetsOf(clock, log, this._kind === CallKind.Stream ? 'engine' : 'app');
     const board = new LoadBoard(clock, 'n');
-    const publisher = {
-      publish: (work: Parameters<LoadBoard['set']>[1]) => {
-        board.set('n', work);
-      },
-      begin: (work: Parameters<LoadBoard['set']>[1]) => {
-        board.set('n', work);
-      },
-      withdraw: (id: string) => {
-        board.end('n', id);
-      },
-    };
+    const publisher = publisherTo(board);
     const common = { clock, random, targets, health, availabilityZone: 'a', liveNodes: () => 1 };
     return {
       ...common,
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -14,8 +14,8 @@
   type ForwardRoute,
   type TargetEntry,
 } from '../common/Messages.js';
-import { EngineScheduler } from '../common/placement/EngineScheduler.js';
-import { LoadBoard } from '../common/placement/LoadBoard.js';
+import { EngineScheduler, type WorkPublisher } from '../common/placement/EngineScheduler.js';
+import { type EngineWork, LoadBoard } from '../common/placement/LoadBoard.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
@@ -36,6 +36,20 @@
   release: () => Promise.resolve(Result.ok(undefined)),
 };
 
+/** Keeps the work of the only node, `n`, on its board. */
+export function publisherTo(board: LoadBoard): WorkPublisher {
+  const keep = (work: EngineWork): void => {
+    board.set('n', work);
+  };
+  return {
+    publish: keep,
+    begin: keep,
+    withdraw: (id) => {
+      board.end('n', id);
+    },
+  };
+}
+
 /** Short names in place of a platform's. */
 export const testDialect: Dialect = {
   readyPath: '/ready',
@@ -148,17 +162,7 @@
       isUnsettled: () => false,
     });
     const board = new LoadBoard(clock, 'n');
-    const publisher = {
-      publish: (work: Parameters<LoadBoard['set']>[1]) => {
-        board.set('n', work);
-      },
-      begin: (work: Parameters<LoadBoard['set']>[1]) => {
-        board.set('n', work);
-      },
-      withdraw: (id: string) => {
-        board.end('n', id);
-      },
-    };
+    const publisher = publisherTo(board);
     const availabilityZone = 'a';
     this._front = new GatewayFront(
       {
