Hide engines by chance from placements that can't know of each other

Change: with more than 1.5 placements expected unseen, each engine is hidden from a share of them, by a loss under that of a late answer. Small sites stay as they were: there fewer than one is unseen.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -8,16 +8,16 @@
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { beginGenerating, type EngineWork, type LoadBoard } from './LoadBoard.js';
 import { type PromptQuestion, valueOf } from './PlacementLoss.js';
-import { placePrompt, type PromptPlacement } from './PromptPlacer.js';
+import { spreadOf } from './PlacementSpread.js';
+import { placePrompt, type PromptPlacement, type TieBreak } from './PromptPlacer.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Without news of ended work, room is looked for again after this time. */
 const RECHECK_MS = 40;
 /** Under a burst something changes every ms, and each look costs some ms of a small host. */
 const LEAST_WAIT_MS = 15;
-/** Chance in a placement for each node: more nodes decide on the same news at the same moment. */
-const SPREAD_PER_NODE = 0.004;
-const MAX_SPREAD = 0.2;
+/** Placements of this time are counted to tell how many more are under way unseen. */
+const RATE_WINDOW_MS = 1_000;
 /** Bounds of the time after which a refused caller should come back. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 1_500;
@@ -49,6 +49,8 @@
   readonly random: RandomSource;
   /** Nodes that place prompts at the same time. */
   readonly liveNodes: () => number;
+  /** Time until all nodes know of a placement. */
+  readonly newsDelayMs: () => number;
 }
 
 /** A prompt to be placed. */
@@ -158,13 +160,19 @@
       availabilityZone: this._options.availabilityZone,
     };
     const usable = sound.length === 0 ? loads : sound;
-    return placePrompt(request.profile, question, usable, this._tieBreak);
+    return placePrompt(request.profile, question, usable, this._spread());
   }
 
-  private readonly _tieBreak = (): number => {
-    const { liveNodes, random } = this._options;
-    return random.next() * Math.min(MAX_SPREAD, SPREAD_PER_NODE * liveNodes());
-  };
+  private _spread(): TieBreak {
+    const { board, clock, liveNodes, newsDelayMs, random } = this._options;
+    const since = clock.now() - RATE_WINDOW_MS;
+    return spreadOf({
+      random,
+      liveNodes: liveNodes(),
+      placedPerSecond: board.works.filter(({ startedAt }) => startedAt > since).length,
+      newsDelayMs: newsDelayMs(),
+    });
+  }
 
   private _loads(service: string, profile: EngineProfile): EngineLoad[] {
     const { board, clock, targets } = this._options;
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -49,6 +49,11 @@
     );
   }
 
+  /** Time until all nodes know of a change, without losses. */
+  public get delayMs(): number {
+    return COALESCE_MS + this._options.broadcast.delayMs;
+  }
+
   public start(): void {
     void this._run();
   }
--- a/packages/gateway/src/node/EndingsModel.ts
+++ b/packages/gateway/src/node/EndingsModel.ts
@@ -145,7 +145,7 @@
       log,
       dialect: testDialect,
       configuration: new ConfigurationState(new KeyedTable('configuration'), decoderOf([]), log),
-      scheduler: new EngineScheduler({ ...common, board, publisher }),
+      scheduler: new EngineScheduler({ ...common, board, publisher, newsDelayMs: () => 0 }),
       engines: noReservations,
       budget: new SharedRetryBudget(
         clock,
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -183,6 +183,7 @@
           availabilityZone,
           random,
           liveNodes: () => 1,
+          newsDelayMs: () => 0,
         }),
         engines: noReservations,
         budget: new SharedRetryBudget(
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -177,7 +177,12 @@
       }),
     );
     const common = { clock, random, targets, health, availabilityZone, liveNodes };
-    const scheduler = new EngineScheduler({ ...common, board, publisher: this._news });
+    const scheduler = new EngineScheduler({
+      ...common,
+      board,
+      publisher: this._news,
+      newsDelayMs: () => this._news.delayMs,
+    });
     const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
     return { ...this._options, ...common, configuration, scheduler, budget, upstream };
   }
--- a/packages/mesh/src/common/ZoneBroadcast.ts
+++ b/packages/mesh/src/common/ZoneBroadcast.ts
@@ -28,6 +28,8 @@
 const MAX_DIRECT_MEMBERS = 8;
 /** Members of a group; the square root of a zone of 36. */
 const GROUP_MEMBERS = 6;
+/** Way between two members and through the receiver; zones are up to 3.5 ms apart. */
+const HOP_MS = 4;
 /** News waits this long at a collecting relay: a tenth of the shortest pause target, 200 ms. */
 const COLLECT_MS = 20;
 
@@ -69,6 +71,16 @@
     );
   }
 
+  /** Time that a message usually takes to the last member. */
+  public get delayMs(): number {
+    const zones = new Map<string, number>();
+    for (const { availabilityZone } of this._options.membership.live) {
+      zones.set(availabilityZone, (zones.get(availabilityZone) ?? 0) + 1);
+    }
+    const isCollecting = [...zones.values()].some((count) => count > MAX_DIRECT_MEMBERS);
+    return isCollecting ? COLLECT_MS + 3 * HOP_MS : 2 * HOP_MS;
+  }
+
   /** Sends one line to all other live members. */
   public send(payload: string): void {
     const { membership } = this._options;
