Leave a target that is not reached sooner, and without the retry budget

Ruled out: unlimited tries; a node cut off from its targets refuses after three, so that its caller tries another node. Change: connect limit 300 ms; only requests that arrived draw on the budget; 'request.unreached' in the log. Before: a call with one dead target and no budget got 503 (GatewayFront.test, red).

--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -45,7 +45,10 @@
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && !signal.aborted) {
       const target = await this._chooseTarget();
-      if (target === undefined || !mayTry(this._parts, this._request, this._tried.length)) {
+      if (
+        target === undefined ||
+        !mayTry(this._parts, this._request, this._tried.length, this._attempts)
+      ) {
         break;
       }
       this._tried.push(target.id);
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -91,11 +91,28 @@
   return parts.clock.now() + TIMER_SLACK_MS >= request.deadlineAt;
 }
 
-/** Whether a request may be sent once more: the first try is free, others draw on the budget. */
-export function mayTry(parts: ForwardingParts, request: ForwardedRequest, tried: number): boolean {
+/** A node that doesn't reach three targets is probably cut off; its caller does better elsewhere. */
+const MAX_UNREACHED_TARGETS = 3;
+
+/**
+ * Whether a request may be sent: the first time is free, others draw on the budget.
+ *
+ * @param tried targets that were chosen so far
+ * @param arrivals targets that it reached; one that wasn't reached has borne nothing
+ */
+export function mayTry(
+  parts: ForwardingParts,
+  request: ForwardedRequest,
+  tried: number,
+  arrivals: number,
+): boolean {
   const { budget, log, metrics } = parts;
   const { id, service } = request;
-  if (tried === 0) {
+  if (tried - arrivals >= MAX_UNREACHED_TARGETS) {
+    log.note('request.unreached', { request: id, service: service.name, targets: tried });
+    return false;
+  }
+  if (arrivals === 0) {
     return true;
   }
   const isGranted = budget.trySpend(service.name);
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -240,7 +240,18 @@
       });
     });
     this._servers.push(server);
+    this._offer(id, service, await listen(server));
+  }
+
+  /** Adds a target that nothing listens for. */
+  public async addUnreachableTarget(id: string, service: string): Promise<void> {
+    const server = createServer();
     const port = await listen(server);
+    await close(server);
+    this._offer(id, service, port);
+  }
+
+  private _offer(id: string, service: string, port: number): void {
     this._entries.set(id, {
       id,
       service,
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -191,6 +191,30 @@
       expect(poor.received).toHaveLength(1);
     });
 
+    it('leaves a target that is not reached without spending the retry budget', async () => {
+      const thrifty = new ForwardingHarness(0);
+      await thrifty.start();
+      await thrifty.addUnreachableTarget('t1', 'app');
+      await thrifty.addTarget('t2', 'app', answers(200));
+      const statuses = await Promise.all(
+        Array.from({ length: 6 }, () => thrifty.ask('/idempotent/x')),
+      );
+      await thrifty.stop();
+      expect(statuses.every((answer) => answer.includes('HTTP/1.1 200'))).toBe(true);
+    });
+
+    it('is refused when three targets are not reached, though there are more', async () => {
+      const cutOff = new ForwardingHarness();
+      await cutOff.start();
+      for (const id of ['t1', 't2', 't3', 't4']) {
+        await cutOff.addUnreachableTarget(id, 'app');
+      }
+      expect(await cutOff.ask('/once/x')).toContain('HTTP/1.1 503');
+      await cutOff.stop();
+      const [line = ''] = cutOff.lines.filter((each) => each.includes('request.unreached'));
+      expect(JSON.parse(line)).toMatchObject({ request: 'a1', targets: 3 });
+    });
+
     it('never gets the answer to another request', async () => {
       const foreign = answerOf(200, [], 'foreign').replace('Attempt: a1', 'Attempt: other');
       await harness.addTarget('t1', 'app', (socket) => {
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -67,7 +67,7 @@
         this._noteRefusal(placed);
         break;
       }
-      if (!mayTry(this._parts, this._request, this._tried.length)) {
+      if (!mayTry(this._parts, this._request, this._tried.length, this._arrivals)) {
         placed.end();
         break;
       }
@@ -105,6 +105,11 @@
     }
   }
 
+  /** How often the request has reached an engine. */
+  private get _arrivals(): number {
+    return this._attempts + this._refusals;
+  }
+
   private _noteRefusal({ engines, refusal, retryAfterMs }: RefusedPrompt): void {
     this._cause = `${refusal} on ${engines} engines`;
     this._retryAfterMs = retryAfterMs;
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -7,8 +7,11 @@
 import { buildConnector, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 
-/** Targets are at most some ms away; a longer wait means a lost packet or a dead host. */
-const CONNECT_TIMEOUT_MS = 700;
+/**
+ * Targets are at most some ms away; a longer wait means a dead host, or a lost packet that is sent again
+ * after a second. 700 ms made each first event behind one late.
+ */
+const CONNECT_TIMEOUT_MS = 300;
 /** For targets that don't say how long they keep an idle connection. */
 const KEEP_ALIVE_MS = 2_000;
 /** A connection is given up this long before its target would close it. */
