End the work of a stream on its engine also when forwarding it has a defect

Ruled out: the front; it answers the defect's own request and goes on. Change: work, reservations and the count of calls end in 'finally'. Before: GatewayFront.test 'leaves no work behind' got 503 after four defects. After: 200; the gateway's 170 tests pass.

--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -101,31 +101,33 @@
     const isLastTry = this._attempts + 1 >= route.maxAttempts || !isRepeatable(route);
     const patienceAt = now + PATIENCE_TARGETS * route.latencyTargetMs;
     health.noteStart(target.id);
-    const outcome = await exchangeWhole({
-      clock,
-      dialect,
-      upstream,
-      target,
-      connections: connectionsFor(this._parts, this._request.service),
-      request: {
-        method,
-        path,
-        headers: dialect.markForwarded(headers, {
-          targetId: target.id,
-          waitsMs: deadlineAt - now,
-          workspace: workspace?.name,
-          lastEventId: caller.lastEventId,
-          enginePriority: undefined,
-          readers: [],
-        }),
-        body,
-      },
-      attemptId: caller.attemptId,
-      giveUpAt: isLastTry ? deadlineAt : Math.min(deadlineAt, patienceAt),
-      signal,
-    });
-    health.noteEnd(target.id);
-    return outcome;
+    try {
+      return await exchangeWhole({
+        clock,
+        dialect,
+        upstream,
+        target,
+        connections: connectionsFor(this._parts, this._request.service),
+        request: {
+          method,
+          path,
+          headers: dialect.markForwarded(headers, {
+            targetId: target.id,
+            waitsMs: deadlineAt - now,
+            workspace: workspace?.name,
+            lastEventId: caller.lastEventId,
+            enginePriority: undefined,
+            readers: [],
+          }),
+          body,
+        },
+        attemptId: caller.attemptId,
+        giveUpAt: isLastTry ? deadlineAt : Math.min(deadlineAt, patienceAt),
+        signal,
+      });
+    } finally {
+      health.noteEnd(target.id);
+    }
   }
 
   /** Passes the outcome on, or returns nothing when another target may be tried. */
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -351,6 +351,19 @@
     });
   });
 
+  describe('a defect in forwarding a stream', () => {
+    it('leaves no work behind on its engine', async () => {
+      await harness.addTarget('e1', 'engine', (socket) => {
+        socket.write(STREAM_HEAD + chunkOf(eventOf(1)) + STREAM_END);
+      });
+      // As many as the engine has slots.
+      for (let count = 0; count < 4; count++) {
+        expect(await harness.ask('/stream/x', ['Defect: 1'])).toContain('HTTP/1.1 502');
+      }
+      expect(await harness.ask('/stream/x')).toContain('HTTP/1.1 200');
+    });
+  });
+
   describe('the log', () => {
     it('tells how each request ended, by its id', async () => {
       await harness.addTarget('t1', 'app', breaksOff);
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -72,14 +72,10 @@
         break;
       }
       this._placement = placed;
-      const reservations = await this._reserve(placed);
-      if (reservations === undefined) {
-        placed.end();
+      const outcome = await this._runPlaced(placed);
+      if (outcome === undefined) {
         continue;
       }
-      const outcome = await this._tryPlacement(placed, reservations.id);
-      reservations.dispose();
-      placed.end();
       this._execution = worse(this._execution, outcome.execution);
       this._countAttempt(outcome);
       const report = this._conclude(placed, outcome);
@@ -90,6 +86,18 @@
     return this._giveUp();
   }
 
+  /** One run; nothing when an engine had no room for its part. Work and memory end with it. */
+  private async _runPlaced(placed: PlacedPrompt): Promise<StreamOutcome | undefined> {
+    let reservations: HeldReservations | undefined;
+    try {
+      reservations = await this._reserve(placed);
+      return reservations && (await this._tryPlacement(placed, reservations.id));
+    } finally {
+      reservations?.dispose();
+      placed.end();
+    }
+  }
+
   /**
    * Some refusals cost no attempt: a begun stream is lost when it can't go on, and an engine that only
    * reads for another one is replaced while the request stays where it is.
