Restrict the form of zod imports by syntax

Change: a selector for the named import, in all files. After: eslint . passes; a named import in platform/ and in src/common is found.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,8 +23,7 @@
 
 /** The bundler can only leave out of a namespace what nobody calls. */
 const zodAsNamespace = {
-  name: 'zod',
-  importNames: ['z'],
+  selector: "ImportDeclaration[source.value='zod'] > ImportSpecifier[imported.name='z']",
   message: "Write import * as z from 'zod', which keeps the platform's bundle small.",
 };
 
@@ -36,26 +35,19 @@
     rules: {
       'no-restricted-imports': [
         'error',
-        {
-          paths: [zodAsNamespace],
-          patterns: higher.length === 0 ? [noPlatform] : [noPlatform, noHigher],
-        },
+        { patterns: higher.length === 0 ? [noPlatform] : [noPlatform, noHigher] },
       ],
     },
   };
 });
 
-const platformRules = {
-  files: ['platform/**/*.ts'],
-  rules: { 'no-restricted-imports': ['error', { paths: [zodAsNamespace] }] },
-};
-
 const environmentRules = {
   files: ['packages/*/src/common/**/*.ts'],
   ignores: ['**/*.test.ts'],
   rules: {
     'no-restricted-syntax': [
       'error',
+      zodAsNamespace,
       {
         selector: 'ImportDeclaration[source.value=/\\/node\\//]',
         message: 'src/common must not import src/node.',
@@ -97,6 +89,7 @@
       },
     },
     rules: {
+      'no-restricted-syntax': ['error', zodAsNamespace],
       '@typescript-eslint/restrict-template-expressions': [
         'error',
         { allowNumber: true, allowBoolean: true },
@@ -110,7 +103,6 @@
     },
   },
   ...layerRules,
-  platformRules,
   environmentRules,
   clockRules,
   { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
