--- a/packages/daemon/src/node/SettingsLoader.ts
+++ b/packages/daemon/src/node/SettingsLoader.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { describeCause, ErrorKind, parseSettings, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import {
   SECRET_KEYS,
   type SecretSource,
--- a/packages/daemon/src/node/http/RequestChecks.ts
+++ b/packages/daemon/src/node/http/RequestChecks.ts
@@ -3,7 +3,7 @@
 import type { Route, Workspace } from '@tanagerdyke/configuration';
 import type { Context } from 'hono';
 import { Result } from 'true-myth';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { ServedNode } from './ServedNode.js';
 
 /** Header with the time left for a request, in milliseconds. */
--- a/packages/kernel/src/common/SettingsParser.ts
+++ b/packages/kernel/src/common/SettingsParser.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth';
 import { type Document, isNode, LineCounter, parseDocument } from 'yaml';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { describeCause, ErrorKind, ServiceError } from './ServiceError.js';
 
 /**
--- a/packages/mesh/src/common/CheckedHandler.ts
+++ b/packages/mesh/src/common/CheckedHandler.ts
@@ -1,7 +1,7 @@
 /** Handlers of peer requests whose parameters are checked before they are used. */
 import { ErrorKind, NotRun, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import type { RequestHandler } from './services/Services.js';
 
 /** Wraps `handle`, so that it sees only parameters that fit `schema`; others are refused. */
