Release the timers of load news and lapsed targets when they fire

TargetTable the same for each lapsed entry. Ruled out: SuspicionWatch; it unregisters its timers. Change: both unregister a timer that fired. Peers of other zones are told by their zone, not by the identity of member objects. Before: 50 changes left 50 held objects (LoadNews.test).

--- a/packages/gateway/src/common/placement/LoadNews.test.ts
+++ b/packages/gateway/src/common/placement/LoadNews.test.ts
@@ -63,6 +63,17 @@
     expect(boards[1]?.works).toEqual([]);
   });
 
+  it('holds nothing of changes that were told', async () => {
+    const held = (): number => (news[0] as unknown as { _held: Set<unknown> })._held.size;
+    const before = held();
+    for (let count = 0; count < 50; count++) {
+      news[0]?.publish({ ...work, id: String(count) });
+      news[0]?.withdraw(String(count));
+      await clock.advance(10);
+    }
+    expect(held()).toBe(before);
+  });
+
   describe('lost datagrams', () => {
     it('are made good within the next whole state', async () => {
       network.loss = 1;
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -109,8 +109,9 @@
       return;
     }
     this._isScheduled = true;
-    this.register(
+    const timer = this.register(
       this._options.clock.schedule(COALESCE_MS, () => {
+        this.unregister(timer);
         this._isScheduled = false;
         this._flush();
       }),
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -156,7 +156,8 @@
   private _tell(): void {
     const { membership } = this._options;
     const zone = this._zone;
-    const remote = membership.live.filter((member) => !zone.includes(member));
+    const { availabilityZone } = membership.self;
+    const remote = membership.live.filter((member) => member.availabilityZone !== availabilityZone);
     const near = this.isPoller ? zone : this._draw(zone, ZONE_PEERS_TOLD);
     this._send([...near, ...this._draw(remote, REMOTE_PEERS_TOLD)]);
   }
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -89,8 +89,9 @@
   }
 
   private _dropLater(id: string): void {
-    this.register(
+    const timer = this.register(
       this._options.clock.schedule(LAPSE_GRACE_MS, () => {
+        this.unregister(timer);
         const entry = this._entries.get(id);
         if (entry !== undefined && this._isGone(id)) {
           this._drop(entry);
