--- a/packages/gateway/src/common/SharedRetryBudget.test.ts
+++ b/packages/gateway/src/common/SharedRetryBudget.test.ts
@@ -42,4 +42,17 @@
     spendAll(budget);
     expect(budget.trySpend('other')).toBe(true);
   });
+
+  it('keeps no request beyond its window, also when nothing is retried', async () => {
+    const clock = new ManualClock();
+    const budget = new SharedRetryBudget(clock, bound, () => 1);
+    for (let second = 0; second < 100; second++) {
+      budget.noteRequest('a');
+      await clock.advance(1_000);
+    }
+    const { _services: services } = budget as unknown as {
+      _services: Map<string, { requests: { _times: unknown[] } }>;
+    };
+    expect(services.get('a')?.requests._times.length).toBeLessThanOrEqual(bound.windowMs / 1_000);
+  });
 });
