Read metrics through the one exchange of tanagerctl

Cause: 'gateway' had a request of its own beside HttpExchange; it took any status for metrics, so that a 404 was printed as a node with 0 members. Change: requestText, on which requestJson now builds, for both. Before: 404 gave zeros and exit 0. After: 'the daemon answered status 404', exit 1 (tried on a server that answers 404, and on a refused port).

--- a/packages/ctl/src/node/HttpExchange.ts
+++ b/packages/ctl/src/node/HttpExchange.ts
@@ -39,6 +39,20 @@
   daemonRequest: DaemonRequest,
   schema: z.ZodType<T>,
 ): Promise<Result<T, ServiceError>> {
+  const text = await requestText(daemonRequest);
+  return text.andThen((each) => {
+    try {
+      return Result.ok(schema.parse(JSON.parse(each)));
+    } catch (error) {
+      return Result.err(connectionError(daemonRequest.url, error));
+    }
+  });
+}
+
+/** Sends a request and returns the text of its answer. */
+export async function requestText(
+  daemonRequest: DaemonRequest,
+): Promise<Result<string, ServiceError>> {
   try {
     const { statusCode, body } = await request(daemonRequest.url, {
       method: daemonRequest.method,
@@ -48,10 +62,9 @@
       dispatcher: callerAgent,
     });
     const text = await body.text();
-    if (statusCode >= HTTP_SUCCESS_END) {
-      return Result.err(parseProblem(statusCode, text));
-    }
-    return Result.ok(schema.parse(JSON.parse(text)));
+    return statusCode >= HTTP_SUCCESS_END
+      ? Result.err(parseProblem(statusCode, text))
+      : Result.ok(text);
   } catch (error) {
     return Result.err(connectionError(daemonRequest.url, error));
   }
--- a/packages/ctl/src/node/commands/GatewayCommands.ts
+++ b/packages/ctl/src/node/commands/GatewayCommands.ts
@@ -2,8 +2,7 @@
 import { readFile } from 'node:fs/promises';
 import type { CAC } from 'cac';
 import { describeCause } from '@tanagerdyke/kernel';
-import { request } from 'undici';
-import { callerAgent, connectionError } from '../HttpExchange.js';
+import { requestText } from '../HttpExchange.js';
 import { parseMetrics, type Sample, sumOf, sumsBy } from '../MetricsText.js';
 import { ExitCode, print, printError, printUsage } from '../Output.js';
 import { type Decision, describeDecision, readDecisions, traceRequest } from '../RequestTrace.js';
@@ -20,12 +19,13 @@
   cli
     .command('gateway <metrics-url>', 'print the state of a gateway node from its metrics')
     .action(async (url: string, options: CommonOptions) => {
-      const read = await readMetrics(url);
-      if (typeof read === 'string') {
-        print(summarize(parseMetrics(read)), isJson(options), renderSummary);
-      } else {
-        printError(connectionError(url, read), isJson(options));
+      const timeoutMs = READ_TIMEOUT_MS;
+      const text = await requestText({ method: 'GET', url, token: '', timeoutMs });
+      if (text.isErr) {
+        printError(text.error, isJson(options));
+        return;
       }
+      print(summarize(parseMetrics(text.value)), isJson(options), renderSummary);
     });
 
   cli
@@ -59,17 +59,6 @@
   print(trace, isJson(options), (each) => each.map(describeDecision).join('\n'));
 }
 
-/** The text of the metrics, or why they could not be read. */
-async function readMetrics(url: string): Promise<unknown> {
-  try {
-    const signal = AbortSignal.timeout(READ_TIMEOUT_MS);
-    const { body } = await request(url, { dispatcher: callerAgent, signal });
-    return await body.text();
-  } catch (error) {
-    return error;
-  }
-}
-
 interface GatewaySummary {
   readonly members: number;
   readonly running: number;
