Build exchanges with targets in one place

Call and stream forwarders composed the same exchange field by field, and the stream exchange took its shared pieces from the whole one. TargetExchange holds what both need; exchangeWith marks and composes it.

--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -7,16 +7,17 @@
 import type { TargetEntry } from '../common/Messages.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
 import {
-  connectionsFor,
   Ending,
+  exchangeWith,
   type ForwardedRequest,
   type ForwardingParts,
   isOverdue,
   mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
+import type { WholeAnswer } from './TargetExchange.js';
 import { answerUnserved } from './UnservedAnswer.js';
-import { exchangeWhole, type WholeAnswer, type WholeOutcome } from './WholeExchange.js';
+import { exchangeWhole, type WholeOutcome } from './WholeExchange.js';
 
 const FIRST_SERVER_ERROR = 500;
 /** A repeatable call waits this many latency targets for one target, then tries another. */
@@ -94,36 +95,15 @@
   }
 
   private async _tryTarget(target: TargetEntry): Promise<WholeOutcome> {
-    const { clock, dialect, health, upstream } = this._parts;
-    const { body, caller, deadlineAt, headers, method, path, route, signal, workspace } =
-      this._request;
-    const now = clock.now();
+    const { clock, health } = this._parts;
+    const { caller, deadlineAt, route } = this._request;
     const isLastTry = this._attempts + 1 >= route.maxAttempts || !isRepeatable(route);
-    const patienceAt = now + PATIENCE_TARGETS * route.latencyTargetMs;
+    const patienceAt = clock.now() + PATIENCE_TARGETS * route.latencyTargetMs;
     health.noteStart(target.id);
     try {
       return await exchangeWhole({
-        clock,
-        dialect,
-        upstream,
-        target,
-        connections: connectionsFor(this._parts, this._request.service),
-        request: {
-          method,
-          path,
-          headers: dialect.markForwarded(headers, {
-            targetId: target.id,
-            waitsMs: deadlineAt - now,
-            workspace: workspace?.name,
-            lastEventId: caller.lastEventId,
-            enginePriority: undefined,
-            readers: [],
-          }),
-          body,
-        },
-        attemptId: caller.attemptId,
+        ...exchangeWith(this._parts, this._request, target, { lastEventId: caller.lastEventId }),
         giveUpAt: isLastTry ? deadlineAt : Math.min(deadlineAt, patienceAt),
-        signal,
       });
     } finally {
       health.noteEnd(target.id);
--- a/packages/gateway/src/node/Endings.test.ts
+++ b/packages/gateway/src/node/Endings.test.ts
@@ -5,7 +5,7 @@
 import { type Forwarders, playRequest, Violation } from './EndingsModel.js';
 import { Step } from './EndingsSteps.js';
 import { configuration } from './ForwardingHarness.js';
-import * as answers from './WholeExchange.js';
+import * as answers from './TargetExchange.js';
 
 const SCRIPT_STEPS = 3;
 const ATTEMPTS = [1, 2, 3];
@@ -20,7 +20,7 @@
 async function forwardersWith(faults: Faults): Promise<Forwarders> {
   vi.resetModules();
   vi.doMock('../common/Execution.js', () => ({ ...execution, ...faults.execution }));
-  vi.doMock('./WholeExchange.js', () => ({ ...answers, ...faults.answers }));
+  vi.doMock('./TargetExchange.js', () => ({ ...answers, ...faults.answers }));
   const { forwardCall } = await import('./CallForwarder.js');
   const { forwardStream } = await import('./StreamForwarder.js');
   const profile = configuration.services.find(({ engine }) => engine !== undefined)?.engine;
@@ -63,7 +63,7 @@
 describe('the ending of a request', () => {
   afterEach(() => {
     vi.doUnmock('../common/Execution.js');
-    vi.doUnmock('./WholeExchange.js');
+    vi.doUnmock('./TargetExchange.js');
   });
 
   describe('in every order of three steps', () => {
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -7,8 +7,10 @@
 import type {
   CallerRequest,
   CallerWorkspace,
+  ForwardingMarks,
   ForwardRoute,
   RawHeaders,
+  TargetEntry,
   TargetService,
 } from '../common/Messages.js';
 import type { EngineScheduler } from '../common/placement/EngineScheduler.js';
@@ -16,6 +18,7 @@
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import type { CallerResponse } from './CallerResponse.js';
+import type { TargetExchange } from './TargetExchange.js';
 import type { RequestSender } from './Upstream.js';
 
 /** What forwarders use. */
@@ -128,7 +131,38 @@
 /** Share of a target's connections that all nodes together use. */
 const CONNECTION_SHARE = 0.85;
 
+/** What a target is told beside what the request itself says. */
+type TargetMarks = Partial<Pick<ForwardingMarks, 'lastEventId' | 'enginePriority' | 'readers'>>;
+
+/** The exchange of a request with a target, ready to run. */
+export function exchangeWith(
+  parts: ForwardingParts,
+  { body, caller, deadlineAt, headers, method, path, service, signal, workspace }: ForwardedRequest,
+  target: TargetEntry,
+  { enginePriority, lastEventId, readers = [] }: TargetMarks,
+): TargetExchange {
+  const { clock, dialect, upstream } = parts;
+  const marked = dialect.markForwarded(headers, {
+    targetId: target.id,
+    waitsMs: deadlineAt - clock.now(),
+    workspace: workspace?.name,
+    lastEventId,
+    enginePriority,
+    readers,
+  });
+  return {
+    clock,
+    dialect,
+    upstream,
+    target,
+    connections: connectionsFor(parts, service),
+    request: { method, path, headers: marked, body },
+    attemptId: caller.attemptId,
+    signal,
+  };
+}
+
 /** Connections that this node may open to one target of a service. */
-export function connectionsFor(parts: ForwardingParts, service: TargetService): number {
+function connectionsFor(parts: ForwardingParts, service: TargetService): number {
   return Math.floor((service.maxConnections * CONNECTION_SHARE) / Math.max(1, parts.liveNodes()));
 }
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -2,14 +2,18 @@
  * One run of an event stream at a target: passes whole events to the caller as they come, follows
  * the caller's pace, and ends when the stream is complete, broken, silent for too long, or unwanted.
  */
-import type { Clock, Disposable } from '@tanagerdyke/kernel';
+import type { Disposable } from '@tanagerdyke/kernel';
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
-import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
-import type { Dialect } from '../common/services/Services.js';
+import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { CallerResponse } from './CallerResponse.js';
-import type { Exchange, RequestSender, UpstreamRequest } from './Upstream.js';
-import { CALLER_LEFT_CAUSE, isOwnAnswer, type WholeAnswer } from './WholeExchange.js';
+import {
+  CALLER_LEFT_CAUSE,
+  isOwnAnswer,
+  type TargetExchange,
+  type WholeAnswer,
+} from './TargetExchange.js';
+import type { Exchange } from './Upstream.js';
 
 const FIRST_ERROR = 300;
 /** Bodies of failures are short; more than this is not kept. */
@@ -38,21 +42,13 @@
 }
 
 /** What a run needs. */
-export interface StreamExchangeOptions {
-  readonly clock: Clock;
-  readonly dialect: Dialect;
-  readonly upstream: RequestSender;
-  readonly target: TargetEntry;
-  readonly connections: number;
-  readonly request: UpstreamRequest;
-  readonly attemptId: string | undefined;
+export interface StreamExchangeOptions extends TargetExchange {
   readonly splitter: EventStreamSplitter;
   readonly response: CallerResponse;
   readonly deadlineAt: number;
   /** Longest silence before the first event, and after it. */
   readonly firstSilenceMs: number;
   readonly silenceMs: number;
-  readonly signal: AbortSignal;
   readonly onFirstEvent: () => void;
 }
 
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -9,18 +9,18 @@
 import { type PlacedPrompt, RefusedPrompt } from '../common/placement/EngineScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import {
-  connectionsFor,
   Ending,
+  exchangeWith,
   type ForwardedRequest,
   type ForwardingParts,
   isOverdue,
   mayTry,
   type RequestReport,
 } from './ForwardedRequest.js';
-import { enginePriority, firstSilenceMs, laterSilenceMs } from './StreamLimits.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
+import { enginePriority, firstSilenceMs, laterSilenceMs } from './StreamLimits.js';
+import type { WholeAnswer } from './TargetExchange.js';
 import { answerUnserved } from './UnservedAnswer.js';
-import type { WholeAnswer } from './WholeExchange.js';
 
 /** Share of the time left for which a prompt waits for room before it is refused. */
 const ROOM_WAIT_SHARE = 0.25;
@@ -28,6 +28,7 @@
 const EXTRA_REFUSALS = 2;
 /** When callers come back whose prompt engines refused though they seemed to have room. */
 const REFUSED_RETRY_MS = 300;
+
 /** Reservations that a run holds, or none. */
 interface HeldReservations {
   readonly id: string | undefined;
@@ -171,35 +172,23 @@
     placed: PlacedPrompt,
     reservation: string | undefined,
   ): Promise<StreamOutcome> {
-    const { clock, dialect, upstream } = this._parts;
-    const { body, caller, deadlineAt, headers, method, path, response, route, service, signal } =
-      this._request;
+    const { deadlineAt, response, route } = this._request;
     const [target, ...others] = placed.targets as [TargetEntry, ...TargetEntry[]];
     const readers = reservation === undefined ? others : placed.targets;
     this._tried.push(placed.targets.map(({ id }) => id).join('+'));
-    const marked = dialect.markForwarded(headers, {
-      targetId: target.id,
-      waitsMs: deadlineAt - clock.now(),
-      workspace: this._request.workspace?.name,
+    const exchange = exchangeWith(this._parts, this._request, target, {
       lastEventId: this._splitter.lastEventId,
       enginePriority: enginePriority(route),
       readers: readers.map(({ address }) => ({ address, reservation })),
     });
     this._splitter.restart();
     return exchangeStream({
-      clock,
-      dialect,
-      upstream,
-      target,
-      connections: connectionsFor(this._parts, service),
-      request: { method, path, headers: marked, body },
-      attemptId: caller.attemptId,
+      ...exchange,
       splitter: this._splitter,
       response,
       deadlineAt,
       firstSilenceMs: firstSilenceMs(placed.firstEventMs, route),
       silenceMs: laterSilenceMs(route),
-      signal,
       onFirstEvent: () => {
         placed.markGenerating();
       },
--- a/packages/gateway/src/node/WholeExchange.ts
+++ b/packages/gateway/src/node/WholeExchange.ts
@@ -2,23 +2,18 @@
  * One exchange with a target whose answer is held until it is complete, so that a broken answer is
  * never passed on and a repeatable request can be sent again unseen.
  */
-import type { Clock } from '@tanagerdyke/kernel';
 import { Execution } from '../common/Execution.js';
-import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
-import type { Dialect } from '../common/services/Services.js';
-import type { Exchange, RequestSender, UpstreamRequest } from './Upstream.js';
+import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
+import {
+  CALLER_LEFT_CAUSE,
+  isOwnAnswer,
+  type TargetExchange,
+  type WholeAnswer,
+} from './TargetExchange.js';
+import type { Exchange } from './Upstream.js';
 
 /** A larger answer of a target is treated as broken. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-/** Why an exchange ends that nobody waits for any more. */
-export const CALLER_LEFT_CAUSE = 'the caller left';
-
-/** A complete answer. */
-export interface WholeAnswer {
-  readonly answer: TargetAnswer;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-}
 
 /** How an exchange ended: with a complete answer or without one. */
 export type WholeOutcome =
@@ -32,17 +27,9 @@
     };
 
 /** What an exchange needs. */
-export interface WholeExchangeOptions {
-  readonly clock: Clock;
-  readonly dialect: Dialect;
-  readonly upstream: RequestSender;
-  readonly target: TargetEntry;
-  readonly connections: number;
-  readonly request: UpstreamRequest;
-  readonly attemptId: string | undefined;
+export interface WholeExchangeOptions extends TargetExchange {
   /** When the exchange is given up, on the clock. */
   readonly giveUpAt: number;
-  readonly signal: AbortSignal;
 }
 
 /** Runs the exchange. */
@@ -107,11 +94,3 @@
     });
   });
 }
-
-/** Whether an answer is to this request; refusals need not name it. */
-export function isOwnAnswer(answer: TargetAnswer, attemptId: string | undefined): boolean {
-  if (attemptId === undefined || answer.attemptId === attemptId) {
-    return true;
-  }
-  return answer.attemptId === undefined && answer.isNotRun;
-}
