Compute loads once for each look of a placement

The end of an engine's reads stood in EngineLoad and again in EngineLag, where it began at the clock's zero instead of before all work: the same but for work that is older than the process. A placement's targets are typed as never empty, so checks for a missing one are gone. The gateway's 172 tests pass.

--- a/packages/gateway/src/common/placement/EngineLag.ts
+++ b/packages/gateway/src/common/placement/EngineLag.ts
@@ -3,6 +3,7 @@
  * engine still works for callers of nodes that lost power, or is slow, and every node goes on to
  * place short prompts on it, since by the schedule it idles.
  */
+import { readEndOf } from './EngineModel.js';
 import type { EngineWork } from './LoadBoard.js';
 
 /** Longer reads are overtaken by more urgent ones, so their lateness shows nothing. */
@@ -16,21 +17,19 @@
  * @param works all work on the engine that names no other one
  */
 export function engineLagMs(works: readonly EngineWork[], passMs: number, now: number): number {
-  const shortWorks = works.filter(({ partMs }) => partMs <= SHORT_READ_MS);
+  const ordered = [...works].sort((a, b) => a.startedAt - b.startedAt);
+  const shortWorks = ordered.filter(({ partMs }) => partMs <= SHORT_READ_MS);
   // An answer to a later prompt shows that the engine isn't stuck; that packet may just be lost.
-  const lastBegun = Math.max(
-    ...shortWorks.filter(({ isGenerating }) => isGenerating).map(({ startedAt }) => startedAt),
+  const lastBegun = shortWorks.findLast(({ isGenerating }) => isGenerating);
+  const oldest = shortWorks.find(
+    ({ isGenerating, startedAt }) =>
+      !isGenerating && startedAt > (lastBegun?.startedAt ?? Number.NEGATIVE_INFINITY),
   );
-  const waiting = shortWorks
-    .filter(({ isGenerating, startedAt }) => !isGenerating && startedAt > lastBegun)
-    .sort((a, b) => a.startedAt - b.startedAt);
-  const [oldest] = waiting;
   if (oldest === undefined) {
     return 0;
   }
-  const readAt = works
-    .filter(({ isGenerating, startedAt }) => !isGenerating && startedAt <= oldest.startedAt)
-    .sort((a, b) => a.startedAt - b.startedAt)
-    .reduce((end, work) => Math.max(end, work.startedAt) + work.partMs, 0);
-  return Math.max(0, now - readAt - passMs - ANSWER_GRACE_MS);
+  const before = ordered.filter(
+    ({ isGenerating, startedAt }) => !isGenerating && startedAt <= oldest.startedAt,
+  );
+  return Math.max(0, now - readEndOf(before) - passMs - ANSWER_GRACE_MS);
 }
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -4,7 +4,7 @@
  */
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { engineLagMs } from './EngineLag.js';
-import { passMs } from './EngineModel.js';
+import { passMs, readEndOf } from './EngineModel.js';
 import type { EngineWork } from './LoadBoard.js';
 
 /** A prompt part that an engine has not read yet. */
@@ -107,8 +107,8 @@
   const ordered = [...works].sort((a, b) => a.startedAt - b.startedAt);
   const helps = ordered.filter(({ targets }) => targets[0] !== target);
   const heads = ordered.filter(({ targets }) => targets[0] === target);
-  const backlogMs = Math.max(0, endOf(ordered) - now);
-  const helpBacklogMs = Math.max(0, endOf(helps) - now);
+  const backlogMs = Math.max(0, readEndOf(ordered) - now);
+  const helpBacklogMs = Math.max(0, readEndOf(helps) - now);
   // What is left of the own prompts is left of the last ones.
   let headEnd = now + backlogMs;
   let leftMs = backlogMs - helpBacklogMs;
@@ -121,11 +121,3 @@
   });
   return { ownReads: ownReads.reverse(), backlogMs, helpBacklogMs };
 }
-
-/** When an engine that never idles while it has work is done with all of it. */
-function endOf(ordered: readonly EngineWork[]): number {
-  return ordered.reduce(
-    (end, { partMs, startedAt }) => Math.max(end, startedAt) + partMs,
-    Number.NEGATIVE_INFINITY,
-  );
-}
--- a/packages/gateway/src/common/placement/EngineModel.ts
+++ b/packages/gateway/src/common/placement/EngineModel.ts
@@ -4,6 +4,7 @@
  * steps, and the prefill that a pass carries delays every sequence of that pass.
  */
 import type { EngineProfile } from '../Messages.js';
+import type { EngineWork } from './LoadBoard.js';
 
 const TOKENS_PER_THOUSAND = 1_000;
 const PAIRS_PER_MILLION = 1_000_000;
@@ -23,3 +24,15 @@
     (contextTokens / TOKENS_PER_THOUSAND) * profile.contextThousandMs;
   return stepMs * profile.stride;
 }
+
+/**
+ * When an engine that never idles while it has work has read all of it; minus infinity without any.
+ *
+ * @param ordered by their start
+ */
+export function readEndOf(ordered: readonly EngineWork[]): number {
+  return ordered.reduce(
+    (end, { partMs, startedAt }) => Math.max(end, startedAt) + partMs,
+    Number.NEGATIVE_INFINITY,
+  );
+}
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -113,43 +113,39 @@
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { board, clock } = this._options;
     for (;;) {
+      const { works } = board;
+      const loads = this._loads(request, works);
       if (signal.aborted) {
-        return this._refuse(request, PlacementRefusal.CallerLeft);
+        return refuse(loads, PlacementRefusal.CallerLeft);
       }
-      const placement = this._tryPlace(request);
+      const placement = this._tryPlace(request, loads, works);
       if (placement?.isHarmful === true) {
-        return this._refuse(request, PlacementRefusal.Harmful);
+        return refuse(loads, PlacementRefusal.Harmful);
       }
       if (placement !== undefined) {
         return this._admit(request, placement);
       }
       if (clock.now() >= giveUpAt) {
-        return this._refuse(request, PlacementRefusal.NoRoom);
+        return refuse(loads, PlacementRefusal.NoRoom);
       }
       await clock.sleep(LEAST_WAIT_MS, signal);
       await awaitEvent(clock, board.onChange, () => true, RECHECK_MS).value;
     }
   }
 
-  private _refuse({ profile, service }: PromptRequest, refusal: PlacementRefusal): RefusedPrompt {
-    const loads = this._loads(service, profile);
-    if (loads.length === 0) {
-      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, MAX_RETRY_MS);
-    }
-    const soonestMs = Math.min(...loads.map(({ backlogMs, passMs }) => backlogMs + passMs));
-    const retryAfterMs =
-      refusal === PlacementRefusal.Harmful
-        ? HARMFUL_RETRY_MS
-        : Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, soonestMs));
-    return new RefusedPrompt(refusal, loads.length, retryAfterMs);
+  private _loads({ profile, service }: PromptRequest, works: readonly EngineWork[]): EngineLoad[] {
+    const { clock, targets } = this._options;
+    return computeLoads(profile, targets.ofService(service), works, clock.now());
   }
 
-  private _tryPlace(request: PromptRequest): PromptPlacement | undefined {
+  private _tryPlace(
+    request: PromptRequest,
+    loads: readonly EngineLoad[],
+    works: readonly EngineWork[],
+  ): PromptPlacement | undefined {
     const { clock, health } = this._options;
-    const loads = this._loads(request.service, request.profile).filter(
-      ({ entry }) => !request.excluded.has(entry.id),
-    );
-    const sound = loads.filter(({ entry }) => !health.isSuspect(entry.id));
+    const open = loads.filter(({ entry }) => !request.excluded.has(entry.id));
+    const sound = open.filter(({ entry }) => !health.isSuspect(entry.id));
     const question: PromptQuestion = {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
@@ -159,26 +155,21 @@
       pauseTargetMs: request.pauseTargetMs,
       availabilityZone: this._options.availabilityZone,
     };
-    const usable = sound.length === 0 ? loads : sound;
-    return placePrompt(request.profile, question, usable, this._spread());
+    const usable = sound.length === 0 ? open : sound;
+    return placePrompt(request.profile, question, usable, this._spread(works));
   }
 
-  private _spread(): TieBreak {
-    const { board, clock, liveNodes, newsDelayMs, random } = this._options;
+  private _spread(works: readonly EngineWork[]): TieBreak {
+    const { clock, liveNodes, newsDelayMs, random } = this._options;
     const since = clock.now() - RATE_WINDOW_MS;
     return spreadOf({
       random,
       liveNodes: liveNodes(),
-      placedPerSecond: board.works.filter(({ startedAt }) => startedAt > since).length,
+      placedPerSecond: works.filter(({ startedAt }) => startedAt > since).length,
       newsDelayMs: newsDelayMs(),
     });
   }
 
-  private _loads(service: string, profile: EngineProfile): EngineLoad[] {
-    const { board, clock, targets } = this._options;
-    return computeLoads(profile, targets.ofService(service), board.works, clock.now());
-  }
-
   private _admit(request: PromptRequest, placement: PromptPlacement): PlacedPrompt {
     const { clock, publisher } = this._options;
     const id = (this._placed++).toString(ID_RADIX);
@@ -217,3 +208,16 @@
     };
   }
 }
+
+/** A refusal with the time at which room is likely. */
+function refuse(loads: readonly EngineLoad[], refusal: PlacementRefusal): RefusedPrompt {
+  if (loads.length === 0) {
+    return new RefusedPrompt(PlacementRefusal.NoEngine, 0, MAX_RETRY_MS);
+  }
+  const soonestMs = Math.min(...loads.map(({ backlogMs, passMs }) => backlogMs + passMs));
+  const retryAfterMs =
+    refusal === PlacementRefusal.Harmful
+      ? HARMFUL_RETRY_MS
+      : Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, soonestMs));
+  return new RefusedPrompt(refusal, loads.length, retryAfterMs);
+}
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -20,7 +20,7 @@
 /** Where a prompt is read and generated. */
 export interface PromptPlacement {
   /** The first one generates. */
-  readonly targets: readonly TargetEntry[];
+  readonly targets: readonly [TargetEntry, ...TargetEntry[]];
   /** Memory to reserve on each target; 0 when the first one holds all without a reservation. */
   readonly reservedTokens: number;
   /** Prefill time of the part of each. */
@@ -160,7 +160,7 @@
   const wholeMs = partMs * count;
   const opportunity = (wholeMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(engines);
   return {
-    targets: [head, ...readers].map(({ load }) => load.entry),
+    targets: [head.load.entry, ...readers.map(({ load }) => load.entry)],
     reservedTokens,
     partMs,
     firstEventMs,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -5,7 +5,7 @@
  */
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution, mayMove, worse } from '../common/Execution.js';
-import type { EngineProfile, TargetEntry } from '../common/Messages.js';
+import type { EngineProfile } from '../common/Messages.js';
 import { type PlacedPrompt, RefusedPrompt } from '../common/placement/EngineScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import {
@@ -173,7 +173,7 @@
     reservation: string | undefined,
   ): Promise<StreamOutcome> {
     const { deadlineAt, response, route } = this._request;
-    const [target, ...others] = placed.targets as [TargetEntry, ...TargetEntry[]];
+    const [target, ...others] = placed.targets;
     const readers = reservation === undefined ? others : placed.targets;
     this._tried.push(placed.targets.map(({ id }) => id).join('+'));
     const exchange = exchangeWith(this._parts, this._request, target, {
@@ -202,7 +202,7 @@
     this._longestPauseMs = Math.max(this._longestPauseMs, outcome.longestPauseMs);
     this._cause = outcome.cause === '' ? this._cause : outcome.cause;
     if (outcome.end === StreamEnd.Complete) {
-      health.noteAnswer(target?.id ?? '', false);
+      health.noteAnswer(target.id, false);
       this._request.response.end();
       return this._report(Ending.Answered);
     }
@@ -221,20 +221,18 @@
     const culprit = placed.targets.find(({ address }) => address === named) ?? head;
     const isFull = outcome.failure?.answer.isNotRun === true && named === undefined;
     let suspectMs = 0;
-    if (culprit !== undefined) {
-      this._excluded.add(culprit.id);
-      if (outcome.failure === undefined || named !== undefined) {
-        suspectMs = health.noteBreak(culprit.id);
-      } else {
-        health.noteAnswer(culprit.id, !isFull);
-      }
+    this._excluded.add(culprit.id);
+    if (outcome.failure === undefined || named !== undefined) {
+      suspectMs = health.noteBreak(culprit.id);
+    } else {
+      health.noteAnswer(culprit.id, !isFull);
     }
     if (outcome.failure !== undefined && !outcome.failure.answer.isNotRun) {
       this._failure = outcome.failure;
     }
     log.note('request.attempt-failed', {
       request: this._request.id,
-      target: culprit?.id,
+      target: culprit.id,
       readers: placed.targets.length - 1,
       end: outcome.end,
       execution: outcome.execution,
