Split lists and group members by zone in one place each

Three loops cut lists into parts (two in LoadNews, one in ZoneBroadcast), and the members of the own zone were filtered in the broadcast and in the relay, grouped twice in the broadcast. chunksOf of the kernel and Zones of the mesh serve all. What travels is the same; tests of kernel, mesh, fakes and gateway pass.

--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -2,7 +2,7 @@
  * Spreads the work of this node to all others in datagrams, at once for changes and every second as
  * a whole, which makes good for lost datagrams.
  */
-import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { chunksOf, type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser, type ZoneBroadcast } from '@tanagerdyke/mesh';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
 import { decodeWork, encodeWork, readLoad, type WireLoad } from './LoadCodec.js';
@@ -97,10 +97,7 @@
       const { own } = board;
       this._send({ node: this._self, all: own.map(({ id }) => id) });
       const now = clock.now();
-      const lasting = own.filter(({ startedAt }) => now - startedAt >= REPEAT_AGE_MS);
-      for (let first = 0; first < lasting.length; first += WORKS_PER_DATAGRAM) {
-        this._sendWorks(lasting.slice(first, first + WORKS_PER_DATAGRAM), {});
-      }
+      this._sendWorks(own.filter(({ startedAt }) => now - startedAt >= REPEAT_AGE_MS));
     }
   }
 
@@ -125,23 +122,29 @@
     this._changed.clear();
     this._began.clear();
     this._ended.clear();
-    this._sendWorks(works.slice(0, WORKS_PER_DATAGRAM), { began, ended });
-    for (let first = WORKS_PER_DATAGRAM; first < works.length; first += WORKS_PER_DATAGRAM) {
-      this._sendWorks(works.slice(first, first + WORKS_PER_DATAGRAM), {});
-    }
+    this._sendWorks(works, {
+      ...(began.length > 0 && { began }),
+      ...(ended.length > 0 && { ended }),
+    });
   }
 
+  /** Sends work in as few datagrams as take it; what else there is rides on the first. */
   private _sendWorks(
     works: readonly EngineWork[],
-    { began = [], ended = [] }: { readonly began?: string[]; readonly ended?: string[] },
+    rest: Pick<WireLoad, 'began' | 'ended'> = {},
   ): void {
     const now = this._options.clock.now();
-    this._send({
-      node: this._self,
-      ...(works.length > 0 && { works: works.map((work) => encodeWork(work, now)) }),
-      ...(began.length > 0 && { began }),
-      ...(ended.length > 0 && { ended }),
-    });
+    const [first = [], ...others] = chunksOf(
+      works.map((work) => encodeWork(work, now)),
+      WORKS_PER_DATAGRAM,
+    );
+    const head = { ...(first.length > 0 && { works: first }), ...rest };
+    if (Object.keys(head).length > 0) {
+      this._send({ node: this._self, ...head });
+    }
+    for (const chunk of others) {
+      this._send({ node: this._self, works: chunk });
+    }
   }
 
   private _send(params: WireLoad): void {
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -17,6 +17,7 @@
   encodeNotification,
   type Member,
   type Membership,
+  membersOfOwnZone,
   notificationParser,
   type Transport,
 } from '@tanagerdyke/mesh';
@@ -132,11 +133,8 @@
     return this._options.clock.now() - this._unsettledHeardAt < OUTAGE_NEWS_MS;
   }
 
-  /** Live members of the own zone, this node included. */
   private get _zone(): readonly Member[] {
-    const { membership } = this._options;
-    const { availabilityZone } = membership.self;
-    return membership.live.filter((member) => member.availabilityZone === availabilityZone);
+    return membersOfOwnZone(this._options.membership);
   }
 
   public start(): void {
--- /dev/null
+++ b/packages/kernel/src/common/Chunks.ts
@@ -0,0 +1,8 @@
+/** Parts of a list in its order, each of `size` items but for the last, which may be shorter. */
+export function chunksOf<T>(items: readonly T[], size: number): T[][] {
+  const chunks: T[][] = [];
+  for (let first = 0; first < items.length; first += size) {
+    chunks.push(items.slice(first, first + size));
+  }
+  return chunks;
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,6 @@
 /** The public entry of the kernel: what every other package builds on. */
 export * from './common/services/Services.js';
+export * from './common/Chunks.js';
 export * from './common/Disposables.js';
 export * from './common/Emitter.js';
 export * from './common/InvariantMonitor.js';
--- a/packages/mesh/src/common/ZoneBroadcast.ts
+++ b/packages/mesh/src/common/ZoneBroadcast.ts
@@ -8,10 +8,11 @@
  * Relays change every second, so a dead one loses news of one second only. Delivery is not certain;
  * senders repeat what must arrive.
  */
-import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
+import { chunksOf, type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 import { DatagramBatch, splitBatch } from './DatagramBatch.js';
 import { type Member, MemberStatus } from './Messages.js';
 import type { Membership, Transport } from './services/Services.js';
+import { membersByZone, membersOfOwnZone } from './Zones.js';
 
 /** What the receiver of a datagram does with it beside reading it; its first character. */
 enum Duty {
@@ -73,24 +74,14 @@
 
   /** Time that a message usually takes to the last member. */
   public get delayMs(): number {
-    const zones = new Map<string, number>();
-    for (const { availabilityZone } of this._options.membership.live) {
-      zones.set(availabilityZone, (zones.get(availabilityZone) ?? 0) + 1);
-    }
-    const isCollecting = [...zones.values()].some((count) => count > MAX_DIRECT_MEMBERS);
+    const isCollecting = [...membersByZone(this._options.membership).values()].some(isLarge);
     return isCollecting ? COLLECT_MS + 3 * HOP_MS : 2 * HOP_MS;
   }
 
   /** Sends one line to all other live members. */
   public send(payload: string): void {
     const { membership } = this._options;
-    const zones = new Map<string, Member[]>();
-    for (const member of membership.live) {
-      const zone = zones.get(member.availabilityZone) ?? [];
-      zone.push(member);
-      zones.set(member.availabilityZone, zone);
-    }
-    for (const [name, zone] of zones) {
+    for (const [name, zone] of membersByZone(membership)) {
       if (name === membership.self.availabilityZone && !isLarge(zone)) {
         this._sendWithin(zone, payload);
       } else {
@@ -100,8 +91,7 @@
   }
 
   private get _ownZone(): readonly Member[] {
-    const { live, self } = this._options.membership;
-    return live.filter(({ availabilityZone }) => availabilityZone === self.availabilityZone);
+    return membersOfOwnZone(this._options.membership);
   }
 
   private get _ownGroup(): readonly Member[] {
@@ -185,12 +175,7 @@
 
 /** Members in groups that all of them compute alike. */
 function groupsOf(zone: readonly Member[]): Member[][] {
-  const sorted = sortByName(zone);
-  const groups: Member[][] = [];
-  for (let first = 0; first < sorted.length; first += GROUP_MEMBERS) {
-    groups.push(sorted.slice(first, first + GROUP_MEMBERS));
-  }
-  return groups;
+  return chunksOf(sortByName(zone), GROUP_MEMBERS);
 }
 
 function sortByName(members: readonly Member[]): Member[] {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -10,4 +10,5 @@
 export * from './common/RpcErrors.js';
 export * from './common/SwimMembership.js';
 export * from './common/ZoneBroadcast.js';
+export * from './common/Zones.js';
 export * from './node/SocketTransport.js';
