Give owners one signal for their tasks

DisposableOwner offers 'disposal', made when first asked for, aborted after what is held was released, as the first registered was before.

--- a/packages/claims/src/common/ClaimLedger.ts
+++ b/packages/claims/src/common/ClaimLedger.ts
@@ -4,13 +4,7 @@
  * current one. An attempt that is abandoned is marked before anyone is told, so that a late answer
  * can't revive it, and is voided in the log.
  */
-import {
-  type Clock,
-  DisposableOwner,
-  type Logger,
-  type TimeLine,
-  toDisposable,
-} from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type Logger, type TimeLine } from '@tanagerdyke/kernel';
 import type { PlatformLog } from '@tanagerdyke/contracts';
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import { keyTime } from './IdempotencyKey.js';
@@ -69,7 +63,6 @@
 export class ClaimLedger extends DisposableOwner {
   private readonly _committer: ShardCommitter;
   private readonly _router: ShardRouter;
-  private readonly _abort = new AbortController();
   private _hasAssignment = false;
 
   constructor(private readonly _options: LedgerOptions) {
@@ -82,11 +75,6 @@
     );
     const local = this._committer;
     this._router = new ShardRouter({ clock, transport, membership, local });
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -202,7 +190,7 @@
       if (fate === AppendFate.Appended) {
         return;
       }
-      await clock.sleep(pauseMs, this._abort.signal);
+      await clock.sleep(pauseMs, this.disposal);
       pauseMs = Math.min(pauseMs * 2, LAST_RETRY_MS);
     }
   }
@@ -210,7 +198,7 @@
   /** Opens the shards that this node commits and closes those that it no longer does. */
   private async _assignmentTask(): Promise<void> {
     const { clock } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const wanted = new Set<string>();
       for (const shards of this._layouts()) {
--- a/packages/claims/src/common/ClaimShard.ts
+++ b/packages/claims/src/common/ClaimShard.ts
@@ -12,7 +12,6 @@
   type Logger,
   LogLevel,
   type PendingEvent,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { LogPage, PlatformLog } from '@tanagerdyke/contracts';
 import { ClaimIndex } from './ClaimIndex.js';
@@ -66,7 +65,6 @@
   private readonly _index = new ClaimIndex();
   private readonly _onEntry = this.register(new Emitter<ReadEntry>());
   private readonly _onReady = this.register(new Emitter<void>());
-  private readonly _abort = new AbortController();
   private readonly _queue: QueuedEntry[] = [];
   private _isAppending = false;
   private _next = 0;
@@ -74,11 +72,6 @@
 
   constructor(private readonly _options: ShardOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -184,7 +177,7 @@
 
   private async _readTask(): Promise<void> {
     const { clock, log, logger, stream } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const waitMs = this._isReady ? READ_WAIT_MS : 0;
       const page = await log.read(stream, this._next, READ_LIMIT, waitMs);
@@ -217,7 +210,7 @@
     if (bounds.isOk) {
       this._next = Math.max(this._next, bounds.value.first);
     } else {
-      await clock.sleep(READ_RETRY_MS, this._abort.signal);
+      await clock.sleep(READ_RETRY_MS, this.disposal);
     }
   }
 
@@ -240,7 +233,7 @@
   }
 
   private async _expiryTask(): Promise<void> {
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       await this._options.clock.sleep(EXPIRY_INTERVAL_MS, signal);
       this._index.expire(this._options.isExpired);
--- a/packages/configuration/src/common/Checkpointer.ts
+++ b/packages/configuration/src/common/Checkpointer.ts
@@ -3,13 +3,7 @@
  * rendezvous hash, goes first; the others wait a while longer, so that normally a single checkpoint
  * is written, and a second one does no harm.
  */
-import {
-  type Clock,
-  DisposableOwner,
-  type RandomSource,
-  type TimeLine,
-  toDisposable,
-} from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type RandomSource, type TimeLine } from '@tanagerdyke/kernel';
 import type { PlatformLog } from '@tanagerdyke/contracts';
 import { type Membership, rankByRendezvous } from '@tanagerdyke/mesh';
 import { encodeCheckpoint } from './Checkpoint.js';
@@ -35,15 +29,8 @@
 
 /** The checkpoint task of one node. */
 export class Checkpointer extends DisposableOwner {
-  private readonly _abort = new AbortController();
-
   constructor(private readonly _options: CheckpointerOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -52,7 +39,7 @@
 
   private async _task(): Promise<void> {
     const { clock, follower } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       await clock.sleep(CHECK_INTERVAL_MS, signal);
       if (follower.isReady && follower.inForce.offset !== NO_OFFSET && this._isDue()) {
--- a/packages/configuration/src/common/ConfigurationFollower.ts
+++ b/packages/configuration/src/common/ConfigurationFollower.ts
@@ -13,7 +13,6 @@
   LogLevel,
   type ServiceError,
   type TimeLine,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { LogPage, PlatformLog } from '@tanagerdyke/contracts';
 import type { Membership } from '@tanagerdyke/mesh';
@@ -59,7 +58,6 @@
   public readonly onChange = this._onChange.event;
   private readonly _onRecord = this.register(new Emitter<RecordVerdict>());
   public readonly onRecord = this._onRecord.event;
-  private readonly _abort = new AbortController();
   private readonly _checkpoints = new CheckpointAssembler();
   private readonly _records: EffectiveRecord[] = [];
   /** Records that didn't follow from the set in force when they were read. */
@@ -79,11 +77,6 @@
   constructor(private readonly _options: FollowerOptions) {
     super();
     this._checkpointSeenAt = _options.clock.now();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -174,7 +167,7 @@
 
   private async _logTask(): Promise<void> {
     const { clock, log, logger } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const waitMs = this._hasReadTail && !this._isLogDown ? READ_WAIT_MS : 0;
       const askedAt = clock.now();
@@ -222,7 +215,7 @@
         return;
       }
     }
-    await clock.sleep(READ_RETRY_MS, this._abort.signal);
+    await clock.sleep(READ_RETRY_MS, this.disposal);
   }
 
   private _putInForce(inForce: InForce): void {
--- a/packages/configuration/src/common/PeerCatchUp.ts
+++ b/packages/configuration/src/common/PeerCatchUp.ts
@@ -2,7 +2,7 @@
  * Catching up from peers: a node that is behind, or can't trust its own set, pulls from a peer that
  * is ahead, so that a node cut off from the log alone still follows within seconds.
  */
-import { type Clock, DisposableOwner, type ServiceError, toDisposable } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type ServiceError } from '@tanagerdyke/kernel';
 import { checkedHandler, type Member, type Membership, type Transport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import type { ConfigurationFollower } from './ConfigurationFollower.js';
@@ -32,17 +32,11 @@
 
 /** The catch-up task of one node, and its answers to others. */
 export class PeerCatchUp extends DisposableOwner {
-  private readonly _abort = new AbortController();
   private _behindSince: number | undefined;
   private _pulledAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly _options: CatchUpOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
     this.register(
       _options.transport.handle(
         PULL_METHOD,
@@ -67,7 +61,7 @@
 
   private async _task(): Promise<void> {
     const { clock, follower } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       await clock.sleep(CHECK_INTERVAL_MS, signal);
       const ahead = this._peersAhead();
--- a/packages/fleet/src/common/LeaseKeeper.ts
+++ b/packages/fleet/src/common/LeaseKeeper.ts
@@ -11,7 +11,6 @@
   LogLevel,
   type RandomSource,
   type TimeLine,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { PlatformLog } from '@tanagerdyke/contracts';
 import {
@@ -52,7 +51,6 @@
 
 /** One lease at one node. */
 export class LeaseKeeper extends DisposableOwner {
-  private readonly _abort = new AbortController();
   /** When own records were about to be sent, by their id. */
   private readonly _sentAt = new Map<string, number>();
   private _state: LeaseState | undefined;
@@ -64,11 +62,6 @@
 
   constructor(private readonly _options: KeeperOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -95,7 +88,7 @@
 
   private async _holdTask(): Promise<void> {
     const { clock, node, startedAt } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     let renewedAt = Number.NEGATIVE_INFINITY;
     while (!signal.aborted) {
       await clock.sleep(TICK_MS, signal);
@@ -137,7 +130,7 @@
 
   private async _readTask(): Promise<void> {
     const { clock, log } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const waitMs = this._isReplayed ? READ_WAIT_MS : 0;
       const page = await log.read(this._options.stream, this._next, READ_LIMIT, waitMs);
@@ -165,7 +158,7 @@
       this._next = Math.max(this._next, bounds.value.first);
       this._first = this._state === undefined ? this._next : this._first;
     } else {
-      await clock.sleep(READ_RETRY_MS, this._abort.signal);
+      await clock.sleep(READ_RETRY_MS, this.disposal);
     }
   }
 
--- a/packages/gateway/src/common/placement/LoadNews.ts
+++ b/packages/gateway/src/common/placement/LoadNews.ts
@@ -2,7 +2,7 @@
  * Spreads the work of this node to all others in datagrams, at once for changes and every second as
  * a whole, which makes good for lost datagrams.
  */
-import { chunksOf, type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { chunksOf, type Clock, DisposableOwner } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser, type ZoneBroadcast } from '@tanagerdyke/mesh';
 import type { EngineWork, LoadBoard } from './LoadBoard.js';
 import { decodeWork, encodeWork, readLoad, type WireLoad } from './LoadCodec.js';
@@ -29,7 +29,6 @@
 
 /** The news of one node. */
 export class LoadNews extends DisposableOwner {
-  private readonly _abort = new AbortController();
   private readonly _changed = new Map<string, EngineWork>();
   private readonly _began = new Set<string>();
   private readonly _ended = new Set<string>();
@@ -37,11 +36,6 @@
 
   constructor(private readonly _options: LoadNewsOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
     this.register(
       _options.broadcast.onMessage((payload) => {
         this._receive(payload);
@@ -91,7 +85,7 @@
 
   private async _run(): Promise<void> {
     const { board, clock } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       await clock.sleep(WHOLE_INTERVAL_MS, signal);
       const { own } = board;
--- a/packages/gateway/src/common/placement/PromptReservations.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -38,7 +38,6 @@
 
 /** The reservations of one prompt. */
 export class PromptReservations extends DisposableOwner {
-  private readonly _abort = new AbortController();
   private _hasUnanswered = false;
 
   constructor(
@@ -48,7 +47,6 @@
     super();
     this.register(
       toDisposable(() => {
-        this._abort.abort();
         void this._releaseAll();
       }),
     );
@@ -70,7 +68,7 @@
   }
 
   private async _renewTask(): Promise<void> {
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     for (;;) {
       await this._options.clock.sleep(RENEW_MS, signal);
       if (signal.aborted) {
--- a/packages/gateway/src/common/state/KeyedFollower.ts
+++ b/packages/gateway/src/common/state/KeyedFollower.ts
@@ -10,7 +10,6 @@
   type Metrics,
   type RandomSource,
   type ServiceError,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
@@ -42,18 +41,12 @@
 
 /** The follower of one topic. */
 export class KeyedFollower extends DisposableOwner {
-  private readonly _abort = new AbortController();
   private _answeredAt = Number.NEGATIVE_INFINITY;
   private _failedAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
 
   constructor(private readonly _options: FollowerOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   /** Name of the topic. */
@@ -77,7 +70,7 @@
 
   private async _run(): Promise<void> {
     const { clock, random } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     let needsSnapshot = true;
     while (!signal.aborted) {
       if (!needsSnapshot && !this._options.isPolling()) {
--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -2,7 +2,7 @@
  * Finds the other nodes through the platform when the seeds of the settings are stale: each node
  * leaves its peer address there when it starts, and a node without peers reads the addresses left.
  */
-import { type Clock, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
 import type { SwimMembership } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { NodeRegistry } from '../services/Services.js';
@@ -22,15 +22,8 @@
 
 /** The directory as one node uses it. */
 export class NodeDirectory extends DisposableOwner {
-  private readonly _abort = new AbortController();
-
   constructor(private readonly _options: NodeDirectoryOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -41,19 +34,19 @@
   private async _announce(): Promise<void> {
     const { clock, log, membership, registry } = this._options;
     const { name, peerAddress } = membership.self;
-    while (!this._abort.signal.aborted) {
+    while (!this.disposal.aborted) {
       const announced = await registry.announce(name, peerAddress, CALL_TIMEOUT_MS);
       if (announced.isOk) {
         return;
       }
       log.note('node.unannounced', { cause: announced.error.message });
-      await clock.sleep(RETRY_MS, this._abort.signal);
+      await clock.sleep(RETRY_MS, this.disposal);
     }
   }
 
   private async _findPeers(): Promise<void> {
     const { clock, log, membership, registry } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     await clock.sleep(SEED_WAIT_MS, signal);
     while (!signal.aborted && membership.live.length < 2) {
       const listed = await registry.list(CALL_TIMEOUT_MS);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -9,7 +9,6 @@
   ErrorKind,
   type RandomSource,
   ServiceError,
-  toDisposable,
 } from '@tanagerdyke/kernel';
 import {
   bySchema,
@@ -85,7 +84,6 @@
 
 /** The relay of one node. */
 export class PeerRelay extends DisposableOwner {
-  private readonly _abort = new AbortController();
   private readonly _fetching = new Set<string>();
   private _pollerHeardAt: number;
   private _unsettledHeardAt = Number.NEGATIVE_INFINITY;
@@ -94,11 +92,6 @@
     super();
     const { clock, tables, transport } = _options;
     this._pollerHeardAt = clock.now();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
     this.register(transport.onDatagram((payload) => void this._onDatagram(payload)));
     this.register(
       transport.handle(
@@ -143,7 +136,7 @@
 
   private async _run(): Promise<void> {
     const { clock } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       this._tell();
       await clock.sleep(PROGRESS_INTERVAL_MS, signal);
@@ -219,7 +212,7 @@
     }
     this._fetching.add(table.name);
     if (table.isKnown) {
-      await clock.sleep(FETCH_DELAY_MS, this._abort.signal);
+      await clock.sleep(FETCH_DELAY_MS, this.disposal);
     }
     if (end > table.end) {
       const after = table.isKnown ? table.end : 0;
--- a/packages/kernel/src/common/Disposables.test.ts
+++ b/packages/kernel/src/common/Disposables.test.ts
@@ -7,6 +7,10 @@
   public hold(held: Disposable): void {
     this.register(held);
   }
+
+  public signal(): AbortSignal {
+    return this.disposal;
+  }
 }
 
 describe('DisposableOwner', () => {
@@ -29,4 +33,22 @@
       expect(released).toEqual([1]);
     });
   });
+
+  describe('disposal', () => {
+    it('aborts after what is held was released', () => {
+      const owner = new Owner();
+      const states: boolean[] = [];
+      const signal = owner.signal();
+      owner.hold(toDisposable(() => states.push(signal.aborted)));
+      expect(signal.aborted).toBe(false);
+      owner.dispose();
+      expect([...states, signal.aborted]).toEqual([false, true]);
+    });
+
+    it('is aborted when it is first asked for afterwards', () => {
+      const owner = new Owner();
+      owner.dispose();
+      expect(owner.signal().aborted).toBe(true);
+    });
+  });
 });
--- a/packages/kernel/src/common/Disposables.ts
+++ b/packages/kernel/src/common/Disposables.ts
@@ -22,6 +22,7 @@
 export class DisposableOwner implements Disposable {
   private readonly _held = new Set<Disposable>();
   private _disposed = false;
+  private _disposal: AbortController | undefined;
 
   public get isDisposed(): boolean {
     return this._disposed;
@@ -34,6 +35,16 @@
     for (const each of held) {
       each.dispose();
     }
+    this._disposal?.abort();
+  }
+
+  /** Aborts once the owner is disposed; ends the waits of its tasks. */
+  protected get disposal(): AbortSignal {
+    this._disposal ??= new AbortController();
+    if (this._disposed) {
+      this._disposal.abort();
+    }
+    return this._disposal.signal;
   }
 
   /** Registers `held`; when the owner is already disposed it is released at once. */
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -3,7 +3,7 @@
  * parts of the system that a long cut had separated find each other. Both sides tell whom they hold
  * for dead; the other takes that for a suspicion only, which those concerned can refute.
  */
-import { type Clock, DisposableOwner, type RandomSource, toDisposable } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import * as z from 'zod';
 import { isLive, type MemberTable } from './MemberTable.js';
@@ -31,15 +31,8 @@
 
 /** The joining of one node, and its answers to others that join. */
 export class SeedJoiner extends DisposableOwner {
-  private readonly _abort = new AbortController();
-
   constructor(private readonly _options: JoinerOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
     this.register(
       _options.transport.handle(JOIN_METHOD, (params) => Promise.resolve(this._answer(params))),
     );
@@ -47,7 +40,7 @@
 
   public async run(): Promise<void> {
     const { clock, random } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const absent = this._absentSeeds();
       const isAlone = !this._hasPeers();
--- a/packages/serving/src/common/AdmissionQueue.ts
+++ b/packages/serving/src/common/AdmissionQueue.ts
@@ -86,7 +86,6 @@
 class Lane<T> extends DisposableOwner {
   /** Workspaces in the order of their turns. */
   private readonly _turns = new Map<string, Turn<T>>();
-  private readonly _abort = new AbortController();
   private _size = 0;
   private _waitingTokens = 0;
   private _isServing = false;
@@ -95,11 +94,6 @@
 
   constructor(private readonly _clock: Clock) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public get size(): number {
@@ -155,7 +149,7 @@
       if (placed.isErr && placed.error.kind === ErrorKind.Overloaded) {
         const pauseMs = placed.error.retryAfterMs ?? MAX_PAUSE_MS;
         const boundedMs = Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, pauseMs));
-        await this._clock.sleep(boundedMs, this._abort.signal);
+        await this._clock.sleep(boundedMs, this.disposal);
         continue;
       }
       if (head.hasEnded) {
--- a/packages/serving/src/common/EngineReconciler.ts
+++ b/packages/serving/src/common/EngineReconciler.ts
@@ -4,13 +4,7 @@
  * run. Items of a node that is dead for good, or that disowns them, are freed; so a lost answer, a
  * dead owner or a cancelled caller never keeps memory.
  */
-import {
-  type Clock,
-  DisposableOwner,
-  type Metrics,
-  type TimeLine,
-  toDisposable,
-} from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type Metrics, type TimeLine } from '@tanagerdyke/kernel';
 import type { Engine, HeldItem } from '@tanagerdyke/contracts';
 import type { PlacedTarget } from '@tanagerdyke/configuration';
 import { isLive, type Member, type Membership, type Transport } from '@tanagerdyke/mesh';
@@ -44,17 +38,11 @@
 
 /** Reconciles the engines that this node owns. */
 export class EngineReconciler extends DisposableOwner {
-  private readonly _abort = new AbortController();
   /** Since when a holder is known to be gone. */
   private readonly _goneSince = new Map<string, number>();
 
   constructor(private readonly _options: ReconcilerOptions) {
     super();
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
     this.register(
       _options.membership.onChange((member) => {
         // A holder that came back gets the whole grace again.
@@ -68,7 +56,7 @@
   /** The task of one owned account; ends when `isOwned` no longer holds. */
   public async watch(account: TargetAccount, isOwned: () => boolean): Promise<void> {
     const { clock, directory } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted && isOwned()) {
       const placed = directory.find(account.target);
       if (placed !== undefined) {
--- a/packages/serving/src/common/TargetDirectory.ts
+++ b/packages/serving/src/common/TargetDirectory.ts
@@ -2,13 +2,7 @@
  * The targets of this node's configuration in force with their adapters, which of them are leaving,
  * and who owns each.
  */
-import {
-  type Clock,
-  DisposableOwner,
-  type ServiceError,
-  type TimeLine,
-  toDisposable,
-} from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type ServiceError, type TimeLine } from '@tanagerdyke/kernel';
 import {
   type Engine,
   type HostList,
@@ -48,7 +42,6 @@
   private readonly _leavingTargets = new Set<string>();
   /** Owners by target, as long as neither members nor the configuration change. */
   private readonly _owners = new Map<string, Member | undefined>();
-  private readonly _abort = new AbortController();
 
   constructor(private readonly _options: DirectoryOptions) {
     super();
@@ -57,11 +50,6 @@
     };
     this.register(_options.membership.onChange(forgetOwners));
     this.register(_options.configuration.onChange(forgetOwners));
-    this.register(
-      toDisposable(() => {
-        this._abort.abort();
-      }),
-    );
   }
 
   public start(): void {
@@ -154,7 +142,7 @@
 
   private async _hostListTask(): Promise<void> {
     const { clock, hostList } = this._options;
-    const { signal } = this._abort;
+    const { disposal: signal } = this;
     while (!signal.aborted) {
       const list = await hostList.list();
       if (list.isOk) {
