Compose the parts of forwarders for tests once

The endings model and the harness over loopback each composed decoder, tables, scheduler and budget; a third test had its own target. TestForwarding holds them; the harness keeps sockets only (352 to 169 lines). No assertion changed.

--- a/packages/gateway/src/node/Endings.test.ts
+++ b/packages/gateway/src/node/Endings.test.ts
@@ -4,8 +4,8 @@
 import { CallKind } from '../common/Messages.js';
 import { type Forwarders, playRequest, Violation } from './EndingsModel.js';
 import { Step } from './EndingsSteps.js';
-import { configuration } from './ForwardingHarness.js';
 import * as answers from './TargetExchange.js';
+import { configuration } from './TestForwarding.js';
 
 const SCRIPT_STEPS = 3;
 const ATTEMPTS = [1, 2, 3];
--- a/packages/gateway/src/node/EndingsModel.ts
+++ b/packages/gateway/src/node/EndingsModel.ts
@@ -5,22 +5,13 @@
  */
 import { EventEmitter } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { ManualClock, Metrics, SeededRandom } from '@tanagerdyke/kernel';
-import { Result } from 'true-myth';
-import { DecisionLog } from '../common/DecisionLog.js';
-import { CallKind, type TargetEntry } from '../common/Messages.js';
-import { EngineScheduler } from '../common/placement/EngineScheduler.js';
-import { LoadBoard } from '../common/placement/LoadBoard.js';
-import { TargetHealth } from '../common/placement/TargetHealth.js';
-import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
-import { ConfigurationState } from '../common/state/ConfigurationState.js';
-import { KeyedTable } from '../common/state/KeyedTable.js';
-import { TargetTable } from '../common/state/TargetTable.js';
+import { ManualClock } from '@tanagerdyke/kernel';
+import { CallKind } from '../common/Messages.js';
 import { CallerResponse, OwnStatus } from './CallerResponse.js';
+import { type Attempt, PlayedTarget, PLAYS, Step, UNRUN, wholeBody } from './EndingsSteps.js';
 import type { ForwardedRequest, ForwardingParts, RequestReport } from './ForwardedRequest.js';
-import { configuration, noReservations, publisherTo, testDialect } from './ForwardingHarness.js';
+import { configuration, targetEntry, TestForwarding } from './TestForwarding.js';
 import type { Exchange, ExchangeObserver, RequestSender, UpstreamRequest } from './Upstream.js';
-import { type Attempt, PlayedTarget, PLAYS, Step, UNRUN, wholeBody } from './EndingsSteps.js';
 
 const DEADLINE_MS = 3_000;
 /** Longer than any wait of a forwarder. */
@@ -131,29 +122,12 @@
   }
 
   private _parts(): ForwardingParts {
-    const clock = this._clock;
-    const random = new SeededRandom(1);
-    const log = new DecisionLog(clock, 'n', () => true);
-    const health = new TargetHealth(clock);
-    const targets = targetsOf(clock, log, this._kind === CallKind.Stream ? 'engine' : 'app');
-    const board = new LoadBoard(clock, 'n');
-    const publisher = publisherTo(board);
-    const common = { clock, random, targets, health, availabilityZone: 'a', liveNodes: () => 1 };
-    return {
-      ...common,
-      metrics: new Metrics(),
-      log,
-      dialect: testDialect,
-      configuration: new ConfigurationState(new KeyedTable('configuration'), decoderOf([]), log),
-      scheduler: new EngineScheduler({ ...common, board, publisher, newsDelayMs: () => 0 }),
-      engines: noReservations,
-      budget: new SharedRetryBudget(
-        clock,
-        { ratio: 0, windowMs: 10_000, allowance: 100 },
-        common.liveNodes,
-      ),
-      upstream: this._sender,
-    };
+    const test = new TestForwarding({ clock: this._clock, upstream: this._sender });
+    const service = this._kind === CallKind.Stream ? 'engine' : 'app';
+    for (let index = 0; index < TARGETS; index++) {
+      test.offer(targetEntry(`t${index}`, service, `t${index}:80`));
+    }
+    return test.parts;
   }
 
   private _request(): ForwardedRequest {
@@ -233,38 +207,3 @@
     this.destroyed = true;
   }
 }
-
-function targetsOf(clock: ManualClock, log: DecisionLog, service: string): TargetTable {
-  const entries = Array.from({ length: TARGETS }, (_each, index): TargetEntry => ({
-    id: `t${index}`,
-    service,
-    address: `t${index}:80`,
-    availabilityZone: 'a',
-    slots: 4,
-    isDraining: false,
-    bornAt: undefined,
-  }));
-  const table = new KeyedTable('targets');
-  const decoder = decoderOf(entries);
-  const targets = new TargetTable({ clock, table, decoder, log, isUnsettled: () => false });
-  const value = Buffer.from('x');
-  const records = entries.map(({ id }, offset) => ({ key: id, offset, value }));
-  table.replace({ records, end: records.length });
-  return targets;
-}
-
-function decoderOf(
-  entries: readonly TargetEntry[],
-): ConstructorParameters<typeof ConfigurationState>[1] {
-  return {
-    isConfiguration: () => true,
-    configuration: () => Result.ok(configuration),
-    target: (id) => {
-      const entry = entries.find((each) => each.id === id);
-      if (entry === undefined) {
-        throw new Error(`no target ${id} in the play`);
-      }
-      return Result.ok(entry);
-    },
-  };
-}
--- a/packages/gateway/src/node/Exchanges.test.ts
+++ b/packages/gateway/src/node/Exchanges.test.ts
@@ -3,24 +3,15 @@
 import { describe, expect, it } from 'vitest';
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
-import type { TargetEntry } from '../common/Messages.js';
 import type { CallerResponse } from './CallerResponse.js';
-import { testDialect } from './ForwardingHarness.js';
 import { exchangeStream, StreamEnd } from './StreamExchange.js';
+import { targetEntry, testDialect } from './TestForwarding.js';
 import type { Exchange, RequestSender } from './Upstream.js';
 import { exchangeWhole } from './WholeExchange.js';
 
 const TIME_LIMIT_MS = 60;
 
-const target: TargetEntry = {
-  id: 't1',
-  service: 'app',
-  address: '127.0.0.1:1',
-  availabilityZone: 'a',
-  slots: 4,
-  isDraining: false,
-  bornAt: undefined,
-};
+const target = targetEntry('t1', 'app', '127.0.0.1:1');
 
 /** Never answers, and counts what is sent. */
 class SilentUpstream implements RequestSender {
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -1,28 +1,11 @@
 /**
  * A gateway front between scripted targets and a raw caller, over loopback, for tests of what
- * becomes of a request. Its dialect uses header names of its own. Not shipped.
+ * becomes of a request. Not shipped.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { ErrorKind, Metrics, SeededRandom, ServiceError, SystemClock } from '@tanagerdyke/kernel';
-import { Result } from 'true-myth';
-import { DecisionLog } from '../common/DecisionLog.js';
-import { findHeader, keepEndToEnd } from '../common/HttpHeaders.js';
-import {
-  CallKind,
-  type EngineProfile,
-  type ForwardingConfiguration,
-  type ForwardRoute,
-  type TargetEntry,
-} from '../common/Messages.js';
-import { EngineScheduler, type WorkPublisher } from '../common/placement/EngineScheduler.js';
-import { type EngineWork, LoadBoard } from '../common/placement/LoadBoard.js';
-import { TargetHealth } from '../common/placement/TargetHealth.js';
-import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
-import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
-import { ConfigurationState } from '../common/state/ConfigurationState.js';
-import { KeyedTable } from '../common/state/KeyedTable.js';
-import { TargetTable } from '../common/state/TargetTable.js';
+import { SystemClock } from '@tanagerdyke/kernel';
 import { GatewayFront } from './GatewayFront.js';
+import { targetEntry, TestForwarding } from './TestForwarding.js';
 import { Upstream } from './Upstream.js';
 
 const HOST = '127.0.0.1';
@@ -30,173 +13,28 @@
 /** Answers one request that a target received. */
 export type TargetScript = (socket: Socket, request: string) => void;
 
-/** Engines that take no reservations. */
-export const noReservations: EngineReservations = {
-  reserve: () => Promise.resolve(Result.err(refusal('no reservations here'))),
-  release: () => Promise.resolve(Result.ok(undefined)),
-};
-
-/** Keeps the work of the only node, `n`, on its board. */
-export function publisherTo(board: LoadBoard): WorkPublisher {
-  const keep = (work: EngineWork): void => {
-    board.set('n', work);
-  };
-  return {
-    publish: keep,
-    begin: keep,
-    withdraw: (id) => {
-      board.end('n', id);
-    },
-  };
-}
-
-/** Short names in place of a platform's. */
-export const testDialect: Dialect = {
-  readyPath: '/ready',
-  addressPath: '/addresses',
-  readCaller: (headers) => ({
-    attemptId: findHeader(headers, 'attempt'),
-    host: findHeader(headers, 'host') ?? '',
-    waitsMs: numberOf(findHeader(headers, 'waits')),
-    key: findHeader(headers, 'key'),
-    promptTokens: numberOf(findHeader(headers, 'prompt')) ?? 0,
-    outputTokens: numberOf(findHeader(headers, 'output')) ?? 0,
-    lastEventId: findHeader(headers, 'last'),
-  }),
-  markForwarded: (headers, marks) => {
-    if (findHeader(headers, 'defect') !== undefined) {
-      throw new Error('a defect that a test asked for');
-    }
-    const kept = keepEndToEnd(headers, new Set(['content-length', 'key', 'waits', 'last']));
-    const last = marks.lastEventId === undefined ? [] : ['Last', marks.lastEventId];
-    return [...kept, 'Waits', String(Math.floor(marks.waitsMs)), 'Target', marks.targetId, ...last];
-  },
-  readAnswer: (status, headers) => ({
-    status,
-    attemptId: findHeader(headers, 'attempt'),
-    isNotRun: findHeader(headers, 'not-run') !== undefined,
-    isMisdirected: false,
-    failedAddress: findHeader(headers, 'failed-at'),
-  }),
-  readAddressQuestion: () => ({ region: '', availabilityZone: '' }),
-  writeAddresses: (addresses) => JSON.stringify(addresses),
-};
-
-const profile: EngineProfile = {
-  slots: 4,
-  memoryTokens: 100_000,
-  stepMs: 1,
-  sequenceMs: 0,
-  contextThousandMs: 0,
-  prefillTokensPerMs: 1_000,
-  pairsMillionMs: 0,
-  chunkTokens: 2_000,
-  stride: 1,
-};
-
-/** The routes of the harness, by their kind. */
-export const configuration: ForwardingConfiguration = {
-  version: 1,
-  routes: [
-    routeOf('/idempotent/', CallKind.Idempotent, 'app'),
-    routeOf('/once/', CallKind.NonIdempotent, 'app'),
-    routeOf('/stream/', CallKind.Stream, 'engine'),
-  ],
-  services: [
-    { name: 'app', maxConnections: 50, engine: undefined },
-    { name: 'engine', maxConnections: 50, engine: profile },
-  ],
-  workspaces: [{ name: 'w', keys: ['k'], priority: undefined }],
-  limits: { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 },
-};
-
-function routeOf(pathPrefix: string, kind: CallKind, service: string): ForwardRoute {
-  return {
-    name: pathPrefix,
-    host: 'test',
-    pathPrefix,
-    kind,
-    timeoutMs: 3_000,
-    latencyTargetMs: 300,
-    pauseTargetMs: 200,
-    maxAttempts: 2,
-    isOpen: false,
-    isResumable: true,
-    priority: 1,
-    shares: [{ service, weight: 1 }],
-  };
-}
-
 /** One front with its targets. */
 export class ForwardingHarness {
   public readonly lines: string[] = [];
   public readonly received: string[] = [];
   public isDraining = false;
-  private readonly _clock = new SystemClock();
   private readonly _servers: Server[] = [];
   private readonly _upstream = new Upstream();
-  private readonly _configurationRecords = new KeyedTable('configuration');
-  private readonly _targetRecords = new KeyedTable('targets');
-  private readonly _entries = new Map<string, TargetEntry>();
+  private readonly _test: TestForwarding;
   private readonly _front: GatewayFront;
   private _port = 0;
 
-  constructor(budgetAllowance = 100) {
-    const clock = this._clock;
-    const random = new SeededRandom(1);
-    const log = new DecisionLog(clock, 'n', (line) => this.lines.push(line) > 0);
-    const decoder: RecordDecoder = {
-      isConfiguration: () => true,
-      configuration: () => Result.ok(configuration),
-      target: (id) => {
-        const entry = this._entries.get(id);
-        return entry === undefined ? Result.err(refusal('unknown')) : Result.ok(entry);
-      },
-    };
-    const health = new TargetHealth(clock);
-    const targets = new TargetTable({
-      clock,
-      table: this._targetRecords,
-      decoder,
-      log,
-      isUnsettled: () => false,
+  constructor(budgetAllowance?: number) {
+    this._test = new TestForwarding({
+      clock: new SystemClock(),
+      upstream: this._upstream,
+      onLine: (line) => this.lines.push(line),
+      ...(budgetAllowance !== undefined && { budgetAllowance }),
+    });
+    this._front = new GatewayFront(this._test.parts, {
+      isClosed: () => false,
+      isDraining: () => this.isDraining,
     });
-    const board = new LoadBoard(clock, 'n');
-    const publisher = publisherTo(board);
-    const availabilityZone = 'a';
-    this._front = new GatewayFront(
-      {
-        clock,
-        random,
-        metrics: new Metrics(),
-        log,
-        dialect: testDialect,
-        configuration: new ConfigurationState(this._configurationRecords, decoder, log),
-        targets,
-        health,
-        scheduler: new EngineScheduler({
-          clock,
-          targets,
-          board,
-          publisher,
-          health,
-          availabilityZone,
-          random,
-          liveNodes: () => 1,
-          newsDelayMs: () => 0,
-        }),
-        engines: noReservations,
-        budget: new SharedRetryBudget(
-          clock,
-          { ratio: 0, windowMs: 10_000, allowance: budgetAllowance },
-          () => 1,
-        ),
-        upstream: this._upstream,
-        availabilityZone,
-        liveNodes: () => 1,
-      },
-      { isClosed: () => false, isDraining: () => this.isDraining },
-    );
   }
 
   /** Listens; the configuration is known unless the test publishes it itself. */
@@ -212,10 +50,7 @@
 
   /** Makes the configuration known to the front. */
   public publish(): void {
-    this._configurationRecords.replace({
-      records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
-      end: 1,
-    });
+    this._test.publish();
   }
 
   public async stop(): Promise<void> {
@@ -252,17 +87,7 @@
   }
 
   private _offer(id: string, service: string, port: number): void {
-    this._entries.set(id, {
-      id,
-      service,
-      address: `${HOST}:${port}`,
-      availabilityZone: 'a',
-      slots: profile.slots,
-      isDraining: false,
-      bornAt: undefined,
-    });
-    const offset = this._targetRecords.end;
-    this._targetRecords.apply([{ key: id, offset, value: Buffer.from('x') }], offset + 1);
+    this._test.offer(targetEntry(id, service, `${HOST}:${port}`));
   }
 
   /** Sends raw bytes and returns everything that comes until the connection closes. */
@@ -342,11 +167,3 @@
     });
   });
 }
-
-function numberOf(text: string | undefined): number | undefined {
-  return text === undefined ? undefined : Number(text);
-}
-
-function refusal(message: string): ServiceError {
-  return new ServiceError(ErrorKind.Overloaded, message, { remedy: 'none' });
-}
--- /dev/null
+++ b/packages/gateway/src/node/TestForwarding.ts
@@ -0,0 +1,225 @@
+/**
+ * The parts of forwarders with a dialect, routes and targets for tests, in place of a platform's. Not
+ * shipped.
+ */
+import { type Clock, ErrorKind, Metrics, SeededRandom, ServiceError } from '@tanagerdyke/kernel';
+import { Result } from 'true-myth';
+import { DecisionLog } from '../common/DecisionLog.js';
+import { findHeader, keepEndToEnd } from '../common/HttpHeaders.js';
+import {
+  CallKind,
+  type EngineProfile,
+  type ForwardingConfiguration,
+  type ForwardRoute,
+  type TargetEntry,
+} from '../common/Messages.js';
+import { EngineScheduler, type WorkPublisher } from '../common/placement/EngineScheduler.js';
+import { type EngineWork, LoadBoard } from '../common/placement/LoadBoard.js';
+import { TargetHealth } from '../common/placement/TargetHealth.js';
+import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
+import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
+import { ConfigurationState } from '../common/state/ConfigurationState.js';
+import { KeyedTable } from '../common/state/KeyedTable.js';
+import { TargetTable } from '../common/state/TargetTable.js';
+import type { ForwardingParts } from './ForwardedRequest.js';
+import type { RequestSender } from './Upstream.js';
+
+const ZONE = 'a';
+
+/** Engines that take no reservations. */
+const noReservations: EngineReservations = {
+  reserve: () => Promise.resolve(Result.err(refusal('no reservations here'))),
+  release: () => Promise.resolve(Result.ok(undefined)),
+};
+
+/** Keeps the work of the only node, `n`, on its board. */
+function publisherTo(board: LoadBoard): WorkPublisher {
+  const keep = (work: EngineWork): void => {
+    board.set('n', work);
+  };
+  return {
+    publish: keep,
+    begin: keep,
+    withdraw: (id) => {
+      board.end('n', id);
+    },
+  };
+}
+
+/** Short names in place of a platform's. */
+export const testDialect: Dialect = {
+  readyPath: '/ready',
+  addressPath: '/addresses',
+  readCaller: (headers) => ({
+    attemptId: findHeader(headers, 'attempt'),
+    host: findHeader(headers, 'host') ?? '',
+    waitsMs: numberOf(findHeader(headers, 'waits')),
+    key: findHeader(headers, 'key'),
+    promptTokens: numberOf(findHeader(headers, 'prompt')) ?? 0,
+    outputTokens: numberOf(findHeader(headers, 'output')) ?? 0,
+    lastEventId: findHeader(headers, 'last'),
+  }),
+  markForwarded: (headers, marks) => {
+    if (findHeader(headers, 'defect') !== undefined) {
+      throw new Error('a defect that a test asked for');
+    }
+    const kept = keepEndToEnd(headers, new Set(['content-length', 'key', 'waits', 'last']));
+    const last = marks.lastEventId === undefined ? [] : ['Last', marks.lastEventId];
+    return [...kept, 'Waits', String(Math.floor(marks.waitsMs)), 'Target', marks.targetId, ...last];
+  },
+  readAnswer: (status, headers) => ({
+    status,
+    attemptId: findHeader(headers, 'attempt'),
+    isNotRun: findHeader(headers, 'not-run') !== undefined,
+    isMisdirected: false,
+    failedAddress: findHeader(headers, 'failed-at'),
+  }),
+  readAddressQuestion: () => ({ region: '', availabilityZone: '' }),
+  writeAddresses: (addresses) => JSON.stringify(addresses),
+};
+
+const profile: EngineProfile = {
+  slots: 4,
+  memoryTokens: 100_000,
+  stepMs: 1,
+  sequenceMs: 0,
+  contextThousandMs: 0,
+  prefillTokensPerMs: 1_000,
+  pairsMillionMs: 0,
+  chunkTokens: 2_000,
+  stride: 1,
+};
+
+/** The routes of the harness, by their kind. */
+export const configuration: ForwardingConfiguration = {
+  version: 1,
+  routes: [
+    routeOf('/idempotent/', CallKind.Idempotent, 'app'),
+    routeOf('/once/', CallKind.NonIdempotent, 'app'),
+    routeOf('/stream/', CallKind.Stream, 'engine'),
+  ],
+  services: [
+    { name: 'app', maxConnections: 50, engine: undefined },
+    { name: 'engine', maxConnections: 50, engine: profile },
+  ],
+  workspaces: [{ name: 'w', keys: ['k'], priority: undefined }],
+  limits: { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 },
+};
+
+function routeOf(pathPrefix: string, kind: CallKind, service: string): ForwardRoute {
+  return {
+    name: pathPrefix,
+    host: 'test',
+    pathPrefix,
+    kind,
+    timeoutMs: 3_000,
+    latencyTargetMs: 300,
+    pauseTargetMs: 200,
+    maxAttempts: 2,
+    isOpen: false,
+    isResumable: true,
+    priority: 1,
+    shares: [{ service, weight: 1 }],
+  };
+}
+
+/** A target that takes requests. */
+export function targetEntry(id: string, service: string, address: string): TargetEntry {
+  return {
+    id,
+    service,
+    address,
+    availabilityZone: ZONE,
+    slots: profile.slots,
+    isDraining: false,
+    bornAt: undefined,
+  };
+}
+
+/** What a test chooses of its parts. */
+export interface TestForwardingOptions {
+  readonly clock: Clock;
+  readonly upstream: RequestSender;
+  /** Takes each line of the decision log. */
+  readonly onLine?: (line: string) => void;
+  /** Retries that the budget has at first; it earns none. */
+  readonly budgetAllowance?: number;
+}
+
+/** The parts of forwarders on one node, `n`, with targets and a configuration that tests offer. */
+export class TestForwarding {
+  public readonly parts: ForwardingParts;
+  private readonly _configurationRecords = new KeyedTable('configuration');
+  private readonly _targetRecords = new KeyedTable('targets');
+  private readonly _entries = new Map<string, TargetEntry>();
+
+  constructor({ budgetAllowance = 100, clock, onLine, upstream }: TestForwardingOptions) {
+    const random = new SeededRandom(1);
+    const log = new DecisionLog(clock, 'n', (line) => {
+      onLine?.(line);
+      return true;
+    });
+    const decoder: RecordDecoder = {
+      isConfiguration: () => true,
+      configuration: () => Result.ok(configuration),
+      target: (id) => {
+        const entry = this._entries.get(id);
+        return entry === undefined ? Result.err(refusal('unknown')) : Result.ok(entry);
+      },
+    };
+    const targets = new TargetTable({
+      clock,
+      table: this._targetRecords,
+      decoder,
+      log,
+      isUnsettled: () => false,
+    });
+    const board = new LoadBoard(clock, 'n');
+    const liveNodes = (): number => 1;
+    const health = new TargetHealth(clock);
+    const common = { clock, random, targets, health, availabilityZone: ZONE, liveNodes };
+    this.parts = {
+      ...common,
+      metrics: new Metrics(),
+      log,
+      dialect: testDialect,
+      configuration: new ConfigurationState(this._configurationRecords, decoder, log),
+      scheduler: new EngineScheduler({
+        ...common,
+        board,
+        publisher: publisherTo(board),
+        newsDelayMs: () => 0,
+      }),
+      engines: noReservations,
+      budget: new SharedRetryBudget(
+        clock,
+        { ratio: 0, windowMs: 10_000, allowance: budgetAllowance },
+        liveNodes,
+      ),
+      upstream,
+    };
+  }
+
+  /** Makes the configuration known. */
+  public publish(): void {
+    this._configurationRecords.replace({
+      records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
+      end: 1,
+    });
+  }
+
+  /** Makes a target known. */
+  public offer(entry: TargetEntry): void {
+    this._entries.set(entry.id, entry);
+    const offset = this._targetRecords.end;
+    this._targetRecords.apply([{ key: entry.id, offset, value: Buffer.from('x') }], offset + 1);
+  }
+}
+
+function numberOf(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
+function refusal(message: string): ServiceError {
+  return new ServiceError(ErrorKind.Overloaded, message, { remedy: 'none' });
+}
