--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,4 +1,5 @@
-/** In-memory fakes of the outside contracts for focused tests. Private; not shipped. */
+/** Fakes of the outside contracts for focused tests, in memory and on loopback. Private; not shipped. */
 export * from './common/FixedMembership.js';
 export * from './common/MemoryLog.js';
 export * from './common/MemoryNetwork.js';
+export * from './node/Loopback.js';
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -3,6 +3,7 @@
  * becomes of a request. Not shipped.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { closeServer, listenOnLoopback } from '@tanagerdyke/fakes';
 import { SystemClock } from '@tanagerdyke/kernel';
 import { GatewayFront } from './GatewayFront.js';
 import { targetEntry, TestForwarding } from './TestForwarding.js';
@@ -40,8 +41,8 @@
   /** Listens; the configuration is known unless the test publishes it itself. */
   public async start(isConfigured = true): Promise<void> {
     const probe = createServer();
-    this._port = await listen(probe);
-    await close(probe);
+    this._port = await listenOnLoopback(probe);
+    await closeServer(probe);
     await this._front.listen(`${HOST}:${this._port}`);
     if (isConfigured) {
       this.publish();
@@ -56,7 +57,7 @@
   public async stop(): Promise<void> {
     this._front.dispose();
     this._upstream.dispose();
-    await Promise.all(this._servers.map(close));
+    await Promise.all(this._servers.map(closeServer));
   }
 
   /** Adds a target that answers each whole request by a script. */
@@ -75,14 +76,14 @@
       });
     });
     this._servers.push(server);
-    this._offer(id, service, await listen(server));
+    this._offer(id, service, await listenOnLoopback(server));
   }
 
   /** Adds a target that nothing listens for. */
   public async addUnreachableTarget(id: string, service: string): Promise<void> {
     const server = createServer();
-    const port = await listen(server);
-    await close(server);
+    const port = await listenOnLoopback(server);
+    await closeServer(server);
     this._offer(id, service, port);
   }
 
@@ -150,20 +151,3 @@
   const length = /content-length: (\d+)/i.exec(text)?.[1] ?? '0';
   return head !== -1 && text.length >= head + 4 + Number(length);
 }
-
-function listen(server: Server): Promise<number> {
-  return new Promise((resolve) => {
-    server.listen(0, HOST, () => {
-      const bound = server.address();
-      resolve(typeof bound === 'object' && bound !== null ? bound.port : 0);
-    });
-  });
-}
-
-function close(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => {
-      resolve();
-    });
-  });
-}
--- a/packages/gateway/src/node/Upstream.test.ts
+++ b/packages/gateway/src/node/Upstream.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server, type Socket } from 'node:net';
+import { listenOnLoopback } from '@tanagerdyke/fakes';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { TargetEntry } from '../common/Messages.js';
 import { Upstream } from './Upstream.js';
@@ -36,11 +37,7 @@
         answer(socket);
       });
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const bound = server.address();
-    const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+    const port = await listenOnLoopback(server);
     target = {
       id: 't1',
       service: 'app',
