--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -16,6 +16,7 @@
   type RawHeaders,
 } from '../common/Messages.js';
 import { chooseShare } from '../common/RouteShares.js';
+import { BodyReader } from './BodyReader.js';
 import { CallerResponse, type OwnAnswer } from './CallerResponse.js';
 import { forwardCall } from './CallForwarder.js';
 import {
@@ -43,8 +44,6 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Colon and space, or the end of a line. */
 const SEPARATOR_BYTES = 2;
-/** Bodies held at once by all requests; more would endanger the memory limit of a small host. */
-const MAX_HELD_BYTES = 96 * 1024 * 1024;
 /** A caller that tries another address loses more than this. */
 const CONFIGURATION_WAIT_MS = 500;
 
@@ -57,8 +56,8 @@
 /** The front of one node. */
 export class GatewayFront extends DisposableOwner {
   private readonly _server: Server;
+  private readonly _bodies = new BodyReader();
   private _running = 0;
-  private _heldBytes = 0;
   private _lastRequestAt = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -203,7 +202,7 @@
     if (service === undefined) {
       return reject(caller, UNREADY);
     }
-    const body = await this._readBody(incoming, current.limits.bodyBytes, signal);
+    const body = await this._bodies.read(incoming, current.limits.bodyBytes, signal);
     if (body === undefined) {
       return reject(caller, signal.aborted ? CALLER_LEFT : TOO_LARGE);
     }
@@ -224,32 +223,6 @@
       signal,
     });
   }
-
-  /** The whole body; nothing when it is too large or the caller left. */
-  private async _readBody(
-    incoming: IncomingMessage,
-    limitBytes: number,
-    signal: AbortSignal,
-  ): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const chunk of incoming as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        this._heldBytes += chunk.length;
-        if (size > limitBytes || this._heldBytes > MAX_HELD_BYTES) {
-          return undefined;
-        }
-        chunks.push(chunk);
-      }
-    } catch {
-      // The caller left in the middle of its body; nothing was forwarded.
-      return undefined;
-    } finally {
-      this._heldBytes -= size;
-    }
-    return signal.aborted ? undefined : Buffer.concat(chunks);
-  }
 }
 
 /** Why a request is not forwarded. */
