--- a/packages/gateway/src/common/placement/ActiveRequestTable.ts
+++ b/packages/gateway/src/common/placement/ActiveRequestTable.ts
@@ -37,6 +37,11 @@
 
 /** The requests of a node count for this long after its last update. */
 const NODE_TIMEOUT_MS = 2_500;
+/**
+ * A request that a coordinator placed this recently is kept if the full state of its node lacks it,
+ * since the node may have sent that state before it received the placement.
+ */
+const PLACEMENT_DELAY_MS = 500;
 
 interface NodeRequests {
   readonly requests: Map<string, ActiveRequest>;
@@ -106,9 +111,10 @@
   /** Removes all requests of a node except those named, which its latest full state lists. */
   public retain(node: string, ids: ReadonlySet<string>): void {
     const entry = this._entryOf(node);
-    entry.lastUpdateAt = this._clock.now();
-    for (const id of entry.requests.keys()) {
-      if (!ids.has(id)) {
+    const now = this._clock.now();
+    entry.lastUpdateAt = now;
+    for (const [id, { startedAt }] of entry.requests) {
+      if (!ids.has(id) && now - startedAt >= PLACEMENT_DELAY_MS) {
         entry.requests.delete(id);
       }
     }
--- /dev/null
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -0,0 +1,296 @@
+/**
+ * Plays the placement of prompts by a coordinator on a simulated network, with each fault that it
+ * can have: it is dead, frozen, cut off one way, loses datagrams, or does not know the service.
+ * A prompt must get its placement from the next node soon, and nothing may stay on the account.
+ */
+import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
+import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import type { Member } from '@tanagerdyke/mesh';
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { ActiveRequestTable } from './ActiveRequestTable.js';
+import { CellDirectory } from './CellDirectory.js';
+import { CoordinatorChannel } from './CoordinatorChannel.js';
+import { EngineScheduler } from './EngineScheduler.js';
+import { LoadBroadcaster } from './LoadBroadcaster.js';
+import { PlacementClient } from './PlacementClient.js';
+import { PlacementRefusal, RefusedPrompt } from './PlacementDecision.js';
+import { engineEntry, shortPrompt, simpleProfile } from './PlacementFixtures.js';
+import { PlacementServer } from './PlacementServer.js';
+import { type PlacedPrompt, PromptScheduler, type PromptToPlace } from './PromptScheduler.js';
+import { TargetHealth } from './TargetHealth.js';
+
+const NODES = 6;
+const ENGINES = 4;
+const SLOTS = 3;
+const CELL = { service: 'm', availabilityZone: undefined };
+
+function defined<T>(value: T | undefined): T {
+  if (value === undefined) {
+    throw new Error('the value is missing');
+  }
+  return value;
+}
+
+/** One node with all that takes part in placement. */
+class PlacementNode {
+  public readonly table: ActiveRequestTable;
+  public readonly prompts: PromptScheduler;
+  /** Engines that accept requests, as far as this node knows. */
+  public engines: readonly TargetEntry[];
+  public profile: EngineProfile | undefined = simpleProfile;
+
+  constructor(
+    self: Member,
+    members: readonly Member[],
+    network: MemoryNetwork,
+    engines: readonly TargetEntry[],
+  ) {
+    const { clock, random } = network;
+    const transport = network.join(self.peerAddress);
+    const membership = new FixedMembership(self, members);
+    const cells = new CellDirectory(membership);
+    const channel = new CoordinatorChannel({ clock, transport, membership, cells });
+    const health = new TargetHealth(clock);
+    this.engines = engines;
+    this.table = new ActiveRequestTable(clock, self.name);
+    const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
+    const common = { clock, random, targets, health, activeRequests: this.table, transport };
+    const scheduler = new EngineScheduler({ ...common, liveNodes: () => members.length });
+    new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
+    const publisher = new LoadBroadcaster({ ...common, channel, node: self.name });
+    publisher.start();
+    this.prompts = new PromptScheduler({
+      ...common,
+      scheduler,
+      publisher,
+      cells,
+      client: new PlacementClient({
+        clock,
+        transport,
+        findEngine: (id) => this.engines.find((each) => each.id === id),
+      }),
+      onPlaced: (cell) => {
+        channel.recordUse(cell);
+      },
+      node: self.name,
+      availabilityZone: self.availabilityZone,
+    });
+  }
+}
+
+describe('placement by a coordinator', () => {
+  const members = Array.from({ length: NODES }, (_each, index) =>
+    memberOf(`n${index}`, `127.0.0.1:${index + 1}`),
+  );
+  const engines = Array.from({ length: ENGINES }, (_each, index) =>
+    engineEntry(`e${index}`, SLOTS),
+  );
+  let clock: ManualClock;
+  let network: MemoryNetwork;
+  let nodes: Map<string, PlacementNode>;
+  let coordinator: Member;
+  let standby: Member;
+  let entries: readonly Member[];
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    network = new MemoryNetwork(clock, new SeededRandom(1));
+    nodes = new Map(
+      members.map((self) => [self.name, new PlacementNode(self, members, network, engines)]),
+    );
+    const [self] = members;
+    const directory = new CellDirectory(new FixedMembership(defined(self), members));
+    [coordinator, standby] = directory.coordinatorsOf(CELL) as [Member, Member];
+    entries = members.filter(({ name }) => name !== coordinator.name && name !== standby.name);
+  });
+
+  function nodeOf({ name }: Member): PlacementNode {
+    return defined(nodes.get(name));
+  }
+
+  function promptAt(entry: Member, waitMs = 0, signal = new AbortController().signal) {
+    const now = clock.now();
+    const prompt: PromptToPlace = {
+      ...shortPrompt,
+      service: 'm',
+      profile: simpleProfile,
+      dueAt: now + shortPrompt.dueInMs,
+      deadlineAt: now + shortPrompt.deadlineInMs,
+      workspace: 'w',
+      isReturning: false,
+      excluded: new Set(),
+    };
+    return nodeOf(entry).prompts.place(prompt, now + waitMs, signal);
+  }
+
+  /** Places prompts at the same moment, each at the next entry node. */
+  async function placeTogether(count: number, waitMs = 0) {
+    const pending = Array.from({ length: count }, (_each, index) =>
+      promptAt(defined(entries[index % entries.length]), waitMs),
+    );
+    await clock.advance(20);
+    return Promise.all(pending);
+  }
+
+  function placedOf(results: readonly (PlacedPrompt | RefusedPrompt)[]): PlacedPrompt[] {
+    return results.filter((each): each is PlacedPrompt => !(each instanceof RefusedPrompt));
+  }
+
+  it('never exceeds the slots of an engine when all nodes place at the same moment', async () => {
+    const placed = placedOf(await placeTogether(ENGINES * SLOTS));
+    const perEngine = engines.map(
+      ({ id }) => placed.filter(({ targets: [primary] }) => primary.id === id).length,
+    );
+    expect(perEngine).toEqual(engines.map(() => SLOTS));
+    expect(new Set(placed.map(({ decidedBy }) => decidedBy))).toEqual(new Set([coordinator.name]));
+  });
+
+  it('records placed prompts on the standby as well', async () => {
+    await placeTogether(5);
+    await clock.advance(10);
+    expect(nodeOf(standby).table.requests).toHaveLength(5);
+  });
+
+  it('removes prompts that ended from both accounts', async () => {
+    for (const placed of placedOf(await placeTogether(5))) {
+      placed.end();
+    }
+    await clock.advance(20);
+    expect(nodeOf(coordinator).table.requests).toEqual([]);
+    expect(nodeOf(standby).table.requests).toEqual([]);
+  });
+
+  describe('without a free slot', () => {
+    it('places a waiting prompt as soon as one ends', async () => {
+      const [first] = placedOf(await placeTogether(ENGINES * SLOTS));
+      await clock.advance(500);
+      const waiting = promptAt(defined(entries[0]), 2_000);
+      await clock.advance(200);
+      first?.end();
+      await clock.advance(40);
+      expect(await waiting).toMatchObject({ targets: [{ id: first?.targets[0].id }] });
+    });
+
+    it('refuses a prompt whose turn is not expected in time, without waiting', async () => {
+      await placeTogether(ENGINES * SLOTS);
+      await clock.advance(1_000);
+      const queued = Array.from({ length: 30 }, () => promptAt(defined(entries[0]), 2_000));
+      await clock.advance(20);
+      const outcomes = await Promise.all(
+        queued.map((each) => Promise.race([each, Promise.resolve('waiting')])),
+      );
+      const refused = outcomes.filter((each) => each instanceof RefusedPrompt);
+      expect(refused.length).toBeGreaterThan(10);
+      expect(new Set(refused.map(({ retryAfterMs }) => retryAfterMs)).size).toBe(refused.length);
+    });
+
+    it('drops the prompt of a caller that disconnects', async () => {
+      const [first] = placedOf(await placeTogether(ENGINES * SLOTS));
+      const caller = new AbortController();
+      const waiting = promptAt(defined(entries[0]), 2_000, caller.signal);
+      await clock.advance(100);
+      caller.abort();
+      await clock.advance(50);
+      expect(await waiting).toMatchObject({ refusal: PlacementRefusal.CallerDisconnected });
+      first?.end();
+      await clock.advance(100);
+      expect(nodeOf(coordinator).table.requests).toHaveLength(ENGINES * SLOTS - 1);
+    });
+
+    it('drops the prompts of an entry node that died', async () => {
+      const [, ofOtherEntry] = placedOf(await placeTogether(ENGINES * SLOTS));
+      const [dying] = entries;
+      void promptAt(defined(dying), 2_000);
+      await clock.advance(100);
+      for (const { peerAddress } of members) {
+        network.cut(dying?.peerAddress ?? '', peerAddress);
+      }
+      await clock.advance(400);
+      ofOtherEntry?.end();
+      await clock.advance(100);
+      expect(nodeOf(coordinator).table.requests).toHaveLength(ENGINES * SLOTS - 1);
+    });
+  });
+
+  describe.each([
+    [
+      'is dead',
+      () => {
+        network.leave(coordinator.peerAddress);
+      },
+    ],
+    [
+      'does not know the service',
+      () => {
+        nodeOf(coordinator).profile = undefined;
+      },
+    ],
+    [
+      'receives requests but its answers are lost',
+      () => {
+        for (const { peerAddress } of entries) {
+          network.cut(coordinator.peerAddress, peerAddress);
+        }
+      },
+    ],
+  ])('by a coordinator that %s', (_condition, harm) => {
+    it('comes from the standby within 100 ms, and then without delay', async () => {
+      harm();
+      const [entry] = entries;
+      const first = promptAt(defined(entry));
+      await clock.advance(110);
+      expect(await first).toMatchObject({ decidedBy: standby.name });
+      const second = promptAt(defined(entry));
+      await clock.advance(5);
+      expect(await second).toMatchObject({ decidedBy: standby.name });
+    });
+
+    it('leaves one record of each prompt on both accounts', async () => {
+      harm();
+      const [entry] = entries;
+      const first = promptAt(defined(entry));
+      await clock.advance(110);
+      await first;
+      await clock.advance(2_000);
+      expect(nodeOf(standby).table.requests).toHaveLength(1);
+      expect(nodeOf(coordinator).table.requests.length).toBeLessThanOrEqual(1);
+    });
+  });
+
+  it('is decided by the entry node when neither coordinator responds', async () => {
+    network.leave(coordinator.peerAddress);
+    network.leave(standby.peerAddress);
+    const [entry] = entries;
+    const pending = promptAt(defined(entry));
+    await clock.advance(220);
+    expect(await pending).toMatchObject({ decidedBy: entry?.name });
+  });
+
+  it('survives lost datagrams without a second record of a prompt', async () => {
+    network.loss = 0.3;
+    const pending = Array.from({ length: 8 }, (_each, index) =>
+      promptAt(defined(entries[index % entries.length])),
+    );
+    await clock.advance(400);
+    const placed = placedOf(await Promise.all(pending));
+    expect(placed).toHaveLength(8);
+    network.loss = 0;
+    await clock.advance(2_500);
+    expect(nodeOf(coordinator).table.requests).toHaveLength(8);
+  });
+
+  it('avoids an engine that only the entry node knows to be draining', async () => {
+    const [entry] = entries;
+    const { engines: all } = nodeOf(defined(entry));
+    const first = promptAt(defined(entry));
+    await clock.advance(10);
+    const chosen = ((await first) as PlacedPrompt).targets[0].id;
+    nodeOf(defined(entry)).engines = all.filter(({ id }) => id !== chosen);
+    const second = promptAt(defined(entry));
+    await clock.advance(20);
+    expect(((await second) as PlacedPrompt).targets[0].id).not.toBe(chosen);
+    await clock.advance(2_000);
+    expect(nodeOf(coordinator).table.requests).toHaveLength(2);
+  });
+});
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -1,46 +1,39 @@
 /**
- * Places the prompts of this node on engines and publishes them as active requests. A prompt for
- * which no engine has capacity waits until requests end, for as long as an answer in time stays
- * possible, and is refused after that.
+ * Decides on which engines prompts are placed, on the account of active requests of this node. A
+ * prompt for which no engine has capacity waits in a queue until requests end. It is refused
+ * at arrival if its turn is not expected while it can wait.
  */
-import { awaitEvent, type Clock, type RandomSource } from '@tanagerdyke/kernel';
-import type { EngineProfile, TargetEntry } from '../Messages.js';
-import { type ActiveRequest, type ActiveRequestTable, toGenerating } from './ActiveRequestTable.js';
+import {
+  type Clock,
+  type Disposable,
+  DisposableOwner,
+  type RandomSource,
+} from '@tanagerdyke/kernel';
+import type { TargetEntry } from '../Messages.js';
+import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
+import { isInCell, keyOfCell } from './EngineCells.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
+import { prefillMs } from './EngineTiming.js';
+import { PlacementRefusal, type PromptRequest, RefusedPrompt } from './PlacementDecision.js';
 import { placementJitter } from './PlacementJitter.js';
-import { type PromptRequirements, promptValue } from './PlacementLoss.js';
+import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
+import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
+import { RetrySchedule } from './RetrySchedule.js';
 import type { TargetHealth } from './TargetHealth.js';
 
-/** A waiting prompt is evaluated again after this time even if no request changed. */
+/** The queue is evaluated again after this time even if no request changed. */
 const RECHECK_MS = 40;
-/**
- * Least time between two evaluations of a waiting prompt. In a burst, requests change every
- * millisecond, and one evaluation takes some milliseconds on a small host.
- */
-const MIN_WAIT_MS = 15;
-/**
- * Window over which the placements of all nodes are counted, as far as their requests are still
- * active. Their rate gives the number of placements that this node has not received yet.
- */
+/** Least time between two evaluations; in a burst, requests change every millisecond. */
+const MIN_EVALUATION_INTERVAL_MS = 5;
+/** Prompts without capacity after which an evaluation ends; the rest rank behind them. */
+const MAX_FAILURES_PER_EVALUATION = 3;
+/** Window over which placements are counted to estimate those that this node has no record of. */
 const RATE_WINDOW_MS = 1_000;
-/** Bounds of the time after which a refused caller should retry. */
-const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 1_500;
 /** Retry time of a prompt that would be a net loss; the load that makes it so lasts for seconds. */
 const NET_LOSS_RETRY_MS = 3_000;
-/** Request ids are counters, written in a large base to be short. */
-const ID_RADIX = 36;
-
-/** Records the requests of this node and notifies the other nodes of them. */
-export interface ActiveRequestPublisher {
-  /** Publishes a request that started. */
-  publish(request: ActiveRequest): void;
-  /** Publishes that a request began to generate. */
-  markGenerating(request: ActiveRequest): void;
-  /** Publishes that a request ended. */
-  remove(id: string): void;
-}
+/** Retry time while no engine accepts requests. */
+const NO_ENGINE_RETRY_MS = 1_500;
 
 /** The targets that accept requests. */
 export interface TargetSource {
@@ -52,184 +45,257 @@
   readonly clock: Clock;
   readonly targets: TargetSource;
   readonly activeRequests: ActiveRequestTable;
-  readonly publisher: ActiveRequestPublisher;
   readonly health: TargetHealth;
-  readonly availabilityZone: string;
   readonly random: RandomSource;
   /** Nodes that place prompts at the same time. */
   readonly liveNodes: () => number;
-  /** Time until all nodes have received the update about a placement. */
-  readonly updateDelayMs: () => number;
 }
 
-/** A prompt to be placed. */
-export interface PromptRequest {
-  readonly service: string;
-  readonly profile: EngineProfile;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  readonly latencyTargetMs: number;
-  readonly pauseTargetMs: number;
-  /** When the first event is due, on the clock of this node. */
-  readonly dueAt: number;
-  /** The deadline of the caller, on the same clock. */
-  readonly deadlineAt: number;
-  /** Ids of engines that failed this request. */
-  readonly excluded: ReadonlySet<string>;
+/** How far a decision can rely on the account. */
+export enum AccountState {
+  /** All placements of the cell are decided on this account. */
+  Complete = 'complete',
+  /** Other nodes place prompts that this account doesn't have. */
+  Partial = 'partial',
 }
 
-/** Why a prompt is not placed. */
-export enum PlacementRefusal {
-  /** No engine of the service accepts requests. */
-  NoEngine = 'no-engine',
-  /** No engine had capacity for as long as the prompt could wait. */
-  NoCapacity = 'no-room',
-  /** The prompt would cost other requests more than it is worth. */
-  NetLoss = 'harmful',
-  /** The caller disconnected while the prompt waited. */
-  CallerDisconnected = 'caller-left',
-}
+type Decision = PromptPlacement | RefusedPrompt;
 
-/** The refusal of a prompt, with its reason. */
-export class RefusedPrompt {
-  constructor(
-    public readonly refusal: PlacementRefusal,
-    /** Number of engines of the service that accept requests, including those excluded. */
-    public readonly engineCount: number,
-    /** Time after which the prompt is likely to be placed, so that the caller should retry. */
-    public readonly retryAfterMs: number,
-  ) {}
+interface QueuedPrompt extends WaitingPrompt {
+  readonly waitUntil: number;
+  readonly account: AccountState;
+  readonly signal: AbortSignal;
+  readonly resolve: (decision: Decision) => void;
 }
 
-/** A placed prompt, which counts as an active request until `end` is called. */
-export interface PlacedPrompt extends PromptPlacement {
-  /** Records that the first event was received. */
-  markGenerating(): void;
-  end(): void;
-}
+/** Places prompts in turn, each on the account that includes those before it. */
+export class EngineScheduler extends DisposableOwner {
+  private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
+  private readonly _retries = new RetrySchedule();
+  private _timer: Disposable | undefined;
+  private _evaluateAt = Number.POSITIVE_INFINITY;
 
-/** Schedules the prompts that enter at this node. */
-export class EngineScheduler {
-  private _placed = 0;
+  constructor(private readonly _options: SchedulerOptions) {
+    super();
+    this.register(
+      _options.activeRequests.onChange(() => {
+        if (this.waiting > 0) {
+          this._scheduleEvaluation(MIN_EVALUATION_INTERVAL_MS);
+        }
+      }),
+    );
+  }
 
-  constructor(private readonly _options: SchedulerOptions) {}
+  /** Number of prompts that wait for capacity. */
+  public get waiting(): number {
+    return [...this._queues.values()].reduce((sum, { size }) => sum + size, 0);
+  }
 
-  /** Places a prompt, waiting for capacity until `waitUntil` at most. */
-  public async place(
+  /** Decides on a prompt, after waiting for capacity until `waitUntil` at most. */
+  public decide(
     request: PromptRequest,
     waitUntil: number,
     signal: AbortSignal,
-  ): Promise<PlacedPrompt | RefusedPrompt> {
-    const { activeRequests: table, clock } = this._options;
-    for (;;) {
-      const { requests: activeRequests } = table;
-      const loads = this._computeLoads(request, activeRequests);
-      if (signal.aborted) {
-        return refuse(loads, PlacementRefusal.CallerDisconnected);
-      }
-      const placement = this._tryPlace(request, loads, activeRequests);
-      if (placement?.isNetLoss === true) {
-        return refuse(loads, PlacementRefusal.NetLoss);
-      }
-      if (placement !== undefined) {
-        return this._publish(request, placement);
+    account: AccountState,
+  ): Promise<Decision> {
+    const now = this._options.clock.now();
+    const queue = this._queueOf(request);
+    const waiting = { request, arrivedAt: now };
+    const ahead = queue.countAhead(waiting, now);
+    const decision = ahead === 0 ? this._decideNow(request, account, signal) : undefined;
+    if (decision !== undefined) {
+      return Promise.resolve(decision);
+    }
+    if (now + this._expectedWaitMs(request, ahead) >= waitUntil) {
+      return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
+    }
+    return new Promise((resolve) => {
+      queue.add({ ...waiting, waitUntil, account, signal, resolve });
+      this._scheduleEvaluation(RECHECK_MS);
+    });
+  }
+
+  private _queueOf({ cell }: PromptRequest): PromptQueue<QueuedPrompt> {
+    const key = keyOfCell(cell);
+    let queue = this._queues.get(key);
+    if (queue === undefined) {
+      queue = new PromptQueue();
+      this._queues.set(key, queue);
+    }
+    return queue;
+  }
+
+  private _scheduleEvaluation(delayMs: number): void {
+    const { clock } = this._options;
+    const at = clock.now() + delayMs;
+    if (at >= this._evaluateAt) {
+      return;
+    }
+    this._evaluateAt = at;
+    this._timer?.dispose();
+    this._timer = clock.schedule(delayMs, () => {
+      this._evaluateAt = Number.POSITIVE_INFINITY;
+      this._evaluate();
+    });
+  }
+
+  private _evaluate(): void {
+    if (this.isDisposed) {
+      return;
+    }
+    for (const queue of this._queues.values()) {
+      this._evaluateQueue(queue);
+    }
+    if (this.waiting > 0) {
+      this._scheduleEvaluation(RECHECK_MS);
+    }
+  }
+
+  private _evaluateQueue(queue: PromptQueue<QueuedPrompt>): void {
+    const now = this._options.clock.now();
+    let failures = 0;
+    for (const [index, prompt] of queue.inOrder(now).entries()) {
+      const { account, request, signal, waitUntil } = prompt;
+      const isOver = signal.aborted || now >= waitUntil;
+      const mayTry = failures < MAX_FAILURES_PER_EVALUATION;
+      let decision = mayTry || isOver ? this._decideNow(request, account, signal) : undefined;
+      if (decision === undefined) {
+        failures++;
+        decision = isOver ? this._refuse(request, PlacementRefusal.NoCapacity, index) : undefined;
       }
-      if (clock.now() >= waitUntil) {
-        return refuse(loads, PlacementRefusal.NoCapacity);
+      if (decision !== undefined) {
+        queue.remove(prompt);
+        prompt.resolve(decision);
       }
-      await clock.sleep(MIN_WAIT_MS, signal);
-      await awaitEvent(clock, table.onChange, () => true, RECHECK_MS).value;
     }
   }
 
-  private _computeLoads(
-    { profile, service }: PromptRequest,
-    activeRequests: readonly ActiveRequest[],
-  ): EngineLoad[] {
-    const { clock, targets } = this._options;
-    return computeLoads(profile, targets.acceptingTargets(service), activeRequests, clock.now());
+  /** Places or refuses a prompt; `undefined` when no engine has capacity. */
+  private _decideNow(
+    request: PromptRequest,
+    account: AccountState,
+    signal: AbortSignal,
+  ): Decision | undefined {
+    if (signal.aborted) {
+      return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
+    }
+    const { activeRequests: table, clock } = this._options;
+    const engines = this._enginesOf(request);
+    if (engines.length === 0) {
+      return undefined;
+    }
+    const { requests } = table;
+    const loads = computeLoads(request.profile, engines, requests, clock.now());
+    const placement = this._place(request, loads, this._randomLoss(account, requests));
+    if (placement?.isNetLoss === true) {
+      return this._refuse(request, PlacementRefusal.NetLoss, 0);
+    }
+    if (placement !== undefined) {
+      table.set(request.node, toActiveRequest(request, placement, clock.now()));
+    }
+    return placement;
   }
 
-  private _tryPlace(
+  private _enginesOf({ cell }: PromptRequest): readonly TargetEntry[] {
+    return this._options.targets
+      .acceptingTargets(cell.service)
+      .filter((engine) => isInCell(cell, engine));
+  }
+
+  private _place(
     request: PromptRequest,
     loads: readonly EngineLoad[],
-    activeRequests: readonly ActiveRequest[],
+    randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
     const { clock, health } = this._options;
     const eligible = loads.filter(({ entry }) => !request.excluded.has(entry.id));
-    const healthy = eligible.filter(({ entry }) => !health.isSuspect(entry.id));
-    const prompt: PromptRequirements = {
+    const healthy = eligible.filter(
+      ({ entry }) => !request.suspects.has(entry.id) && !health.isSuspect(entry.id),
+    );
+    const prompt = {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       dueInMs: request.dueAt - clock.now(),
       deadlineInMs: request.deadlineAt - clock.now(),
       latencyTargetMs: request.latencyTargetMs,
       pauseTargetMs: request.pauseTargetMs,
-      availabilityZone: this._options.availabilityZone,
+      availabilityZone: request.availabilityZone,
     };
     const candidates = healthy.length === 0 ? eligible : healthy;
-    return placePrompt(request.profile, prompt, candidates, this._placementJitter(activeRequests));
+    return placePrompt(request.profile, prompt, candidates, randomLoss);
   }
 
-  private _placementJitter(activeRequests: readonly ActiveRequest[]): RandomLoss {
-    const { clock, liveNodes, updateDelayMs, random } = this._options;
+  private _randomLoss(account: AccountState, requests: readonly ActiveRequest[]): RandomLoss {
+    if (account === AccountState.Complete) {
+      return () => 0;
+    }
+    const { clock, liveNodes, random } = this._options;
     const since = clock.now() - RATE_WINDOW_MS;
+    const ownPerSecond = requests.filter(({ startedAt }) => startedAt > since).length;
+    // Without updates, all that the other nodes placed in the last second is unknown.
+    const placedPerSecond = (ownPerSecond + 1) * liveNodes();
     return placementJitter({
       random,
       liveNodes: liveNodes(),
-      placedPerSecond: activeRequests.filter(({ startedAt }) => startedAt > since).length,
-      updateDelayMs: updateDelayMs(),
+      placedPerSecond,
+      updateDelayMs: RATE_WINDOW_MS,
     });
   }
 
-  private _publish(request: PromptRequest, placement: PromptPlacement): PlacedPrompt {
-    const { clock, publisher } = this._options;
-    const id = (this._placed++).toString(ID_RADIX);
-    const { promptTokens, outputTokens } = request;
-    const { reservedTokens, targets } = placement;
-    const isMemoryShared = reservedTokens > 0;
-    let activeRequest: ActiveRequest = {
-      id,
-      targets: targets.map((target) => target.id),
-      isMemoryShared,
-      partPrefillMs: placement.partPrefillMs,
-      startedAt: clock.now(),
-      dueAt: request.dueAt,
-      isGenerating: false,
-      pauseTargetMs: request.pauseTargetMs,
-      value: promptValue(promptTokens, outputTokens),
-      memoryTokens: isMemoryShared ? reservedTokens : promptTokens + outputTokens,
-      contextTokens: isMemoryShared ? reservedTokens : promptTokens,
-    };
-    publisher.publish(activeRequest);
-    let isEnded = false;
-    return {
-      ...placement,
-      markGenerating: () => {
-        if (!activeRequest.isGenerating && !isEnded) {
-          activeRequest = toGenerating(activeRequest);
-          publisher.markGenerating(activeRequest);
-        }
-      },
-      end: () => {
-        if (!isEnded) {
-          isEnded = true;
-          publisher.remove(id);
-        }
-      },
-    };
+  /**
+   * Time until `ahead` waiting prompts and this one get capacity. Active requests are half done in
+   * the mean, so they end within twice their mean age.
+   */
+  private _expectedWaitMs(request: PromptRequest, ahead: number): number {
+    const { activeRequests, clock } = this._options;
+    const ids = new Set(this._enginesOf(request).map(({ id }) => id));
+    const active = activeRequests.requests.filter(({ targets: [primary = ''] }) =>
+      ids.has(primary),
+    );
+    if (active.length === 0) {
+      return 0;
+    }
+    const now = clock.now();
+    const ages = active.reduce((sum, { startedAt }) => sum + (now - startedAt), 0);
+    const meanTimeMs = (2 * ages) / active.length;
+    return (ahead * meanTimeMs) / active.length;
   }
-}
 
-/** Refuses a prompt, with the time after which the caller should retry. */
-function refuse(loads: readonly EngineLoad[], refusal: PlacementRefusal): RefusedPrompt {
-  if (loads.length === 0) {
-    return new RefusedPrompt(PlacementRefusal.NoEngine, 0, MAX_RETRY_MS);
+  private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
+    const engineCount = this._enginesOf(request).length;
+    if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
+      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
+    }
+    const earliestMs =
+      refusal === PlacementRefusal.NetLoss
+        ? NET_LOSS_RETRY_MS
+        : this._expectedWaitMs(request, ahead + 1);
+    const turnMs = prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount);
+    const retryAfterMs = this._retries.next(this._options.clock.now(), earliestMs, turnMs);
+    return new RefusedPrompt(refusal, engineCount, retryAfterMs);
   }
-  const soonestMs = Math.min(...loads.map(({ backlogMs, passMs }) => backlogMs + passMs));
-  const retryAfterMs =
-    refusal === PlacementRefusal.NetLoss
-      ? NET_LOSS_RETRY_MS
-      : Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, soonestMs));
-  return new RefusedPrompt(refusal, loads.length, retryAfterMs);
+}
+
+/** The record of a prompt that was just placed. */
+export function toActiveRequest(
+  request: PromptRequest,
+  placement: PromptPlacement,
+  now: number,
+): ActiveRequest {
+  const { dueAt, id, outputTokens, pauseTargetMs, promptTokens } = request;
+  const { partPrefillMs, reservedTokens, targets } = placement;
+  const isMemoryShared = reservedTokens > 0;
+  return {
+    id,
+    targets: targets.map((target) => target.id),
+    isMemoryShared,
+    partPrefillMs,
+    startedAt: now,
+    dueAt,
+    isGenerating: false,
+    pauseTargetMs,
+    value: promptValue(promptTokens, outputTokens),
+    memoryTokens: isMemoryShared ? reservedTokens : promptTokens + outputTokens,
+    contextTokens: isMemoryShared ? reservedTokens : promptTokens,
+  };
 }
--- a/packages/gateway/src/common/placement/LoadBroadcaster.test.ts
+++ b/packages/gateway/src/common/placement/LoadBroadcaster.test.ts
@@ -1,8 +1,9 @@
 import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
 import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
-import { ZoneBroadcast } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { type ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
+import { CellDirectory } from './CellDirectory.js';
+import { CoordinatorChannel } from './CoordinatorChannel.js';
 import { LoadBroadcaster } from './LoadBroadcaster.js';
 
 const request: ActiveRequest = {
@@ -35,8 +36,10 @@
       const membership = new FixedMembership(self, members);
       const table = new ActiveRequestTable(clock, self.name);
       tables.push(table);
-      const broadcast = new ZoneBroadcast({ clock, transport, membership });
-      return new LoadBroadcaster({ clock, broadcast, node: self.name, activeRequests: table });
+      const cells = new CellDirectory(membership);
+      const channel = new CoordinatorChannel({ clock, transport, membership, cells });
+      channel.recordUse({ service: 'm', availabilityZone: undefined });
+      return new LoadBroadcaster({ clock, channel, node: self.name, activeRequests: table });
     });
     nodes[0]?.start();
   });
@@ -113,7 +116,7 @@
     it.each(['', '{', '{"method":"load"}', '{"method":"load","params":{"node":"a","works":[1]}}'])(
       'change nothing on the receiver: %s',
       async (payload) => {
-        network.find('127.0.0.1:1')?.sendDatagram('127.0.0.1:2', `F${payload}`);
+        network.find('127.0.0.1:1')?.sendDatagram('127.0.0.1:2', payload);
         await clock.advance(10);
         expect(tables[1]?.requests).toEqual([]);
       },
--- a/packages/gateway/src/common/placement/LoadBroadcaster.ts
+++ b/packages/gateway/src/common/placement/LoadBroadcaster.ts
@@ -3,8 +3,8 @@
  * updates. Changes are sent immediately, the full state every second to recover from lost
  * datagrams.
  */
-import { chunksOf, type Clock, DisposableOwner } from '@tanagerdyke/kernel';
-import { encodeNotification, notificationParser, type ZoneBroadcast } from '@tanagerdyke/mesh';
+import { chunksOf, type Clock, DisposableOwner, type Event } from '@tanagerdyke/kernel';
+import { encodeNotification, notificationParser } from '@tanagerdyke/mesh';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
 import { decodeRequest, encodeRequest, parseLoadUpdate, type WireLoadUpdate } from './LoadCodec.js';
 
@@ -22,10 +22,16 @@
 
 const parseUpdate = notificationParser(LOAD_METHOD, parseLoadUpdate);
 
+/** Carries load updates to the nodes that need them. Delivery is not guaranteed. */
+export interface LoadChannel {
+  send(payload: string): void;
+  readonly onMessage: Event<string>;
+}
+
 /** Dependencies of the load broadcaster. */
 export interface LoadBroadcasterOptions {
   readonly clock: Clock;
-  readonly broadcast: ZoneBroadcast;
+  readonly channel: LoadChannel;
   /** Name of this node. */
   readonly node: string;
   readonly activeRequests: ActiveRequestTable;
@@ -41,17 +47,12 @@
   constructor(private readonly _options: LoadBroadcasterOptions) {
     super();
     this.register(
-      _options.broadcast.onMessage((payload) => {
+      _options.channel.onMessage((payload) => {
         this._receive(payload);
       }),
     );
   }
 
-  /** Time until all nodes have received a change, if no datagram is lost. */
-  public get updateDelayMs(): number {
-    return COALESCE_MS + this._options.broadcast.deliveryDelayMs;
-  }
-
   /** Starts to send the full state periodically. */
   public start(): void {
     void this._sendFullStates();
@@ -149,7 +150,7 @@
   }
 
   private _send(update: WireLoadUpdate): void {
-    this._options.broadcast.send(encodeNotification(LOAD_METHOD, update));
+    this._options.channel.send(encodeNotification(LOAD_METHOD, update));
   }
 
   private _receive(payload: string): void {
--- /dev/null
+++ b/packages/gateway/src/common/placement/PlacementClient.ts
@@ -0,0 +1,136 @@
+/**
+ * Asks coordinators for placements, in datagrams. A coordinator may be dead, frozen or cut off at
+ * any time, and a prompt must not wait long for it: without an answer within a few round trips
+ * it counts as unresponsive, and is asked again by one prompt at a time only.
+ */
+import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import {
+  encodeNotification,
+  type Member,
+  notificationParser,
+  type Transport,
+} from '@tanagerdyke/mesh';
+import type { TargetEntry } from '../Messages.js';
+import {
+  CANCEL_METHOD,
+  decodeDecision,
+  encodeRequest,
+  parsePlacementAnswer,
+  PLACE_METHOD,
+  PLACED_METHOD,
+  type WirePlacementAnswer,
+} from './PlacementCodec.js';
+import type { PromptRequest, RefusedPrompt, UnusableChoice } from './PlacementDecision.js';
+import type { PromptPlacement } from './PromptPlacer.js';
+
+/** Interval at which a request is repeated, since datagrams get lost. */
+const REPEAT_MS = 30;
+/** Silence after which a coordinator is unresponsive: several round trips between zones. */
+const SILENCE_LIMIT_MS = 75;
+/** Time until an unresponsive coordinator is asked again. */
+const UNRESPONSIVE_MS = 1_000;
+
+const parseAnswer = notificationParser(PLACED_METHOD, parsePlacementAnswer);
+
+export interface PlacementClientOptions {
+  readonly clock: Clock;
+  readonly transport: Transport;
+  /** Returns an engine that accepts requests. */
+  readonly findEngine: (id: string) => TargetEntry | undefined;
+}
+
+/** What a coordinator decided. */
+export type CoordinatorAnswer = PromptPlacement | RefusedPrompt | UnusableChoice;
+
+interface PendingRequest {
+  lastAnswerAt: number;
+  readonly resolve: (answer: WirePlacementAnswer) => void;
+}
+
+/** Sends placement requests of this node and receives their answers. */
+export class PlacementClient extends DisposableOwner {
+  private readonly _pending = new Map<string, PendingRequest>();
+  private readonly _unresponsiveUntil = new Map<string, number>();
+
+  constructor(private readonly _options: PlacementClientOptions) {
+    super();
+    this.register(
+      _options.transport.onDatagram((payload) => {
+        this._receive(payload);
+      }),
+    );
+  }
+
+  /** Whether to ask a coordinator; one that was unresponsive is asked by the first caller only. */
+  public shouldAsk({ peerAddress }: Pick<Member, 'peerAddress'>): boolean {
+    const now = this._options.clock.now();
+    const until = this._unresponsiveUntil.get(peerAddress);
+    if (until === undefined) {
+      return true;
+    }
+    if (now < until) {
+      return false;
+    }
+    this._unresponsiveUntil.set(peerAddress, now + UNRESPONSIVE_MS);
+    return true;
+  }
+
+  /**
+   * Asks a coordinator. Returns `undefined` if it does not respond, or if the caller disconnects;
+   * in both cases the request is withdrawn.
+   */
+  public async ask(
+    { peerAddress }: Pick<Member, 'peerAddress'>,
+    request: PromptRequest,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<CoordinatorAnswer | undefined> {
+    const { clock, findEngine, transport } = this._options;
+    let answer: WirePlacementAnswer | undefined;
+    const answered = new AbortController();
+    const pending: PendingRequest = {
+      lastAnswerAt: clock.now(),
+      resolve: (received) => {
+        answer = received;
+        answered.abort();
+      },
+    };
+    this._pending.set(request.id, pending);
+    while (answer === undefined && !signal.aborted && this._isResponsive(pending)) {
+      const wire = encodeRequest(request, transport.address, waitUntil, clock.now());
+      transport.sendDatagram(peerAddress, encodeNotification(PLACE_METHOD, wire));
+      await clock.sleep(REPEAT_MS, answered.signal);
+    }
+    this._pending.delete(request.id);
+    if (answer === undefined || answer.state === 'waiting') {
+      this._withdraw(peerAddress, request, signal);
+      return undefined;
+    }
+    this._unresponsiveUntil.delete(peerAddress);
+    return decodeDecision(answer, findEngine);
+  }
+
+  private _isResponsive({ lastAnswerAt }: PendingRequest): boolean {
+    return this._options.clock.now() - lastAnswerAt < SILENCE_LIMIT_MS;
+  }
+
+  private _withdraw(address: string, { id, node }: PromptRequest, signal: AbortSignal): void {
+    const { clock, transport } = this._options;
+    if (!signal.aborted) {
+      this._unresponsiveUntil.set(address, clock.now() + UNRESPONSIVE_MS);
+    }
+    transport.sendDatagram(address, encodeNotification(CANCEL_METHOD, { node, id }));
+  }
+
+  private _receive(payload: string): void {
+    const answer = parseAnswer(payload);
+    const pending = answer === undefined ? undefined : this._pending.get(answer.id);
+    if (answer === undefined || pending === undefined) {
+      return;
+    }
+    pending.lastAnswerAt = this._options.clock.now();
+    if (answer.state !== 'waiting') {
+      pending.resolve(answer);
+    }
+  }
+}
--- a/packages/gateway/src/common/placement/PlacementFixtures.ts
+++ b/packages/gateway/src/common/placement/PlacementFixtures.ts
@@ -1,5 +1,6 @@
 /** An engine profile, target entries and a short prompt for placement tests. Not shipped. */
 import type { EngineProfile, TargetEntry } from '../Messages.js';
+import type { PromptRequest } from './PlacementDecision.js';
 import type { PromptRequirements } from './PlacementLoss.js';
 
 /** An engine whose pass without sequences takes 40 ms. */
@@ -38,3 +39,25 @@
     startedAt: undefined,
   };
 }
+
+/** A request to place the short prompt, with changes. */
+export function promptRequest(changes: Partial<PromptRequest> = {}): PromptRequest {
+  return {
+    id: '0',
+    node: 'n',
+    availabilityZone: 'a',
+    cell: { service: 'm', availabilityZone: undefined },
+    profile: simpleProfile,
+    promptTokens: shortPrompt.promptTokens,
+    outputTokens: shortPrompt.outputTokens,
+    latencyTargetMs: shortPrompt.latencyTargetMs,
+    pauseTargetMs: shortPrompt.pauseTargetMs,
+    dueAt: 300,
+    deadlineAt: 10_000,
+    workspace: 'w',
+    isReturning: false,
+    excluded: new Set(),
+    suspects: new Set(),
+    ...changes,
+  };
+}
--- a/packages/gateway/src/common/placement/PlacementLoss.ts
+++ b/packages/gateway/src/common/placement/PlacementLoss.ts
@@ -33,6 +33,8 @@
 
 /** Share of its value that a late answer loses; the price sheets of users pay a quarter for one. */
 const LATE_LOSS_SHARE = 0.75;
+/** Share of its value that a late answer keeps. */
+export const LATE_VALUE_SHARE = 1 - LATE_LOSS_SHARE;
 /**
  * Risk of a late first event. One in ten takes more than twice the expected time, so the risk
  * begins where the expected time is about half of the limit.
--- /dev/null
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -0,0 +1,238 @@
+/**
+ * Places the prompts that enter at this node: asks the coordinator of a cell of engines, or decides
+ * itself if it is the coordinator or if none responds. Reports the placed prompts as active
+ * requests.
+ */
+import type { Clock, RandomSource } from '@tanagerdyke/kernel';
+import type { Member } from '@tanagerdyke/mesh';
+import type { EngineProfile } from '../Messages.js';
+import { type ActiveRequest, toGenerating } from './ActiveRequestTable.js';
+import { chooseCells } from './CellChoice.js';
+import { cellsOf, type EngineCell } from './EngineCells.js';
+import {
+  AccountState,
+  type EngineScheduler,
+  type TargetSource,
+  toActiveRequest,
+} from './EngineScheduler.js';
+import type { CoordinatorAnswer } from './PlacementClient.js';
+import {
+  PlacementRefusal,
+  type PromptRequest,
+  RefusedPrompt,
+  UnusableChoice,
+} from './PlacementDecision.js';
+import type { PromptPlacement } from './PromptPlacer.js';
+import type { TargetHealth } from './TargetHealth.js';
+
+/** Request ids are counters, written in a large base to be short. */
+const ID_RADIX = 36;
+/** Times that a coordinator is asked again because it chose an engine that can't be used. */
+const MAX_UNUSABLE_CHOICES = 2;
+
+/** Records the requests of this node and reports them to the coordinators. */
+export interface ActiveRequestPublisher {
+  /** Publishes a request that started. */
+  publish(request: ActiveRequest): void;
+  /** Publishes that a request began to generate. */
+  markGenerating(request: ActiveRequest): void;
+  /** Publishes that a request ended. */
+  remove(id: string): void;
+}
+
+/** A prompt as the forwarder hands it over. */
+export interface PromptToPlace {
+  readonly service: string;
+  readonly profile: EngineProfile;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly latencyTargetMs: number;
+  readonly pauseTargetMs: number;
+  /** When the first event is due, on the clock of this node. */
+  readonly dueAt: number;
+  /** The deadline of the caller, on the same clock. */
+  readonly deadlineAt: number;
+  /** Name of the caller's workspace; empty when it has none. */
+  readonly workspace: string;
+  /** Whether the caller was refused before. */
+  readonly isReturning: boolean;
+  /** Ids of engines that failed this request. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** A placed prompt, which counts as an active request until `end` is called. */
+export interface PlacedPrompt extends PromptPlacement {
+  /** Name of the node that decided. */
+  readonly decidedBy: string;
+  /** Records that the first event was received. */
+  markGenerating(): void;
+  end(): void;
+}
+
+/** The coordinators of cells, the one to ask first in front. */
+export interface CoordinatorSource {
+  coordinatorsOf(cell: EngineCell): readonly Pick<Member, 'name' | 'peerAddress'>[];
+}
+
+/** Asks coordinators; see `PlacementClient`. */
+export interface CoordinatorClient {
+  shouldAsk(coordinator: Pick<Member, 'peerAddress'>): boolean;
+  ask(
+    coordinator: Pick<Member, 'peerAddress'>,
+    request: PromptRequest,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<CoordinatorAnswer | undefined>;
+}
+
+/** Dependencies of the prompt scheduler. */
+export interface PromptSchedulerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly targets: TargetSource;
+  readonly health: TargetHealth;
+  readonly scheduler: EngineScheduler;
+  readonly publisher: ActiveRequestPublisher;
+  readonly cells: CoordinatorSource;
+  /** Called with the cell of each placed prompt, before it is published. */
+  readonly onPlaced: (cell: EngineCell) => void;
+  readonly client: CoordinatorClient;
+  /** Name and zone of this node. */
+  readonly node: string;
+  readonly availabilityZone: string;
+}
+
+/** A decision, with the request as it was decided. */
+interface Decided {
+  readonly decision: PromptPlacement | RefusedPrompt;
+  readonly request: PromptRequest;
+  readonly by: string;
+}
+
+/** Schedules the prompts that enter at this node. */
+export class PromptScheduler {
+  private _count = 0;
+
+  constructor(private readonly _options: PromptSchedulerOptions) {}
+
+  /** Places a prompt, waiting for capacity until `waitUntil` at most. */
+  public async place(
+    prompt: PromptToPlace,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<PlacedPrompt | RefusedPrompt> {
+    const { availabilityZone, random, targets } = this._options;
+    const engines = targets.acceptingTargets(prompt.service);
+    const cells = chooseCells(cellsOf(prompt.service, engines), availabilityZone, random);
+    let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
+    for (const cell of cells) {
+      const decided = await this._decide(this._toRequest(prompt, cell), waitUntil, signal);
+      const { decision } = decided;
+      if (!(decision instanceof RefusedPrompt)) {
+        return this._publish(decided.request, decision, decided.by);
+      }
+      refused = decision;
+      if (decision.refusal === PlacementRefusal.CallerDisconnected) {
+        break;
+      }
+    }
+    return refused;
+  }
+
+  private _toRequest(prompt: PromptToPlace, cell: EngineCell): PromptRequest {
+    const { availabilityZone, health, node, targets } = this._options;
+    const suspects = targets
+      .acceptingTargets(cell.service)
+      .filter((engine) => health.isSuspect(engine.id))
+      .map((engine) => engine.id);
+    return {
+      ...prompt,
+      id: this._nextId(),
+      node,
+      availabilityZone,
+      cell,
+      suspects: new Set(suspects),
+    };
+  }
+
+  private async _decide(
+    request: PromptRequest,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<Decided> {
+    const { cells, client, node, scheduler } = this._options;
+    for (const coordinator of cells.coordinatorsOf(request.cell)) {
+      if (coordinator.name === node) {
+        const decision = scheduler.decide(request, waitUntil, signal, AccountState.Complete);
+        return { decision: await decision, request, by: node };
+      }
+      if (signal.aborted) {
+        break;
+      }
+      if (client.shouldAsk(coordinator)) {
+        const decided = await this._askCoordinator(coordinator, request, waitUntil, signal);
+        if (decided !== undefined) {
+          return decided;
+        }
+      }
+    }
+    const decision = scheduler.decide(request, waitUntil, signal, AccountState.Partial);
+    return { decision: await decision, request, by: node };
+  }
+
+  /** Asks again without the engines that this node can't use, if the coordinator chose some. */
+  private async _askCoordinator(
+    coordinator: Pick<Member, 'name' | 'peerAddress'>,
+    original: PromptRequest,
+    waitUntil: number,
+    signal: AbortSignal,
+  ): Promise<Decided | undefined> {
+    const { client, publisher } = this._options;
+    let request = original;
+    for (let choices = 0; choices <= MAX_UNUSABLE_CHOICES; choices++) {
+      const answer = await client.ask(coordinator, request, waitUntil, signal);
+      if (answer === undefined) {
+        return undefined;
+      }
+      if (!(answer instanceof UnusableChoice)) {
+        return { decision: answer, request, by: coordinator.name };
+      }
+      publisher.remove(request.id);
+      const excluded = new Set([...request.excluded, ...answer.engines]);
+      request = { ...request, id: this._nextId(), excluded };
+    }
+    return undefined;
+  }
+
+  private _nextId(): string {
+    return (this._count++).toString(ID_RADIX);
+  }
+
+  private _publish(
+    request: PromptRequest,
+    placement: PromptPlacement,
+    decidedBy: string,
+  ): PlacedPrompt {
+    const { clock, onPlaced, publisher } = this._options;
+    onPlaced(request.cell);
+    let activeRequest = toActiveRequest(request, placement, clock.now());
+    publisher.publish(activeRequest);
+    let isEnded = false;
+    return {
+      ...placement,
+      decidedBy,
+      markGenerating: () => {
+        if (!activeRequest.isGenerating && !isEnded) {
+          activeRequest = toGenerating(activeRequest);
+          publisher.markGenerating(activeRequest);
+        }
+      },
+      end: () => {
+        if (!isEnded) {
+          isEnded = true;
+          publisher.remove(activeRequest.id);
+        }
+      },
+    };
+  }
+}
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,7 +13,7 @@
   TargetEntry,
   TargetService,
 } from '../common/Messages.js';
-import type { EngineScheduler } from '../common/placement/EngineScheduler.js';
+import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
@@ -31,7 +31,7 @@
   readonly configuration: ConfigurationState;
   readonly targets: TargetTable;
   readonly health: TargetHealth;
-  readonly scheduler: EngineScheduler;
+  readonly scheduler: PromptScheduler;
   readonly engineReservations: EngineReservations;
   readonly budget: SharedRetryBudget;
   readonly upstream: RequestSender;
@@ -92,6 +92,8 @@
   readonly expectedMs?: number;
   readonly partMs?: number;
   readonly placementCost?: number;
+  /** Name of the node that decided the last placement. */
+  readonly placedBy?: string | undefined;
 }
 
 /** Node.js timers may fire up to this much early. */
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -14,10 +14,12 @@
   type TargetEntry,
 } from '../common/Messages.js';
 import { type ActiveRequest, ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
+import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import {
   type ActiveRequestPublisher,
-  EngineScheduler,
-} from '../common/placement/EngineScheduler.js';
+  type CoordinatorClient,
+  PromptScheduler,
+} from '../common/placement/PromptScheduler.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
@@ -35,6 +37,12 @@
   release: () => Promise.resolve(Result.ok(undefined)),
 };
 
+/** The only node coordinates all cells, so it asks nobody. */
+const noClient: CoordinatorClient = {
+  shouldAsk: () => false,
+  ask: () => Promise.resolve(undefined),
+};
+
 /** Applies the updates of the only node, `n`, to its table of active requests. */
 function publisherTo(activeRequests: ActiveRequestTable): ActiveRequestPublisher {
   const keep = (request: ActiveRequest): void => {
@@ -195,11 +203,14 @@
       log,
       dialect: testDialect,
       configuration: new ConfigurationState(this._configurationRecords, decoder, log),
-      scheduler: new EngineScheduler({
+      scheduler: new PromptScheduler({
         ...common,
-        activeRequests,
+        node: 'n',
+        scheduler: new EngineScheduler({ ...common, activeRequests }),
         publisher: publisherTo(activeRequests),
-        updateDelayMs: () => 0,
+        cells: { coordinatorsOf: () => [{ name: 'n', peerAddress: '' }] },
+        client: noClient,
+        onPlaced: () => undefined,
       }),
       engineReservations: noReservations,
       budget: new SharedRetryBudget(
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -9,19 +9,19 @@
   type RandomSource,
   TimeLine,
 } from '@tanagerdyke/kernel';
-import {
-  type Member,
-  MemberStatus,
-  SwimMembership,
-  type Transport,
-  ZoneBroadcast,
-} from '@tanagerdyke/mesh';
+import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../common/DecisionLog.js';
 import { DrainSchedule } from '../common/DrainSchedule.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
+import type { TargetEntry } from '../common/Messages.js';
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
+import { CellDirectory } from '../common/placement/CellDirectory.js';
+import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import { LoadBroadcaster } from '../common/placement/LoadBroadcaster.js';
+import { PlacementClient } from '../common/placement/PlacementClient.js';
+import { PlacementServer } from '../common/placement/PlacementServer.js';
+import { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type {
   Dialect,
@@ -82,9 +82,10 @@
       }),
     );
     const activeRequests = this.register(new ActiveRequestTable(clock, name));
-    const broadcast = this.register(new ZoneBroadcast({ clock, transport, membership }));
+    const cells = this.register(new CellDirectory(membership));
+    const channel = this.register(new CoordinatorChannel({ clock, transport, membership, cells }));
     this._loadBroadcaster = this.register(
-      new LoadBroadcaster({ clock, broadcast, node: name, activeRequests }),
+      new LoadBroadcaster({ clock, channel, node: name, activeRequests }),
     );
     this._nodeDirectory = this.register(new NodeDirectory({ clock, log, membership, registry }));
     const state = {
@@ -92,7 +93,7 @@
       isDraining: () => this._isDraining,
     };
     this._front = this.register(
-      new GatewayFront(this._createForwardingDependencies(activeRequests), state),
+      new GatewayFront(this._createForwardingDependencies(activeRequests, cells, channel), state),
     );
     this._controlServer = this.register(
       new ControlServer({
@@ -161,10 +162,12 @@
 
   private _createForwardingDependencies(
     activeRequests: ActiveRequestTable,
+    cells: CellDirectory,
+    channel: CoordinatorChannel,
   ): ForwardingDependencies {
-    const { clock, random, settings } = this._options;
+    const { clock, random, settings, transport } = this._options;
     const { configuration, targets } = this._platform;
-    const { availabilityZone } = settings.node;
+    const { availabilityZone, name: node } = settings.node;
     const health = new TargetHealth(clock);
     const upstream = this.register(new Upstream());
     const liveNodes = (): number => this._countNodesForShares();
@@ -184,11 +187,28 @@
       }),
     );
     const common = { clock, random, targets, health, availabilityZone, liveNodes };
-    const scheduler = new EngineScheduler({
+    const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
+    this.register(
+      new PlacementServer({
+        clock,
+        transport,
+        scheduler: engineScheduler,
+        activeRequests,
+        findProfile: (service) => configuration.service(service)?.engine,
+      }),
+    );
+    const findEngine = (id: string): TargetEntry | undefined =>
+      targets.acceptsRequests(id) ? targets.find(id) : undefined;
+    const scheduler = new PromptScheduler({
       ...common,
-      activeRequests,
+      node,
+      scheduler: engineScheduler,
       publisher: this._loadBroadcaster,
-      updateDelayMs: () => this._loadBroadcaster.updateDelayMs,
+      cells,
+      client: this.register(new PlacementClient({ clock, transport, findEngine })),
+      onPlaced: (cell) => {
+        channel.recordUse(cell);
+      },
     });
     const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
     return { ...this._options, ...common, configuration, scheduler, budget, upstream };
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -7,7 +7,8 @@
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { canRetryElsewhere, combineExecutions, Execution } from '../common/Execution.js';
 import type { EngineProfile } from '../common/Messages.js';
-import { type PlacedPrompt, RefusedPrompt } from '../common/placement/EngineScheduler.js';
+import { RefusedPrompt } from '../common/placement/PlacementDecision.js';
+import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import type { BufferedAnswer } from './ExchangeOptions.js';
 import {
@@ -25,6 +26,8 @@
 
 /** Fraction of the remaining time for which a prompt waits for capacity before it is refused. */
 const CAPACITY_WAIT_SHARE = 0.25;
+/** A caller with this much less time than the route allows was refused before. */
+const MIN_SPENT_MS = 50;
 /** Limit of refusals without execution that don't count as attempts of a request. */
 const MAX_EXCUSED_REFUSALS = 2;
 /** Retry-After if the engines refused the prompt although the scheduler had found capacity. */
@@ -142,7 +145,7 @@
 
   private _place(): Promise<PlacedPrompt | RefusedPrompt> {
     const { clock, scheduler } = this._dependencies;
-    const { caller, deadlineAt, receivedAt, route, service, signal } = this._request;
+    const { caller, deadlineAt, receivedAt, route, service, signal, workspace } = this._request;
     const now = clock.now();
     const waitUntil = now + (deadlineAt - now) * CAPACITY_WAIT_SHARE;
     const prompt = {
@@ -154,6 +157,8 @@
       pauseTargetMs: route.pauseTargetMs,
       dueAt: receivedAt + route.latencyTargetMs,
       deadlineAt,
+      workspace: workspace?.name ?? '',
+      isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
       excluded: this._excludedEngines,
     };
     return scheduler.place(prompt, waitUntil, signal);
@@ -312,6 +317,7 @@
       longestPauseMs: Math.round(this._longestPauseMs),
       expectedMs: Math.round(this._placement?.firstEventMs ?? 0),
       partMs: Math.round(this._placement?.partPrefillMs ?? 0),
+      placedBy: this._placement?.decidedBy,
       placementCost: Math.round((this._placement?.cost ?? 0) * 100) / 100,
     };
   }
