Spread the placements of nodes that decide alone

Cause: after a restart of the whole fleet each node takes itself for the coordinator until it has joined its peers. All then chose the same engine, since the random losses grew with the number of nodes known, which was one.

The estimate of unseen placements goes, as a coordinator sees them all.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -28,8 +28,6 @@
 const MIN_EVALUATION_INTERVAL_MS = 5;
 /** Prompts without capacity after which an evaluation ends; the rest rank behind them. */
 const MAX_FAILURES_PER_EVALUATION = 3;
-/** Window over which placements are counted to estimate those that this node has no record of. */
-const RATE_WINDOW_MS = 1_000;
 /** Retry time of a prompt that would be a net loss; the load that makes it so lasts for seconds. */
 const NET_LOSS_RETRY_MS = 3_000;
 /** Retry time while no engine accepts requests. */
@@ -47,8 +45,6 @@
   readonly activeRequests: ActiveRequestTable;
   readonly health: TargetHealth;
   readonly random: RandomSource;
-  /** Nodes that place prompts at the same time. */
-  readonly liveNodes: () => number;
 }
 
 /** How far a decision can rely on the account. */
@@ -59,6 +55,12 @@
   Partial = 'partial',
 }
 
+/** Random losses of the engines, by account. */
+const RANDOM_LOSSES: Record<AccountState, (random: RandomSource) => RandomLoss> = {
+  [AccountState.Complete]: () => () => 0,
+  [AccountState.Partial]: placementJitter,
+};
+
 type Decision = PromptPlacement | RefusedPrompt;
 
 interface QueuedPrompt extends WaitingPrompt {
@@ -179,14 +181,13 @@
     if (signal.aborted) {
       return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
-    const { activeRequests: table, clock } = this._options;
+    const { activeRequests: table, clock, random } = this._options;
     const engines = this._enginesOf(request);
     if (engines.length === 0) {
       return undefined;
     }
-    const { requests } = table;
-    const loads = computeLoads(request.profile, engines, requests, clock.now());
-    const placement = this._place(request, loads, this._randomLoss(account, requests));
+    const loads = computeLoads(request.profile, engines, table.requests, clock.now());
+    const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
       return this._refuse(request, PlacementRefusal.NetLoss, 0);
     }
@@ -225,23 +226,6 @@
     return placePrompt(request.profile, prompt, candidates, randomLoss);
   }
 
-  private _randomLoss(account: AccountState, requests: readonly ActiveRequest[]): RandomLoss {
-    if (account === AccountState.Complete) {
-      return () => 0;
-    }
-    const { clock, liveNodes, random } = this._options;
-    const since = clock.now() - RATE_WINDOW_MS;
-    const ownPerSecond = requests.filter(({ startedAt }) => startedAt > since).length;
-    // Without updates, all that the other nodes placed in the last second is unknown.
-    const placedPerSecond = (ownPerSecond + 1) * liveNodes();
-    return placementJitter({
-      random,
-      liveNodes: liveNodes(),
-      placedPerSecond,
-      updateDelayMs: RATE_WINDOW_MS,
-    });
-  }
-
   /**
    * Time until `ahead` waiting prompts and this one get capacity. Active requests are half done in
    * the mean, so they end within twice their mean age.
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -94,6 +94,8 @@
   readonly scheduler: EngineScheduler;
   readonly publisher: ActiveRequestPublisher;
   readonly cells: CoordinatorSource;
+  /** Whether other nodes ask this one if it is a coordinator; not while it has not joined them. */
+  readonly isCoordinated: () => boolean;
   /** Called with the cell of each placed prompt, before it is published. */
   readonly onPlaced: (cell: EngineCell) => void;
   readonly client: CoordinatorClient;
@@ -160,10 +162,11 @@
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<Decided> {
-    const { cells, client, node, scheduler } = this._options;
+    const { cells, client, isCoordinated, node, scheduler } = this._options;
     for (const coordinator of cells.coordinatorsOf(request.cell)) {
       if (coordinator.name === node) {
-        const decision = scheduler.decide(request, waitUntil, signal, AccountState.Complete);
+        const account = isCoordinated() ? AccountState.Complete : AccountState.Partial;
+        const decision = scheduler.decide(request, waitUntil, signal, account);
         return { decision: await decision, request, by: node };
       }
       if (signal.aborted) {
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -209,6 +209,7 @@
         scheduler: new EngineScheduler({ ...common, activeRequests }),
         publisher: publisherTo(activeRequests),
         cells: { coordinatorsOf: () => [{ name: 'n', peerAddress: '' }] },
+        isCoordinated: () => true,
         client: noClient,
         onPlaced: () => undefined,
       }),
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -39,6 +39,8 @@
 import { Upstream } from './Upstream.js';
 
 const DRAIN_POLL_MS = 50;
+/** Time after which a node that found no peers counts as the only one. */
+const JOIN_TIMEOUT_MS = 3_000;
 
 /** Services, adapters and settings of a gateway node. */
 export interface GatewayNodeOptions {
@@ -64,6 +66,7 @@
   private readonly _nodeDirectory: NodeDirectory;
   private readonly _front: GatewayFront;
   private readonly _controlServer: ControlServer;
+  private _startedAt = Number.POSITIVE_INFINITY;
   private _isDraining = false;
   private _isClosed = false;
   /** Highest number of live nodes so far; a mass failure must not enlarge this node's shares. */
@@ -114,7 +117,9 @@
 
   /** Listens, joins the peers and starts to receive updates from the platform. */
   public async start(): Promise<void> {
-    const { listen } = this._options.settings;
+    const { clock, settings } = this._options;
+    const { listen } = settings;
+    this._startedAt = clock.now();
     await this._front.listen(listen.caller);
     for (const address of new Set(listen.control)) {
       await this._controlServer.listen(address);
@@ -205,6 +210,7 @@
       scheduler: engineScheduler,
       publisher: this._loadBroadcaster,
       cells,
+      isCoordinated: () => this._isCoordinated(),
       client: this.register(new PlacementClient({ clock, transport, findEngine })),
       onPlaced: (cell) => {
         channel.recordUse(cell);
@@ -223,6 +229,12 @@
     metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
   }
 
+  /** Whether this node has joined its peers, or is the only one. */
+  private _isCoordinated(): boolean {
+    const upMs = this._options.clock.now() - this._startedAt;
+    return this._membership.live.length > 1 || upMs >= JOIN_TIMEOUT_MS;
+  }
+
   private _countNodesForShares(): number {
     this._maxLiveNodes = Math.max(this._maxLiveNodes, this._membership.live.length);
     return this._maxLiveNodes;
