Share failures of targets among all nodes

Cause: a target that resets requests while its entry says ready was found out by each node on its own.

Change: a node broadcasts that a target failed it, unless so many failed it that it is probably cut off itself. Calls avoid a reported target for a second, longer if reports go on; engines need the reports of two nodes.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -30,6 +30,11 @@
 const MAX_FAILURES_PER_EVALUATION = 3;
 /** Retry time of a prompt that would be a net loss; the load that makes it so lasts for seconds. */
 const NET_LOSS_RETRY_MS = 3_000;
+/**
+ * Nodes that must report an engine before it is avoided. One alone may be cut off from it, and the
+ * others would lose its capacity.
+ */
+const MIN_REPORTERS = 2;
 /** Retry time while no engine accepts requests. */
 const NO_ENGINE_RETRY_MS = 1_500;
 
@@ -211,7 +216,10 @@
     const { clock, health } = this._options;
     const eligible = loads.filter(({ entry }) => !request.excluded.has(entry.id));
     const healthy = eligible.filter(
-      ({ entry }) => !request.suspects.has(entry.id) && !health.isSuspect(entry.id),
+      ({ entry: { id } }) =>
+        !request.suspects.has(id) &&
+        !health.isSuspect(id) &&
+        health.countReporters(id) < MIN_REPORTERS,
     );
     const prompt = {
       promptTokens: request.promptTokens,
--- a/packages/gateway/src/common/placement/TargetHealth.ts
+++ b/packages/gateway/src/common/placement/TargetHealth.ts
@@ -1,9 +1,10 @@
 /**
- * Tracks the health of targets by the outcome of this node's own requests. A target that could not
- * be reached or stopped responding is suspect for a limited time, which doubles with each further
- * failure; any answer clears it. Answers that report a failure only raise its failure rate.
+ * Tracks the health of targets by the outcome of this node's own requests, and by what other nodes
+ * report. A target that could not be reached or stopped responding is suspect for a limited time,
+ * which doubles with each further failure; any answer clears it. Answers that report a failure only
+ * raise its failure rate.
  */
-import type { Clock } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 
 /** How long a target is suspect after one connection failure; each further one doubles it. */
 const FIRST_SUSPICION_MS = 400;
@@ -11,19 +12,43 @@
 /** Weight of the newest outcome in the failure rate, a moving average. */
 const FAILURE_RATE_WEIGHT = 0.12;
 
+/** How long a first report of another node counts; each further recent one doubles the time. */
+const FIRST_REPORT_TTL_MS = 1_000;
+const MAX_REPORT_TTL_MS = 4_000;
+/** Reports in this time count as recent. */
+const REPORT_WINDOW_MS = 6_000;
+/**
+ * A node with this many suspect targets is probably cut off itself, so it doesn't report them.
+ */
+const MAX_REPORTED_SUSPECTS = 3;
+
 interface TargetRecord {
   /** Connection failures since the last answer. */
   failures: number;
   suspectUntil: number;
   failureRate: number;
   inFlight: number;
+  /** Recent reports of other nodes, oldest first. */
+  reports: readonly FailureReportRecord[];
+  /** Until when the reports count. */
+  reportedUntil: number;
+}
+
+interface FailureReportRecord {
+  readonly node: string;
+  readonly at: number;
 }
 
 /** Holds the health of all targets that this node has sent requests to. */
-export class TargetHealth {
+export class TargetHealth extends DisposableOwner {
   private readonly _records = new Map<string, TargetRecord>();
+  private readonly _onFailure = this.register(new Emitter<string>());
+  /** Fires with the id of a target that failed this node, for other nodes to avoid it. */
+  public readonly onFailure = this._onFailure.event;
 
-  constructor(private readonly _clock: Clock) {}
+  constructor(private readonly _clock: Clock) {
+    super();
+  }
 
   /** Whether the target was recently unreachable or unresponsive, so that others are preferred. */
   public isSuspect(id: string): boolean {
@@ -31,6 +56,25 @@
     return record !== undefined && this._clock.now() < record.suspectUntil;
   }
 
+  /** Number of other nodes that recently reported that the target failed them. */
+  public countReporters(id: string): number {
+    const record = this._records.get(id);
+    if (record === undefined || this._clock.now() >= record.reportedUntil) {
+      return 0;
+    }
+    return new Set(record.reports.map(({ node }) => node)).size;
+  }
+
+  /** Records that the target failed another node. */
+  public recordReport(id: string, node: string): void {
+    const record = this._recordOf(id);
+    const now = this._clock.now();
+    const recent = record.reports.filter(({ at }) => now - at < REPORT_WINDOW_MS);
+    const ttlMs = FIRST_REPORT_TTL_MS * 2 ** recent.length;
+    record.reports = [...recent, { node, at: now }];
+    record.reportedUntil = now + Math.min(MAX_REPORT_TTL_MS, ttlMs);
+  }
+
   /** Recent share of failures, from 0 to 1. */
   public failureRate(id: string): number {
     return this._records.get(id)?.failureRate ?? 0;
@@ -56,6 +100,7 @@
     const record = this._recordOf(id);
     record.failures = 0;
     record.suspectUntil = 0;
+    record.reportedUntil = 0;
     record.failureRate += ((isFailure ? 1 : 0) - record.failureRate) * FAILURE_RATE_WEIGHT;
   }
 
@@ -72,6 +117,9 @@
     record.failures++;
     record.suspectUntil = this._clock.now() + suspectMs;
     record.failureRate += (1 - record.failureRate) * FAILURE_RATE_WEIGHT;
+    if (this._countSuspects() <= MAX_REPORTED_SUSPECTS) {
+      this._onFailure.fire(id);
+    }
     return suspectMs;
   }
 
@@ -80,10 +128,21 @@
     this._records.delete(id);
   }
 
+  private _countSuspects(): number {
+    return [...this._records.keys()].filter((id) => this.isSuspect(id)).length;
+  }
+
   private _recordOf(id: string): TargetRecord {
     let record = this._records.get(id);
     if (record === undefined) {
-      record = { failures: 0, suspectUntil: 0, failureRate: 0, inFlight: 0 };
+      record = {
+        failures: 0,
+        suspectUntil: 0,
+        failureRate: 0,
+        inFlight: 0,
+        reports: [],
+        reportedUntil: 0,
+      };
       this._records.set(id, record);
     }
     return record;
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -97,7 +97,7 @@
         entry,
         inFlight: health.inFlight(entry.id),
         failureRate: health.failureRate(entry.id),
-        isSuspect: health.isSuspect(entry.id),
+        isSuspect: health.isSuspect(entry.id) || health.countReporters(entry.id) > 0,
       }));
     return placeCall(candidates, availabilityZone);
   }
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -9,7 +9,13 @@
   type RandomSource,
   TimeLine,
 } from '@tanagerdyke/kernel';
-import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
+import {
+  type Member,
+  MemberStatus,
+  SwimMembership,
+  type Transport,
+  ZoneBroadcast,
+} from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../common/DecisionLog.js';
 import { DrainSchedule } from '../common/DrainSchedule.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
@@ -18,6 +24,7 @@
 import { CellDirectory } from '../common/placement/CellDirectory.js';
 import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
+import { FailureReports } from '../common/placement/FailureReports.js';
 import { LoadBroadcaster } from '../common/placement/LoadBroadcaster.js';
 import { PlacementClient } from '../common/placement/PlacementClient.js';
 import { PlacementServer } from '../common/placement/PlacementServer.js';
@@ -173,7 +180,11 @@
     const { clock, random, settings, transport } = this._options;
     const { configuration, targets } = this._platform;
     const { availabilityZone, name: node } = settings.node;
-    const health = new TargetHealth(clock);
+    const health = this.register(new TargetHealth(clock));
+    const broadcast = this.register(
+      new ZoneBroadcast({ clock, transport, membership: this._membership }),
+    );
+    this.register(new FailureReports({ broadcast, health, node }));
     const upstream = this.register(new Upstream());
     const liveNodes = (): number => this._countNodesForShares();
     this.register(
