Let four nodes poll the platform for all zones

Cause: two nodes of each zone polled, and while the platform turned machines away every other node started to poll at the same moment.

Change: four relays in as many zones as there are poll for all; two relays of each zone get their records and hand them on. Nodes that replace silent pollers start one after the other, and back off further than pollers do.

--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -141,6 +141,48 @@
     });
   });
 
+  describe('in five zones of eight nodes', () => {
+    const zones = Array.from(
+      { length: 40 },
+      (_each, index) => ['a', 'b', 'c', 'd', 'e'][index % 5] ?? '',
+    );
+
+    beforeEach(() => {
+      connected = new Set(zones.keys());
+      create(zones.length, zones);
+      nodes.forEach(({ table }) => {
+        table.applySnapshot({ records: [], end: 0 });
+      });
+    });
+
+    function pollers(): number[] {
+      return nodes.flatMap(({ relay }, index) => (relay.isPoller ? [index] : []));
+    }
+
+    it('lets four nodes poll for all zones', async () => {
+      await clock.advance(6_000);
+      expect(new Set(pollers().map((index) => zones[index])).size).toBe(4);
+      expect(pollers()).toHaveLength(4);
+    });
+
+    it('delivers a change from a poller to all zones within 400 ms', async () => {
+      await clock.advance(1_000);
+      receiveFromPlatform(0, 'a', '1');
+      await clock.advance(400);
+      expect(nodes.filter((_node, index) => valueAt(index, 'a') !== '1')).toEqual([]);
+    });
+
+    it('replaces pollers that the platform rejects by a few nodes, not by all at once', async () => {
+      await clock.advance(1_000);
+      const appointed = new Set(pollers());
+      connected = new Set([...zones.keys()].filter((index) => !appointed.has(index)));
+      await clock.advance(4_200);
+      const substitutes = pollers().filter((index) => !appointed.has(index));
+      expect(substitutes.length).toBeGreaterThan(0);
+      expect(substitutes.length).toBeLessThan(12);
+    });
+  });
+
   describe('a record longer than the response limit', () => {
     it('is read from the platform when the peer is connected to the platform', async () => {
       create(2);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -26,6 +26,7 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedRecord } from '../services/Services.js';
 import type { KeyedTable } from './KeyedTable.js';
+import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
 
 const PROGRESS_METHOD = 'gateway.progress';
 const RECORDS_METHOD = 'gateway.records';
@@ -34,10 +35,10 @@
 const ZONE_PEERS_PER_INTERVAL = 4;
 /** Members of other zones that a node notifies; low, because traffic between zones is billed. */
 const REMOTE_PEERS_PER_INTERVAL = 1;
-/** Nodes of a zone, the first by name, that poll the platform on behalf of the others. */
-const POLLERS_PER_ZONE = 2;
 /** A node polls the platform itself when no connected poller has reported for this long. */
 const POLLER_TIMEOUT_MS = 2_500;
+/** How long the report of a poller is valid for a relay that forwards it. */
+const POLLER_REPORT_TTL_MS = 1_200;
 /** How long a peer's report of an outage is valid; senders repeat it while the outage lasts. */
 const OUTAGE_REPORT_TTL_MS = 1_200;
 /**
@@ -54,8 +55,10 @@
 
 const progressSchema = z.object({
   from: z.string(),
-  /** Whether the sender polls the platform and is connected to it. */
+  /** Whether the sender polls the platform and is connected to it, or a relay reports one. */
   inTouch: z.boolean(),
+  /** Whether the sender is connected itself; a relay must not forward what a relay reports. */
+  isDirect: z.boolean().optional(),
   /** Whether the sender recently observed an outage of the platform. */
   unsettled: z.boolean(),
   /** Name and end offset of each topic. */
@@ -95,11 +98,20 @@
 export class PeerRelay extends DisposableOwner {
   private readonly _fetching = new Set<string>();
   private _pollerConnectedAt: number;
+  /** When a poller itself last reported that it is connected. */
+  private _directReportAt = Number.NEGATIVE_INFINITY;
+  /** Derived from the members; undefined after one changed. */
+  private _currentDuties: PollingDuties | undefined;
   private _outageReportedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly _options: PeerRelayOptions) {
     super();
-    const { clock, tables, transport } = _options;
+    const { clock, membership, tables, transport } = _options;
+    this.register(
+      membership.onChange(() => {
+        this._currentDuties = undefined;
+      }),
+    );
     this._pollerConnectedAt = clock.now();
     this.register(transport.onDatagram((payload) => void this._onDatagram(payload)));
     this.register(
@@ -111,23 +123,25 @@
     for (const table of tables) {
       this.register(
         table.onChange(() => {
-          this._notifyZone();
+          this._notifyDependents();
         }),
       );
     }
   }
 
-  /** Whether this node polls the platform on behalf of its zone. */
+  /** Whether this node polls the platform, on behalf of the others or for want of a poller. */
   public get isPoller(): boolean {
-    const { clock, membership } = this._options;
-    const names = this._zone.map(({ name }) => name).sort();
-    const rank = names.indexOf(membership.self.name);
-    return rank < POLLERS_PER_ZONE || clock.now() - this._pollerConnectedAt > POLLER_TIMEOUT_MS;
+    return this.isAppointedPoller || this._isWithoutPoller;
+  }
+
+  /** Whether this node polls the platform on behalf of the others. */
+  public get isAppointedPoller(): boolean {
+    return this._duties.isPoller;
   }
 
   /**
-   * When a poller of this node's zone last reported that it is connected to the platform, on this
-   * node's clock; the start of this node before the first report.
+   * When a poller was last reported to be connected to the platform, on this node's clock; the start
+   * of this node before the first report.
    */
   public get pollerConnectedAt(): number {
     return this._pollerConnectedAt;
@@ -138,6 +152,25 @@
     return this._options.clock.now() - this._outageReportedAt < OUTAGE_REPORT_TTL_MS;
   }
 
+  private get _duties(): PollingDuties {
+    const { live, self } = this._options.membership;
+    this._currentDuties ??= pollingDutiesOf(self.name, live);
+    return this._currentDuties;
+  }
+
+  /** Whether this relay can report to its zone that a poller is connected. */
+  private get _isForwardingReport(): boolean {
+    const { clock } = this._options;
+    return this._duties.isRelay && clock.now() - this._directReportAt < POLLER_REPORT_TTL_MS;
+  }
+
+  private get _isWithoutPoller(): boolean {
+    const silenceMs = this._options.clock.now() - this._pollerConnectedAt;
+    return (
+      silenceMs > POLLER_TIMEOUT_MS && silenceMs > POLLER_TIMEOUT_MS + this._duties.takeoverDelayMs
+    );
+  }
+
   private get _zone(): readonly Member[] {
     return membersOfOwnZone(this._options.membership);
   }
@@ -155,16 +188,32 @@
     }
   }
 
-  /** Sends progress to a few peers; a poller sends it to its whole zone. */
+  /** Sends progress to those that rely on this node, and otherwise to a few peers. */
   private _sendProgress(): void {
     const { membership } = this._options;
     const zone = this._zone;
     const { availabilityZone } = membership.self;
     const remote = membership.live.filter((member) => member.availabilityZone !== availabilityZone);
-    const zonePeers = this.isPoller ? zone : this._pickRandomRun(zone, ZONE_PEERS_PER_INTERVAL);
+    const dependents = this._dependents();
+    const zonePeers =
+      dependents.length > 0 ? dependents : this._pickRandomRun(zone, ZONE_PEERS_PER_INTERVAL);
     this._sendProgressTo([...zonePeers, ...this._pickRandomRun(remote, REMOTE_PEERS_PER_INTERVAL)]);
   }
 
+  /** The nodes that this one sends records to: a relay its zone, a poller also all relays. */
+  private _dependents(): readonly Member[] {
+    const { isPoller, isRelay } = this._duties;
+    const zone = isRelay || this._isWithoutPoller ? this._zone : [];
+    if (!isPoller) {
+      return zone;
+    }
+    const { live, self } = this._options.membership;
+    const remoteRelays = relaysOf(live).filter(
+      ({ availabilityZone }) => availabilityZone !== self.availabilityZone,
+    );
+    return [...zone, ...remoteRelays];
+  }
+
   /** Consecutive members of the list, wrapping around, from a new random position each time. */
   private _pickRandomRun(members: readonly Member[], count: number): readonly Member[] {
     if (members.length <= count) {
@@ -174,19 +223,19 @@
     return [...members.slice(first), ...members.slice(0, first)].slice(0, count);
   }
 
-  /** As a poller, notifies the zone of a change immediately, not only at the next interval. */
-  private _notifyZone(): void {
-    if (this.isPoller) {
-      this._sendProgressTo(this._zone);
-    }
+  /** Notifies those that rely on this node of a change immediately, not at the next interval. */
+  private _notifyDependents(): void {
+    this._sendProgressTo(this._dependents());
   }
 
   private _sendProgressTo(peers: readonly Member[]): void {
     const { hadRecentOutage, isConnected, membership, tables, transport } = this._options;
     const ends = tables.map(({ name, end }) => [name, end]);
+    const isDirect = this.isPoller && isConnected();
     const params = {
       from: transport.address,
-      inTouch: this.isPoller && isConnected(),
+      inTouch: isDirect || this._isForwardingReport,
+      isDirect,
       unsettled: hadRecentOutage(),
       ends,
     };
@@ -203,8 +252,8 @@
     if (parsed === undefined) {
       return;
     }
-    if (parsed.inTouch && this._zone.some(({ peerAddress }) => peerAddress === parsed.from)) {
-      this._pollerConnectedAt = this._options.clock.now();
+    if (parsed.inTouch) {
+      this._recordReport(parsed.isDirect === true);
     }
     if (parsed.unsettled) {
       this._outageReportedAt = this._options.clock.now();
@@ -217,6 +266,14 @@
     }
   }
 
+  private _recordReport(isDirect: boolean): void {
+    const now = this._options.clock.now();
+    this._pollerConnectedAt = now;
+    if (isDirect) {
+      this._directReportAt = now;
+    }
+  }
+
   private async _fetchRecords(peer: string, table: KeyedTable, end: number): Promise<void> {
     const { catchUp, clock, log, transport } = this._options;
     if (this._fetching.has(table.name)) {
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -100,7 +100,7 @@
 
   /**
    * Time since the platform last responded to this node, for the topic that waits the longest, or
-   * to a poller of its zone, whichever is more recent.
+   * to another poller, whichever is more recent.
    */
   public get silenceMs(): number {
     const lastResponseAt = Math.min(...this._followers.map((each) => each.lastResponseAt));
@@ -116,7 +116,10 @@
 
   private _follow(topic: KeyedTopic, table: KeyedTable): TopicFollower {
     const shouldPoll = (): boolean => this._relay.isPoller;
-    return this.register(new TopicFollower({ ...this._options, topic, table, shouldPoll }));
+    const isAppointedPoller = (): boolean => this._relay.isAppointedPoller;
+    return this.register(
+      new TopicFollower({ ...this._options, topic, table, shouldPoll, isAppointedPoller }),
+    );
   }
 
   private _hadRecentOutage(): boolean {
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -96,6 +96,7 @@
       log,
       metrics: new Metrics(),
       shouldPoll: () => shouldPoll,
+      isAppointedPoller: () => shouldPoll,
     }).start();
   }
 
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -23,6 +23,8 @@
 const POLL_MARGIN_MS = 1_000;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
+/** Applies to a node that polls only while no poller is connected; it receives records from peers. */
+const MAX_SUBSTITUTE_RETRY_MS = 3_000;
 /**
  * How often a node that does not poll checks whether it should: a fifth of the time after which the
  * pollers of its zone count as disconnected.
@@ -39,6 +41,8 @@
   readonly metrics: Metrics;
   /** Whether this node polls for changes; otherwise it relies on peers after the first snapshot. */
   readonly shouldPoll: () => boolean;
+  /** Whether other nodes rely on this one to poll. */
+  readonly isAppointedPoller: () => boolean;
 }
 
 /** Keeps a table up to date with a topic, and records when the platform responded or failed. */
@@ -90,7 +94,9 @@
         continue;
       }
       this._recordFailure(error);
-      const maxDelayMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(this._failures, 8));
+      const isSubstitute = !needsSnapshot && !this._options.isAppointedPoller();
+      const maxRetryMs = isSubstitute ? MAX_SUBSTITUTE_RETRY_MS : MAX_RETRY_MS;
+      const maxDelayMs = Math.min(maxRetryMs, FIRST_RETRY_MS * 2 ** Math.min(this._failures, 8));
       await clock.sleep(maxDelayMs * (0.5 + random.next() / 2), signal);
     }
   }
--- a/packages/mesh/src/common/Zones.ts
+++ b/packages/mesh/src/common/Zones.ts
@@ -9,6 +9,11 @@
 
 /** All live members, grouped by availability zone. */
 export function membersByZone({ live }: Membership): ReadonlyMap<string, readonly Member[]> {
+  return membersByZoneOf(live);
+}
+
+/** The given members, grouped by availability zone. */
+export function membersByZoneOf(live: readonly Member[]): ReadonlyMap<string, readonly Member[]> {
   const zones = new Map<string, Member[]>();
   for (const member of live) {
     const zone = zones.get(member.availabilityZone) ?? [];
