Request the records of unknown members by name

Cause: a node that received an update about a process of which it had no record fetched the whole member list, up to once a second. A starting node also joined through each seed after one had answered.

Change: only the records of the unknown processes are requested, and a joining node stops at the first seed that answers.

--- a/packages/fakes/src/common/MemberDiscovery.test.ts
+++ b/packages/fakes/src/common/MemberDiscovery.test.ts
@@ -1,6 +1,12 @@
 /** Tests how a node obtains the location of a process from updates that leave it out. */
 import { ManualClock, SeededRandom, TimeLine } from '@tanagerdyke/kernel';
-import { encodeMember, type Member, ProbeKind, SwimMembership } from '@tanagerdyke/mesh';
+import {
+  encodeMember,
+  JOIN_METHOD,
+  type Member,
+  ProbeKind,
+  SwimMembership,
+} from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { memberOf } from './FixedMembership.js';
 import { MemoryNetwork } from './MemoryNetwork.js';
@@ -24,7 +30,7 @@
   });
 
   describe('a message with an update about an unknown process', () => {
-    it('makes the receiver request the member list of the sender', async () => {
+    it('makes the receiver request the record of that process from the sender', async () => {
       const receiver = createMembership(a, []);
       createMembership(b, []);
       const members = [encodeMember(b, false)];
@@ -34,6 +40,29 @@
       await clock.advance(100);
       expect(receiver.find('b')?.peerAddress).toBe(b.peerAddress);
     });
+
+    it('does not make the sender return its whole list', async () => {
+      const LIST_BYTES = 20_000;
+      createMembership(a, []);
+      createMembership(b, []);
+      const others = Array.from({ length: 100 }, (_each, index) =>
+        memberOf(`other-${index}`, `127.0.1.${index}:1`),
+      );
+      const [requester, sender] = [a, b].map(({ peerAddress }) => network.find(peerAddress));
+      await Promise.all([
+        requester?.request(b.peerAddress, JOIN_METHOD, { members: others }, 100),
+        clock.advance(10),
+      ]);
+      const sentBefore = sender?.bytesSent ?? 0;
+      const members = [encodeMember(b, false)];
+      const params = { kind: ProbeKind.Ack, id: 'x', from: b.peerAddress, members };
+      sender?.sendDatagram(
+        a.peerAddress,
+        JSON.stringify({ jsonrpc: '2.0', method: 'mesh.probe', params }),
+      );
+      await clock.advance(100);
+      expect((sender?.bytesSent ?? 0) - sentBefore).toBeLessThan(LIST_BYTES / 10);
+    });
   });
 
   describe('a process that restarts at another address', () => {
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -16,7 +16,11 @@
 /** Time between checks for seeds that aren't live. */
 const REJOIN_INTERVAL_MS = 5_000;
 
-const joinSchema = z.object({ members: z.array(memberSchema) });
+const joinSchema = z.object({
+  members: z.array(memberSchema),
+  /** In a request: names of the only members to return; all are returned without it. */
+  wanted: z.array(z.string()).optional(),
+});
 
 export interface SeedJoinerOptions {
   readonly clock: Clock;
@@ -49,6 +53,9 @@
       const chosen = isAlone ? missing : missing.slice(random.integer(Math.max(1, missing.length)));
       for (const seed of isAlone ? chosen : chosen.slice(0, 1)) {
         await this.joinThrough(seed);
+        if (this._hasPeers()) {
+          break;
+        }
       }
       await clock.sleep(this._hasPeers() ? REJOIN_INTERVAL_MS : FIRST_RETRY_MS, signal);
     }
@@ -56,13 +63,25 @@
 
   /** Exchanges member lists with the node at a peer address. */
   public async joinThrough(address: string): Promise<void> {
-    const { self, table, transport } = this._options;
+    const { self, table } = this._options;
     const dead = table.all.filter(({ status }) => status === MemberStatus.Dead);
-    const request = { members: [self(), ...dead] };
+    await this._exchange(address, { members: [self(), ...dead] });
+  }
+
+  /**
+   * Requests the records of members by name. The whole list of a large system would occupy the link
+   * of a small host, and many nodes request records when all restart.
+   */
+  public async requestMembers(address: string, names: readonly string[]): Promise<void> {
+    await this._exchange(address, { members: [this._options.self()], wanted: [...names] });
+  }
+
+  private async _exchange(address: string, request: z.infer<typeof joinSchema>): Promise<void> {
+    const { merge, transport } = this._options;
     const response = await transport.request(address, JOIN_METHOD, request, JOIN_TIMEOUT_MS);
     const parsed = response.isOk ? joinSchema.safeParse(response.value) : undefined;
     if (parsed?.success === true) {
-      this._options.merge(parsed.data.members.map(downgradeDeath));
+      merge(parsed.data.members.map(downgradeDeath));
     }
   }
 
@@ -81,7 +100,10 @@
     if (parsed.success) {
       this._options.merge(parsed.data.members.map(downgradeDeath));
     }
-    return Result.ok({ members: this._options.table.all });
+    const wanted = parsed.success ? parsed.data.wanted : undefined;
+    const { all } = this._options.table;
+    const names = wanted === undefined ? undefined : new Set(wanted);
+    return Result.ok({ members: all.filter(({ name }) => names?.has(name) ?? true) });
   }
 }
 
--- a/packages/mesh/src/common/SwimMembership.ts
+++ b/packages/mesh/src/common/SwimMembership.ts
@@ -31,7 +31,7 @@
 /** Members that relay an indirect ping for one probe. */
 const INDIRECT_PING_RELAYS = 3;
 /** Minimum time between two requests for the full records of unknown members. */
-const MEMBER_REQUEST_INTERVAL_MS = 1_000;
+const MEMBER_REQUEST_INTERVAL_MS = 250;
 /** Peers that a leaving node notifies. */
 const LEAVE_NOTIFICATIONS = 6;
 
@@ -290,18 +290,22 @@
 
   /**
    * Merges the updates that a message carries. When one is about a process whose location is
-   * unknown, requests the sender's member list.
+   * unknown, requests its record from the sender.
    */
   private _mergeUpdates(sender: string, updates: readonly WireMember[]): void {
     const decoded = updates.map((update) => decodeMember(update, this._findProcess(update)));
     this._merge(decoded.filter((member) => member !== undefined));
-    const hasUnknownProcess = updates.some(
+    const unknown = updates.filter(
       (update, index) => decoded[index] === undefined && isWireMemberLive(update),
     );
     const { clock } = this._options;
-    if (hasUnknownProcess && clock.now() - this._membersRequestedAt >= MEMBER_REQUEST_INTERVAL_MS) {
+    if (
+      unknown.length > 0 &&
+      clock.now() - this._membersRequestedAt >= MEMBER_REQUEST_INTERVAL_MS
+    ) {
       this._membersRequestedAt = clock.now();
-      void this._joiner.joinThrough(sender);
+      const names = unknown.map(([name]) => name);
+      void this._joiner.requestMembers(sender, names);
     }
   }
 
