--- a/packages/mesh/src/common/ZoneBroadcast.ts
+++ b/packages/mesh/src/common/ZoneBroadcast.ts
@@ -30,8 +30,6 @@
 const MAX_DIRECT_MEMBERS = 8;
 /** Members per group of a large zone: the square root of a zone of 36. */
 const MEMBERS_PER_GROUP = 6;
-/** Network and processing time between two members; zones are up to 3.5 ms apart. */
-const HOP_LATENCY_MS = 4;
 /** Wait of a payload in the batch of a relay: a tenth of the shortest pause target, 200 ms. */
 const BATCH_DELAY_MS = 20;
 
@@ -73,12 +71,6 @@
     );
   }
 
-  /** Usual time from sending a message until the last member has it. */
-  public get deliveryDelayMs(): number {
-    const hasLargeZone = [...membersByZone(this._options.membership).values()].some(isLarge);
-    return hasLargeZone ? BATCH_DELAY_MS + 3 * HOP_LATENCY_MS : 2 * HOP_LATENCY_MS;
-  }
-
   /** Broadcasts a payload of one line to all other live members. */
   public send(payload: string): void {
     const { membership } = this._options;
