Repeat the requests of waiting prompts less often

Cause: an entry node repeated its request every 30 ms while the prompt waited. In a burst with 200 waiting prompts a coordinator would answer 6,600 copies a second on a third of a core.

Change: copies come every 100 ms once the coordinator has answered, and its silence limit grows with them; the caller's end still cuts the wait at once.

Result: the test of the bytes of a waiting prompt, half of a node's budget.

--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -23,6 +23,8 @@
 const NODES = 6;
 const ENGINES = 4;
 const SLOTS = 3;
+/** Half of the 11,264 bytes per second that control traffic of a node may use. */
+const BYTES_PER_WAITING_SECOND = 5_632;
 const CELL = { service: 'm', availabilityZone: undefined };
 
 function defined<T>(value: T | undefined): T {
@@ -186,6 +188,17 @@
       expect(new Set(refused.map(({ retryAfterMs }) => retryAfterMs)).size).toBe(refused.length);
     });
 
+    it('sends few copies of the request of a waiting prompt', async () => {
+      await placeTogether(ENGINES * SLOTS);
+      const [entry] = entries;
+      await clock.advance(500);
+      const before = network.find(defined(entry).peerAddress)?.bytesSent ?? 0;
+      void promptAt(defined(entry), 2_000);
+      await clock.advance(1_500);
+      const sent = (network.find(defined(entry).peerAddress)?.bytesSent ?? 0) - before;
+      expect(sent).toBeLessThan(BYTES_PER_WAITING_SECOND * 1.5);
+    });
+
     it('drops the prompt of a caller that disconnects', async () => {
       const [first] = placedOf(await placeTogether(ENGINES * SLOTS));
       const caller = new AbortController();
--- a/packages/gateway/src/common/placement/PlacementClient.ts
+++ b/packages/gateway/src/common/placement/PlacementClient.ts
@@ -23,10 +23,16 @@
 import type { PromptRequest, RefusedPrompt, UnusableChoice } from './PlacementDecision.js';
 import type { PromptPlacement } from './PromptPlacer.js';
 
-/** Interval at which a request is repeated, since datagrams get lost. */
-const REPEAT_MS = 30;
-/** Silence after which a coordinator is unresponsive: several round trips between zones. */
-const SILENCE_LIMIT_MS = 75;
+/** When a request is repeated, and after which silence its coordinator is unresponsive. */
+interface RequestTiming {
+  readonly repeatMs: number;
+  readonly silenceLimitMs: number;
+}
+
+/** Until the first answer. Datagrams get lost, and the limit is several round trips. */
+const UNANSWERED: RequestTiming = { repeatMs: 30, silenceLimitMs: 75 };
+/** While the prompt is in the queue. In a burst many are, and each copy takes time to answer. */
+const QUEUED: RequestTiming = { repeatMs: 100, silenceLimitMs: 250 };
 /** Time until an unresponsive coordinator is asked again. */
 const UNRESPONSIVE_MS = 1_000;
 
@@ -43,6 +49,7 @@
 export type CoordinatorAnswer = PromptPlacement | RefusedPrompt | UnusableChoice;
 
 interface PendingRequest {
+  timing: RequestTiming;
   lastAnswerAt: number;
   readonly resolve: (answer: WirePlacementAnswer) => void;
 }
@@ -88,7 +95,9 @@
     const { clock, findEngine, transport } = this._options;
     let answer: WirePlacementAnswer | undefined;
     const answered = new AbortController();
+    const woken = AbortSignal.any([answered.signal, signal]);
     const pending: PendingRequest = {
+      timing: UNANSWERED,
       lastAnswerAt: clock.now(),
       resolve: (received) => {
         answer = received;
@@ -99,7 +108,7 @@
     while (answer === undefined && !signal.aborted && this._isResponsive(pending)) {
       const wire = encodeRequest(request, transport.address, waitUntil, clock.now());
       transport.sendDatagram(peerAddress, encodeNotification(PLACE_METHOD, wire));
-      await clock.sleep(REPEAT_MS, answered.signal);
+      await clock.sleep(pending.timing.repeatMs, woken);
     }
     this._pending.delete(request.id);
     if (answer === undefined || answer.state === 'waiting') {
@@ -110,8 +119,8 @@
     return decodeDecision(answer, findEngine);
   }
 
-  private _isResponsive({ lastAnswerAt }: PendingRequest): boolean {
-    return this._options.clock.now() - lastAnswerAt < SILENCE_LIMIT_MS;
+  private _isResponsive({ lastAnswerAt, timing }: PendingRequest): boolean {
+    return this._options.clock.now() - lastAnswerAt < timing.silenceLimitMs;
   }
 
   private _withdraw(address: string, { id, node }: PromptRequest, signal: AbortSignal): void {
@@ -129,7 +138,9 @@
       return;
     }
     pending.lastAnswerAt = this._options.clock.now();
-    if (answer.state !== 'waiting') {
+    if (answer.state === 'waiting') {
+      pending.timing = QUEUED;
+    } else {
       pending.resolve(answer);
     }
   }
--- a/packages/gateway/src/common/placement/PlacementServer.ts
+++ b/packages/gateway/src/common/placement/PlacementServer.ts
@@ -23,7 +23,7 @@
 } from './PlacementCodec.js';
 
 /** A waiting prompt whose request was not repeated for this long is withdrawn. */
-const REPEAT_TIMEOUT_MS = 250;
+const REPEAT_TIMEOUT_MS = 300;
 /** Decisions are kept this long for copies of their request. */
 const DECISION_TTL_MS = 2_000;
 const MAX_DECISIONS = 2_000;
@@ -120,9 +120,11 @@
     const { clock } = this._options;
     const { signal } = open.withdrawn;
     while (!signal.aborted) {
-      await clock.sleep(REPEAT_TIMEOUT_MS, signal);
-      if (clock.now() - open.repeatedAt >= REPEAT_TIMEOUT_MS) {
+      const remainingMs = open.repeatedAt + REPEAT_TIMEOUT_MS - clock.now();
+      if (remainingMs <= 0) {
         open.withdrawn.abort();
+      } else {
+        await clock.sleep(remainingMs, signal);
       }
     }
   }
