Compute the loads of a cell once for an evaluation of the queue

Cause: each waiting prompt that was tried computed the loads of all engines again, every 5 ms during a burst, though nothing had changed in between.

Change: the loads are kept until a request changes, for 5 ms at most, and the queue is evaluated every 10 ms at most.

Result: tests only; not measured alone.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -25,7 +25,9 @@
 /** The queue is evaluated again after this time even if no request changed. */
 const RECHECK_MS = 40;
 /** Least time between two evaluations; in a burst, requests change every millisecond. */
-const MIN_EVALUATION_INTERVAL_MS = 5;
+const MIN_EVALUATION_INTERVAL_MS = 10;
+/** Loads are computed again after this time, since the backlog of the engines shrinks. */
+const MAX_LOAD_AGE_MS = 5;
 /** Prompts without capacity after which an evaluation ends; the rest rank behind them. */
 const MAX_FAILURES_PER_EVALUATION = 3;
 /** Retry time of a prompt that would be a net loss; the load that makes it so lasts for seconds. */
@@ -68,6 +70,12 @@
 
 type Decision = PromptPlacement | RefusedPrompt;
 
+interface CellLoads {
+  readonly key: string;
+  readonly at: number;
+  readonly loads: readonly EngineLoad[];
+}
+
 interface QueuedPrompt extends WaitingPrompt {
   readonly waitUntil: number;
   readonly account: AccountState;
@@ -80,12 +88,15 @@
   private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
   private readonly _retries = new RetrySchedule();
   private _timer: Disposable | undefined;
+  /** Loads of a cell at the start of an evaluation; undefined after a request changed. */
+  private _loads: CellLoads | undefined;
   private _evaluateAt = Number.POSITIVE_INFINITY;
 
   constructor(private readonly _options: SchedulerOptions) {
     super();
     this.register(
       _options.activeRequests.onChange(() => {
+        this._loads = undefined;
         if (this.waiting > 0) {
           this._scheduleEvaluation(MIN_EVALUATION_INTERVAL_MS);
         }
@@ -187,11 +198,10 @@
       return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
     const { activeRequests: table, clock, random } = this._options;
-    const engines = this._enginesOf(request);
-    if (engines.length === 0) {
+    const loads = this._loadsOf(request);
+    if (loads.length === 0) {
       return undefined;
     }
-    const loads = computeLoads(request.profile, engines, table.requests, clock.now());
     const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
       return this._refuse(request, PlacementRefusal.NetLoss, 0);
@@ -202,6 +212,19 @@
     return placement;
   }
 
+  /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
+  private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
+    const { activeRequests, clock } = this._options;
+    const now = clock.now();
+    const key = keyOfCell(request.cell);
+    if (this._loads?.key !== key || now - this._loads.at > MAX_LOAD_AGE_MS) {
+      const engines = this._enginesOf(request);
+      const loads = computeLoads(request.profile, engines, activeRequests.requests, now);
+      this._loads = { key, at: now, loads };
+    }
+    return this._loads.loads;
+  }
+
   private _enginesOf({ cell }: PromptRequest): readonly TargetEntry[] {
     return this._options.targets
       .acceptingTargets(cell.service)
