Limit the cells asked for a prompt, and send no empty states

Cause: a node in a zone without engines asked all other cells in the same order, and a node without requests sent an empty state every second.

Change: two cells are asked, the others in a random order; an empty state is sent once.

--- a/packages/gateway/src/common/placement/CellChoice.ts
+++ b/packages/gateway/src/common/placement/CellChoice.ts
@@ -5,7 +5,10 @@
 import type { RandomSource } from '@tanagerdyke/kernel';
 import type { EngineCell } from './EngineCells.js';
 
-/** The cells to ask, in this order: that of the own zone, then another one if it refuses. */
+/** Cells that are asked for one prompt; each refusal costs a round trip. */
+const MAX_CELLS = 2;
+
+/** The cells to ask, in this order: that of the own zone, then random others if it refuses. */
 export function chooseCells(
   cells: readonly EngineCell[],
   availabilityZone: string,
@@ -13,7 +16,6 @@
 ): readonly EngineCell[] {
   const own = cells.filter((cell) => cell.availabilityZone === availabilityZone);
   const others = cells.filter((cell) => cell.availabilityZone !== availabilityZone);
-  const other = others.length === 0 ? [] : [others[random.integer(others.length)]];
-  const first = own.length === 0 ? others : [...own, ...other];
-  return first.filter((cell) => cell !== undefined);
+  const first = others.length === 0 ? 0 : random.integer(others.length);
+  return [...own, ...others.slice(first), ...others.slice(0, first)].slice(0, MAX_CELLS);
 }
--- a/packages/gateway/src/common/placement/LoadBroadcaster.ts
+++ b/packages/gateway/src/common/placement/LoadBroadcaster.ts
@@ -92,9 +92,14 @@
   private async _sendFullStates(): Promise<void> {
     const { activeRequests: table, clock } = this._options;
     const { disposalSignal: signal } = this;
+    let isLastEmpty = false;
     while (!signal.aborted) {
       await clock.sleep(FULL_STATE_INTERVAL_MS, signal);
       const { ownRequests } = table;
+      if (isLastEmpty && ownRequests.length === 0) {
+        continue;
+      }
+      isLastEmpty = ownRequests.length === 0;
       this._send({ node: this._self, all: ownRequests.map(({ id }) => id) });
       const now = clock.now();
       this._sendRequests(
