Log silent coordinators and the prompts ahead of a refused one

Cause: a refusal named the rule and the engines, not the queue, and a coordinator that did not answer left no line.

Change: refusals carry the number of prompts ahead; 'coordinator.silent' and '.regained' are written once each; a gauge has the prompts that wait.

Result: tests of the codec and of coordination; wire format of refusals grew.

--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -7,6 +7,7 @@
 import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
 import type { Member } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
+import { DecisionLog } from '../DecisionLog.js';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
@@ -70,6 +71,7 @@
       client: new PlacementClient({
         clock,
         transport,
+        log: new DecisionLog(clock, self.name, () => true),
         findEngine: (id) => this.engines.find((each) => each.id === id),
       }),
       isCoordinated: () => true,
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -287,7 +287,7 @@
         : this._expectedWaitMs(request, ahead + 1);
     const turnMs = prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount);
     const retryAfterMs = this._retries.next(this._options.clock.now(), earliestMs, turnMs);
-    return new RefusedPrompt(refusal, engineCount, retryAfterMs);
+    return new RefusedPrompt(refusal, engineCount, retryAfterMs, ahead);
   }
 }
 
--- a/packages/gateway/src/common/placement/PlacementClient.ts
+++ b/packages/gateway/src/common/placement/PlacementClient.ts
@@ -10,6 +10,7 @@
   notificationParser,
   type Transport,
 } from '@tanagerdyke/mesh';
+import type { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
 import {
   CANCEL_METHOD,
@@ -41,6 +42,7 @@
 export interface PlacementClientOptions {
   readonly clock: Clock;
   readonly transport: Transport;
+  readonly log: DecisionLog;
   /** Returns an engine that accepts requests. */
   readonly findEngine: (id: string) => TargetEntry | undefined;
 }
@@ -92,7 +94,7 @@
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<CoordinatorAnswer | undefined> {
-    const { clock, findEngine, transport } = this._options;
+    const { clock, findEngine, log, transport } = this._options;
     let answer: WirePlacementAnswer | undefined;
     const answered = new AbortController();
     const woken = AbortSignal.any([answered.signal, signal]);
@@ -115,7 +117,9 @@
       this._withdraw(peerAddress, request, signal);
       return undefined;
     }
-    this._unresponsiveUntil.delete(peerAddress);
+    if (this._unresponsiveUntil.delete(peerAddress)) {
+      log.write('coordinator.regained', { coordinator: peerAddress });
+    }
     return decodeDecision(answer, findEngine);
   }
 
@@ -124,8 +128,11 @@
   }
 
   private _withdraw(address: string, { id, node }: PromptRequest, signal: AbortSignal): void {
-    const { clock, transport } = this._options;
+    const { clock, log, transport } = this._options;
     if (!signal.aborted) {
+      if (!this._unresponsiveUntil.has(address)) {
+        log.write('coordinator.silent', { coordinator: address, placement: id });
+      }
       this._unresponsiveUntil.set(address, clock.now() + UNRESPONSIVE_MS);
     }
     transport.sendDatagram(address, encodeNotification(CANCEL_METHOD, { node, id }));
--- a/packages/gateway/src/common/placement/PlacementCodec.test.ts
+++ b/packages/gateway/src/common/placement/PlacementCodec.test.ts
@@ -71,7 +71,7 @@
   });
 
   it('restores a refusal', () => {
-    const refused = new RefusedPrompt(PlacementRefusal.NetLoss, 5, 300);
+    const refused = new RefusedPrompt(PlacementRefusal.NetLoss, 5, 300, 7);
     expect(decodeDecision(encodeDecision('7', refused), () => undefined)).toEqual(refused);
   });
 
--- a/packages/gateway/src/common/placement/PlacementCodec.ts
+++ b/packages/gateway/src/common/placement/PlacementCodec.ts
@@ -75,6 +75,7 @@
   readonly refusal: PlacementRefusal;
   readonly engines: number;
   readonly retryAfterMs: number;
+  readonly ahead: number;
 }
 
 const REQUEST_TEXTS = ['node', 'from', 'id', 'service', 'zone', 'workspace'] as const;
@@ -89,6 +90,8 @@
 ] as const;
 const PLACED_NUMBERS = ['reservedTokens', 'partPrefillMs', 'firstEventMs', 'loss', 'cost'] as const;
 
+const REFUSED_NUMBERS = ['engines', 'retryAfterMs', 'ahead'] as const;
+
 export function encodeRequest(
   request: PromptRequest,
   from: string,
@@ -147,8 +150,8 @@
   decision: PromptPlacement | RefusedPrompt,
 ): WirePlaced | WireRefused {
   if (decision instanceof RefusedPrompt) {
-    const { engineCount, refusal, retryAfterMs } = decision;
-    return { id, state: 'refused', refusal, engines: engineCount, retryAfterMs };
+    const { ahead, engineCount, refusal, retryAfterMs } = decision;
+    return { id, state: 'refused', refusal, engines: engineCount, retryAfterMs, ahead };
   }
   return {
     id,
@@ -168,7 +171,7 @@
   findEngine: (id: string) => TargetEntry | undefined,
 ): PromptPlacement | RefusedPrompt | UnusableChoice {
   if (wire.state === 'refused') {
-    return new RefusedPrompt(wire.refusal, wire.engines, wire.retryAfterMs);
+    return new RefusedPrompt(wire.refusal, wire.engines, wire.retryAfterMs, wire.ahead);
   }
   const engines = wire.targets.map((id) => findEngine(id));
   const [primary, ...readers] = engines.filter((engine) => engine !== undefined);
@@ -214,8 +217,7 @@
       PLACED_NUMBERS.every((name) => Number.isFinite(params[name]))) ||
     (params.state === 'refused' &&
       typeof params.refusal === 'string' &&
-      Number.isFinite(params.engines) &&
-      Number.isFinite(params.retryAfterMs));
+      REFUSED_NUMBERS.every((name) => Number.isFinite(params[name])));
   return isValid ? (params as unknown as WirePlacementAnswer) : undefined;
 }
 
--- a/packages/gateway/src/common/placement/PlacementDecision.ts
+++ b/packages/gateway/src/common/placement/PlacementDecision.ts
@@ -50,6 +50,8 @@
     public readonly engineCount: number,
     /** Time after which the prompt is likely to be placed, so that the caller should retry. */
     public readonly retryAfterMs: number,
+    /** Number of waiting prompts that would have been served before it. */
+    public readonly ahead = 0,
   ) {}
 }
 
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -204,6 +204,7 @@
     );
     const common = { clock, random, targets, health, availabilityZone, liveNodes };
     const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
+    this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
     this.register(
       new PlacementServer({
         clock,
@@ -222,7 +223,9 @@
       publisher: this._loadBroadcaster,
       cells,
       isCoordinated: () => this._isCoordinated(),
-      client: this.register(new PlacementClient({ clock, transport, findEngine })),
+      client: this.register(
+        new PlacementClient({ clock, transport, log: this._options.log, findEngine }),
+      ),
       onPlaced: (cell) => {
         channel.recordUse(cell);
       },
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -138,8 +138,9 @@
     return this._attempts + this._excusedRefusals;
   }
 
-  private _recordRefusal({ engineCount, refusal, retryAfterMs }: RefusedPrompt): void {
-    this._cause = `${refusal} on ${engineCount} engines`;
+  private _recordRefusal({ ahead, engineCount, refusal, retryAfterMs }: RefusedPrompt): void {
+    const queue = ahead === 0 ? '' : ` behind ${ahead} waiting prompts`;
+    this._cause = `${refusal} on ${engineCount} engines${queue}`;
     this._retryAfterMs = retryAfterMs;
   }
 
