Name the load reporter, and say which records a node has

It no longer broadcasts; the heads of the placement modules said that every node has the requests of all others. The scheduler's timer ends with it. Names and comments only, beside that.

--- a/packages/gateway/src/common/placement/ActiveRequestTable.ts
+++ b/packages/gateway/src/common/placement/ActiveRequestTable.ts
@@ -1,8 +1,8 @@
 /**
- * The active requests of all gateway nodes, from which the load of each engine is computed. Each
- * node has exact records of its own requests and notifies the others when one starts, begins to
- * generate or ends. The requests of a node that stops sending updates or leaves the mesh no longer
- * count. All times are on the clock of this node.
+ * The active requests from which the load of each engine is computed. Each node has exact records of
+ * its own requests; a coordinator also has those of the nodes that place prompts in its cells. The
+ * requests of a node that stops sending updates or leaves the mesh no longer count. All times are on
+ * the clock of this node.
  */
 import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 
--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -13,7 +13,7 @@
 import { CellDirectory } from './CellDirectory.js';
 import { CoordinatorChannel } from './CoordinatorChannel.js';
 import { EngineScheduler } from './EngineScheduler.js';
-import { LoadBroadcaster } from './LoadBroadcaster.js';
+import { LoadReporter } from './LoadReporter.js';
 import { PlacementClient } from './PlacementClient.js';
 import { PlacementRefusal, RefusedPrompt } from './PlacementDecision.js';
 import { engineEntry, shortPrompt, simpleProfile } from './PlacementFixtures.js';
@@ -39,7 +39,7 @@
 class PlacementNode {
   public readonly table: ActiveRequestTable;
   public readonly prompts: PromptScheduler;
-  /** Engines that accept requests, as far as this node knows. */
+  /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
   public profile: EngineProfile | undefined = simpleProfile;
 
@@ -61,7 +61,7 @@
     const common = { clock, random, targets, health, activeRequests: this.table, transport };
     const scheduler = new EngineScheduler(common);
     new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
-    const publisher = new LoadBroadcaster({ ...common, channel, node: self.name });
+    const publisher = new LoadReporter({ ...common, channel, node: self.name });
     publisher.start();
     this.prompts = new PromptScheduler({
       ...common,
--- a/packages/gateway/src/common/placement/CoordinatorChannel.ts
+++ b/packages/gateway/src/common/placement/CoordinatorChannel.ts
@@ -6,7 +6,7 @@
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import type { CellDirectory } from './CellDirectory.js';
 import { type EngineCell, keyOfCell } from './EngineCells.js';
-import type { LoadChannel } from './LoadBroadcaster.js';
+import type { LoadChannel } from './LoadReporter.js';
 
 /** Time after its last placement until a cell gets no updates; longer than any request lasts. */
 const CELL_RETENTION_MS = 30_000;
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -1,5 +1,5 @@
 /**
- * The load of each engine at one moment, computed from the active requests of all nodes: the
+ * The load of each engine at one moment, computed from the active requests on record: the
  * prefill it still has to do, the requests that it generates, and the memory in use.
  */
 import type { EngineProfile, TargetEntry } from '../Messages.js';
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -1,13 +1,15 @@
 /**
- * Decides on which engines prompts are placed, on the account of active requests of this node. A
- * prompt for which no engine has capacity waits in a queue until requests end. It is refused
- * at arrival if its turn is not expected while it can wait.
+ * Decides on which engines prompts are placed, on this node's account of active requests. Load
+ * pattern: prompts of all nodes arrive at the same moment, and most engines have few slots free. Each
+ * decision includes those before it. A prompt for which no engine has capacity waits in a queue; it
+ * is refused at arrival if its turn is not expected while it can wait.
  */
 import {
   type Clock,
   type Disposable,
   DisposableOwner,
   type RandomSource,
+  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
@@ -94,6 +96,11 @@
 
   constructor(private readonly _options: SchedulerOptions) {
     super();
+    this.register(
+      toDisposable(() => {
+        this._timer?.dispose();
+      }),
+    );
     this.register(
       _options.activeRequests.onChange(() => {
         this._loads = undefined;
--- a/packages/gateway/src/common/placement/LoadCodec.ts
+++ b/packages/gateway/src/common/placement/LoadCodec.ts
@@ -1,6 +1,6 @@
 /**
  * The wire format of load updates. Requests are tuples of rounded numbers, to be short, since every
- * change is sent to every other node. Each node receives hundreds of updates a second, so they are
+ * change is sent. A coordinator receives hundreds of updates a second, so they are
  * validated by hand, which takes 17 µs for each instead of 50 µs with a schema.
  */
 import type { ActiveRequest } from './ActiveRequestTable.js';
--- a/packages/gateway/src/common/placement/LoadBroadcaster.test.ts
+++ b/packages/gateway/src/common/placement/LoadReporter.test.ts
@@ -4,7 +4,7 @@
 import { type ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
 import { CoordinatorChannel } from './CoordinatorChannel.js';
-import { LoadBroadcaster } from './LoadBroadcaster.js';
+import { LoadReporter } from './LoadReporter.js';
 
 const request: ActiveRequest = {
   id: '1',
@@ -25,7 +25,7 @@
   let clock: ManualClock;
   let network: MemoryNetwork;
   let tables: ActiveRequestTable[];
-  let nodes: LoadBroadcaster[];
+  let nodes: LoadReporter[];
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -39,7 +39,7 @@
       const cells = new CellDirectory(membership);
       const channel = new CoordinatorChannel({ clock, transport, membership, cells });
       channel.recordUse({ service: 'm', availabilityZone: undefined });
-      return new LoadBroadcaster({ clock, channel, node: self.name, activeRequests: table });
+      return new LoadReporter({ clock, channel, node: self.name, activeRequests: table });
     });
     nodes[0]?.start();
   });
--- a/packages/gateway/src/common/placement/LoadBroadcaster.ts
+++ b/packages/gateway/src/common/placement/LoadReporter.ts
@@ -1,7 +1,7 @@
 /**
- * Broadcasts the active requests of this node to all others in datagrams, and applies their
- * updates. Changes are sent immediately, the full state every second to recover from lost
- * datagrams.
+ * Reports the active requests of this node to the coordinators of their cells in datagrams, and
+ * applies the reports of other nodes. Changes are sent immediately, the full state every second to
+ * recover from lost datagrams.
  */
 import { chunksOf, type Clock, DisposableOwner, type Event } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser } from '@tanagerdyke/mesh';
@@ -28,8 +28,8 @@
   readonly onMessage: Event<string>;
 }
 
-/** Dependencies of the load broadcaster. */
-export interface LoadBroadcasterOptions {
+/** Dependencies of the load reporter. */
+export interface LoadReporterOptions {
   readonly clock: Clock;
   readonly channel: LoadChannel;
   /** Name of this node. */
@@ -38,13 +38,13 @@
 }
 
 /** Sends the load updates of this node and receives those of the others. */
-export class LoadBroadcaster extends DisposableOwner {
+export class LoadReporter extends DisposableOwner {
   private readonly _changed = new Map<string, ActiveRequest>();
   private readonly _generating = new Set<string>();
   private readonly _ended = new Set<string>();
   private _isFlushScheduled = false;
 
-  constructor(private readonly _options: LoadBroadcasterOptions) {
+  constructor(private readonly _options: LoadReporterOptions) {
     super();
     this.register(
       _options.channel.onMessage((payload) => {
@@ -58,14 +58,14 @@
     void this._sendFullStates();
   }
 
-  /** Records a request of this node that started or changed, and sends it to the other nodes. */
+  /** Records a request of this node that started or changed, and reports it. */
   public publish(request: ActiveRequest): void {
     this._options.activeRequests.set(this._self, request);
     this._changed.set(request.id, request);
     this._scheduleFlush();
   }
 
-  /** Records that a request of this node began to generate, and notifies the other nodes. */
+  /** Records that a request of this node began to generate, and reports it. */
   public markGenerating(request: ActiveRequest): void {
     this._options.activeRequests.set(this._self, request);
     if (this._changed.has(request.id)) {
@@ -76,7 +76,7 @@
     this._scheduleFlush();
   }
 
-  /** Records that a request of this node ended, and notifies the other nodes. */
+  /** Records that a request of this node ended, and reports it. */
   public remove(id: string): void {
     this._options.activeRequests.remove(this._self, id);
     this._changed.delete(id);
--- a/packages/gateway/src/common/placement/PlacementJitter.ts
+++ b/packages/gateway/src/common/placement/PlacementJitter.ts
@@ -1,7 +1,7 @@
 /**
  * Randomises the placements of a node that decides alone. Load pattern: all nodes of a fleet restart
- * under load, or lose their coordinators. Each then knows only its own requests, and if all chose
- * the engine that these show as the best, it would get the prompts of every node. So each placement
+ * under load, or lose their coordinators. Each then has records of its own requests only, and if all
+ * chose the engine that these show as the best, it would get the prompts of every node. So each placement
  * considers a random part of the engines.
  */
 import type { RandomSource } from '@tanagerdyke/kernel';
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -25,7 +25,7 @@
 import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import { FailureReports } from '../common/placement/FailureReports.js';
-import { LoadBroadcaster } from '../common/placement/LoadBroadcaster.js';
+import { LoadReporter } from '../common/placement/LoadReporter.js';
 import { PlacementClient } from '../common/placement/PlacementClient.js';
 import { PlacementServer } from '../common/placement/PlacementServer.js';
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -69,7 +69,7 @@
 export class GatewayNode extends DisposableOwner {
   private readonly _membership: SwimMembership;
   private readonly _platform: PlatformView;
-  private readonly _loadBroadcaster: LoadBroadcaster;
+  private readonly _loadReporter: LoadReporter;
   private readonly _nodeDirectory: NodeDirectory;
   private readonly _front: GatewayFront;
   private readonly _controlServer: ControlServer;
@@ -94,8 +94,8 @@
     const activeRequests = this.register(new ActiveRequestTable(clock, name));
     const cells = this.register(new CellDirectory(membership));
     const channel = this.register(new CoordinatorChannel({ clock, transport, membership, cells }));
-    this._loadBroadcaster = this.register(
-      new LoadBroadcaster({ clock, channel, node: name, activeRequests }),
+    this._loadReporter = this.register(
+      new LoadReporter({ clock, channel, node: name, activeRequests }),
     );
     this._nodeDirectory = this.register(new NodeDirectory({ clock, log, membership, registry }));
     const state = {
@@ -133,7 +133,7 @@
     }
     this._membership.start();
     this._platform.start();
-    this._loadBroadcaster.start();
+    this._loadReporter.start();
     this._nodeDirectory.start();
   }
 
@@ -220,7 +220,7 @@
       ...common,
       node,
       scheduler: engineScheduler,
-      publisher: this._loadBroadcaster,
+      publisher: this._loadReporter,
       cells,
       isCoordinated: () => this._isCoordinated(),
       client: this.register(
