Give the placement ids of each process a part of their own

Cause: ids were counters from 0, and a coordinator answers an id that it decided in the last two seconds with the same decision. An entry node that restarted in that time got the placement of another prompt.

Change: the ids of a process begin with a random number.

Result: the test with a restarted entry node fails before and passes after. Found by reading the diff.

--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -114,7 +114,12 @@
     return defined(nodes.get(name));
   }
 
-  function promptAt(entry: Member, waitMs = 0, signal = new AbortController().signal) {
+  function promptAt(
+    entry: Member,
+    waitMs = 0,
+    signal = new AbortController().signal,
+    excluded: ReadonlySet<string> = new Set(),
+  ) {
     const now = clock.now();
     const prompt: PromptToPlace = {
       ...shortPrompt,
@@ -124,7 +129,7 @@
       deadlineAt: now + shortPrompt.deadlineInMs,
       workspace: 'w',
       isReturning: false,
-      excluded: new Set(),
+      excluded,
     };
     return nodeOf(entry).prompts.place(prompt, now + waitMs, signal);
   }
@@ -309,6 +314,17 @@
     expect(nodeOf(coordinator).table.requests).toHaveLength(8);
   });
 
+  it('gives an entry node that restarted a decision of its own', async () => {
+    const entry = defined(entries[0]);
+    const first = promptAt(entry);
+    await clock.advance(10);
+    const chosen = ((await first) as PlacedPrompt).targets[0].id;
+    nodes.set(entry.name, new PlacementNode(entry, members, network, engines));
+    const second = promptAt(entry, 0, undefined, new Set([chosen]));
+    await clock.advance(10);
+    expect(((await second) as PlacedPrompt).targets[0].id).not.toBe(chosen);
+  });
+
   it('avoids an engine that only the entry node knows to be draining', async () => {
     const [entry] = entries;
     const { engines: all } = nodeOf(defined(entry));
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -25,8 +25,13 @@
 import type { PromptPlacement } from './PromptPlacer.js';
 import type { TargetHealth } from './TargetHealth.js';
 
-/** Request ids are counters, written in a large base to be short. */
+/** Request ids are numbers, written in a large base to be short. */
 const ID_RADIX = 36;
+/**
+ * Range of the random part of the ids of a process. A coordinator answers an id that it decided a
+ * moment ago with the same decision, so a process that restarts must not use the same ids again.
+ */
+const PROCESS_RANGE = ID_RADIX ** 4;
 /** Times that a coordinator is asked again because it chose an engine that can't be used. */
 const MAX_UNUSABLE_CHOICES = 2;
 
@@ -113,9 +118,12 @@
 
 /** Schedules the prompts that enter at this node. */
 export class PromptScheduler {
+  private readonly _process: string;
   private _count = 0;
 
-  constructor(private readonly _options: PromptSchedulerOptions) {}
+  constructor(private readonly _options: PromptSchedulerOptions) {
+    this._process = _options.random.integer(PROCESS_RANGE).toString(ID_RADIX);
+  }
 
   /** Places a prompt, waiting for capacity until `waitUntil` at most. */
   public async place(
@@ -208,7 +216,7 @@
   }
 
   private _nextId(): string {
-    return (this._count++).toString(ID_RADIX);
+    return `${this._process}.${(this._count++).toString(ID_RADIX)}`;
   }
 
   private _publish(
