Decode and log the request rate that a target states

A target can state in its answers how many requests a second it takes from all nodes together.

The adapter decodes it, answers of all kinds are recorded at one place, and the log has a line for each change (target.rate-limit). Two metrics count targets with a limit and the requests sent to them. Nothing acts on it yet.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -140,6 +140,11 @@
   readonly isMisdirected: boolean;
   /** `IP:port` of the target that failed, if it is not the one that sent the answer. */
   readonly failedAddress: string | undefined;
+  /**
+   * Requests per second that the target accepts from all nodes together, until an answer states
+   * otherwise; `undefined` when it states no limit.
+   */
+  readonly requestsPerSecond: number | undefined;
 }
 
 /** Values of the headers that the gateway adds to a forwarded request. */
--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -34,8 +34,8 @@
 
 /** Sends the request and buffers the answer. */
 export function exchangeBuffered(options: BufferedExchangeOptions): Promise<BufferedOutcome> {
-  const { attemptId, clock, connections, dialect, request, signal, target, timeoutAt, upstream } =
-    options;
+  const { attemptId, clock, connections, dialect, onAnswerHead, request } = options;
+  const { signal, target, timeoutAt, upstream } = options;
   return new Promise((resolve) => {
     let execution = Execution.NotSent;
     let answer: TargetAnswer | undefined;
@@ -72,6 +72,9 @@
       onHead: (status, raw) => {
         headers = raw;
         answer = dialect.parseTargetAnswer(status, raw);
+        if (matchesAttempt(answer, attemptId)) {
+          onAnswerHead(answer);
+        }
       },
       onData: (chunk) => {
         size += chunk.length;
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -16,6 +16,8 @@
   /** Number of connections that this node may open to the target. */
   readonly connections: number;
   readonly request: UpstreamRequest;
+  /** Called with the status and headers of each answer to this request. */
+  readonly onAnswerHead: (answer: TargetAnswer) => void;
   /** The caller's id of the request; undefined if it sent none. */
   readonly attemptId: string | undefined;
   /** Aborts when the caller disconnects. */
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,6 +13,7 @@
   TargetEntry,
   TargetService,
 } from '../common/Messages.js';
+import type { RateLimits } from '../common/placement/RateLimits.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
@@ -31,6 +32,7 @@
   readonly configuration: ConfigurationState;
   readonly targets: TargetTable;
   readonly health: TargetHealth;
+  readonly rateLimits: RateLimits;
   readonly scheduler: PromptScheduler;
   readonly engineReservations: EngineReservations;
   readonly budget: SharedRetryBudget;
@@ -155,7 +157,8 @@
   target: TargetEntry,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
-  const { clock, dialect, upstream } = dependencies;
+  const { clock, dialect, rateLimits, upstream } = dependencies;
+  rateLimits.recordRequest(target.id);
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
     remainingMs: deadlineAt - clock.now(),
@@ -171,6 +174,11 @@
     target,
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
+    onAnswerHead: ({ isMisdirected, requestsPerSecond }) => {
+      if (!isMisdirected) {
+        rateLimits.recordStatement(target.id, requestsPerSecond);
+      }
+    },
     attemptId: caller.attemptId,
     signal,
   };
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -20,6 +20,7 @@
   type CoordinatorClient,
   PromptScheduler,
 } from '../common/placement/PromptScheduler.js';
+import { RateLimits } from '../common/placement/RateLimits.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
@@ -92,6 +93,7 @@
     isNotRun: findHeader(headers, 'not-run') !== undefined,
     isMisdirected: false,
     failedAddress: findHeader(headers, 'failed-at'),
+    requestsPerSecond: numberOf(findHeader(headers, 'rate')),
   }),
   parseAddressQuery: () => ({ region: '', availabilityZone: '' }),
   formatAddresses: (addresses) => JSON.stringify(addresses),
@@ -196,10 +198,13 @@
     const activeRequests = new ActiveRequestTable(clock, 'n');
     const liveNodes = (): number => 1;
     const health = new TargetHealth(clock);
+    const metrics = new Metrics();
+    const rateLimits = new RateLimits({ log, metrics });
     const common = { clock, random, targets, health, availabilityZone: ZONE, liveNodes };
     this.dependencies = {
       ...common,
-      metrics: new Metrics(),
+      metrics,
+      rateLimits,
       log,
       dialect: testDialect,
       configuration: new ConfigurationState(this._configurationRecords, decoder, log),
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -29,6 +29,7 @@
 import { PlacementClient } from '../common/placement/PlacementClient.js';
 import { PlacementServer } from '../common/placement/PlacementServer.js';
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
+import { RateLimits } from '../common/placement/RateLimits.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type {
   Dialect,
@@ -185,6 +186,8 @@
       new ZoneBroadcast({ clock, transport, membership: this._membership }),
     );
     this.register(new FailureReports({ broadcast, health, node }));
+    const { log, metrics } = this._options;
+    const rateLimits = new RateLimits({ log, metrics });
     const upstream = this.register(new Upstream());
     const liveNodes = (): number => this._countNodesForShares();
     this.register(
@@ -192,6 +195,7 @@
         if (targets.find(entry.id) === undefined) {
           upstream.closeTarget(entry);
           health.remove(entry.id);
+          rateLimits.remove(entry.id);
         }
       }),
     );
@@ -231,7 +235,7 @@
       },
     });
     const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
-    return { ...this._options, ...common, configuration, scheduler, budget, upstream };
+    return { ...this._options, ...common, configuration, scheduler, budget, upstream, rateLimits };
   }
 
   private _registerGauges(): void {
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -125,7 +125,9 @@
     this._answer = this._options.dialect.parseTargetAnswer(status, headers);
     if (!matchesAttempt(this._answer, this._options.attemptId)) {
       this._abort(StreamEnd.Broken, 'the answer belongs to another request');
+      return;
     }
+    this._options.onAnswerHead(this._answer);
   }
 
   private _handleData(chunk: Buffer): void {
