--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -7,19 +7,11 @@
 import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
 import type { Member } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { DecisionLog } from '../DecisionLog.js';
-import type { EngineProfile, TargetEntry } from '../Messages.js';
-import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
-import { CoordinatorChannel } from './CoordinatorChannel.js';
-import { EngineScheduler } from './EngineScheduler.js';
-import { LoadReporter } from './LoadReporter.js';
-import { PlacementClient } from './PlacementClient.js';
 import { PlacementRefusal, RefusedPrompt } from './PlacementDecision.js';
 import { engineEntry, shortPrompt, simpleProfile } from './PlacementFixtures.js';
-import { PlacementServer } from './PlacementServer.js';
-import { type PlacedPrompt, PromptScheduler, type PromptToPlace } from './PromptScheduler.js';
-import { TargetHealth } from './TargetHealth.js';
+import { PlacementNode } from './PlacementNode.js';
+import type { PlacedPrompt, PromptToPlace } from './PromptScheduler.js';
 
 const NODES = 6;
 const ENGINES = 4;
@@ -35,55 +27,6 @@
   return value;
 }
 
-/** One node with all that takes part in placement. */
-class PlacementNode {
-  public readonly table: ActiveRequestTable;
-  public readonly prompts: PromptScheduler;
-  /** Engines that accept requests, by the records of this node. */
-  public engines: readonly TargetEntry[];
-  public profile: EngineProfile | undefined = simpleProfile;
-
-  constructor(
-    self: Member,
-    members: readonly Member[],
-    network: MemoryNetwork,
-    engines: readonly TargetEntry[],
-  ) {
-    const { clock, random } = network;
-    const transport = network.join(self.peerAddress);
-    const membership = new FixedMembership(self, members);
-    const cells = new CellDirectory(membership);
-    const channel = new CoordinatorChannel({ clock, transport, membership, cells });
-    const health = new TargetHealth(clock);
-    this.engines = engines;
-    this.table = new ActiveRequestTable(clock, self.name);
-    const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
-    const common = { clock, random, targets, health, activeRequests: this.table, transport };
-    const scheduler = new EngineScheduler(common);
-    new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
-    const publisher = new LoadReporter({ ...common, channel, node: self.name });
-    publisher.start();
-    this.prompts = new PromptScheduler({
-      ...common,
-      scheduler,
-      publisher,
-      cells,
-      client: new PlacementClient({
-        clock,
-        transport,
-        log: new DecisionLog(clock, self.name, () => true),
-        findEngine: (id) => this.engines.find((each) => each.id === id),
-      }),
-      isCoordinated: () => true,
-      onPlaced: (cell) => {
-        channel.recordUse(cell);
-      },
-      node: self.name,
-      availabilityZone: self.availabilityZone,
-    });
-  }
-}
-
 describe('placement by a coordinator', () => {
   const members = Array.from({ length: NODES }, (_each, index) =>
     memberOf(`n${index}`, `127.0.0.1:${index + 1}`),
--- /dev/null
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -0,0 +1,69 @@
+/** The placement components of one node, connected as in a gateway node. Not shipped. */
+import { FixedMembership, type MemoryNetwork } from '@tanagerdyke/fakes';
+import { Metrics } from '@tanagerdyke/kernel';
+import type { Member } from '@tanagerdyke/mesh';
+import { DecisionLog } from '../DecisionLog.js';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
+import { ActiveRequestTable } from './ActiveRequestTable.js';
+import { CellDirectory } from './CellDirectory.js';
+import { CoordinatorChannel } from './CoordinatorChannel.js';
+import { EngineScheduler } from './EngineScheduler.js';
+import { LoadReporter } from './LoadReporter.js';
+import { PlacementClient } from './PlacementClient.js';
+import { simpleProfile } from './PlacementFixtures.js';
+import { PlacementServer } from './PlacementServer.js';
+import { PromptScheduler } from './PromptScheduler.js';
+import { RateLimits } from './RateLimits.js';
+import { TargetHealth } from './TargetHealth.js';
+
+/** A node of a simulated network, with all that takes part in the placement of prompts. */
+export class PlacementNode {
+  public readonly table: ActiveRequestTable;
+  public readonly prompts: PromptScheduler;
+  public readonly rateLimits: RateLimits;
+  /** Engines that accept requests, by the records of this node. */
+  public engines: readonly TargetEntry[];
+  public profile: EngineProfile | undefined = simpleProfile;
+
+  constructor(
+    self: Member,
+    members: readonly Member[],
+    network: MemoryNetwork,
+    engines: readonly TargetEntry[],
+  ) {
+    const { clock, random } = network;
+    const transport = network.join(self.peerAddress);
+    const membership = new FixedMembership(self, members);
+    const cells = new CellDirectory(membership);
+    const channel = new CoordinatorChannel({ clock, transport, membership, cells });
+    const health = new TargetHealth(clock);
+    const log = new DecisionLog(clock, self.name, () => true);
+    this.engines = engines;
+    this.rateLimits = new RateLimits({ log, metrics: new Metrics() });
+    this.table = new ActiveRequestTable(clock, self.name);
+    const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
+    const common = { clock, random, targets, health, activeRequests: this.table, transport };
+    const scheduler = new EngineScheduler(common);
+    new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
+    const publisher = new LoadReporter({ ...common, channel, node: self.name });
+    publisher.start();
+    this.prompts = new PromptScheduler({
+      ...common,
+      scheduler,
+      publisher,
+      cells,
+      client: new PlacementClient({
+        clock,
+        transport,
+        log,
+        findEngine: (id) => this.engines.find((each) => each.id === id),
+      }),
+      isCoordinated: () => true,
+      onPlaced: (cell) => {
+        channel.recordUse(cell);
+      },
+      node: self.name,
+      availabilityZone: self.availabilityZone,
+    });
+  }
+}
--- a/packages/gateway/src/node/RequestSimulation.ts
+++ b/packages/gateway/src/node/RequestSimulation.ts
@@ -3,17 +3,16 @@
  * the caller, for tests. The forwarders are the real ones; only the sockets are simulated. Not
  * shipped.
  */
-import { EventEmitter } from 'node:events';
-import type { ServerResponse } from 'node:http';
 import { ManualClock } from '@tanagerdyke/kernel';
 import { CallKind } from '../common/Messages.js';
-import { CallerResponse, GatewayStatus } from './CallerResponse.js';
+import { GatewayStatus } from './CallerResponse.js';
 import type {
   ForwardedRequest,
   ForwardingDependencies,
   RequestReport,
 } from './ForwardedRequest.js';
-import { configuration, ForwardingFixture, targetEntry } from './ForwardingFixture.js';
+import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
+import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
 import {
   type Attempt,
   expectedBody,
@@ -24,7 +23,6 @@
 } from './SimulatedTarget.js';
 import type { Exchange, ExchangeObserver, RequestSender, UpstreamRequest } from './Upstream.js';
 
-const DEADLINE_MS = 3_000;
 /** Longer than any timeout of a forwarder. */
 const SIMULATED_MS = 10_000;
 const TARGETS = 4;
@@ -146,79 +144,9 @@
   }
 
   private _createRequest(): ForwardedRequest {
-    const route = configuration.routes.find(({ kind }) => kind === this._kind);
-    const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
-    if (route === undefined || service === undefined) {
-      throw new Error(`the test configuration has no route for ${this._kind}`);
-    }
-    return {
-      id: 'r1',
-      method: 'POST',
-      path: route.pathPrefix,
-      headers: ['Host', 'test'],
-      body: Buffer.from('x'),
-      caller: {
-        attemptId: 'a1',
-        host: 'test',
-        remainingMs: DEADLINE_MS,
-        key: 'k',
-        promptTokens: 1_000,
-        outputTokens: 100,
-        lastEventId: undefined,
-      },
-      route: { ...route, maxAttempts: this._maxAttempts },
-      service,
-      workspace: undefined,
-      receivedAt: this._clock.now(),
-      deadlineAt: this._clock.now() + DEADLINE_MS,
-      response: new CallerResponse(this._caller as unknown as ServerResponse, () => false),
+    return simulatedRequest(this._clock, this._kind, this._caller, {
+      maxAttempts: this._maxAttempts,
       signal: this._disconnected.signal,
-    };
-  }
-}
-
-/** Replaces the HTTP response and records what the caller receives. */
-class SimulatedCaller extends EventEmitter {
-  public status: number | undefined;
-  public body = '';
-  public headersSent = false;
-  public writableEnded = false;
-  public destroyed = false;
-  public sendDate = true;
-
-  /** Whether the answer looks complete to the caller. */
-  public get isComplete(): boolean {
-    return this.writableEnded && !this.destroyed;
-  }
-
-  public get isOver(): boolean {
-    return this.writableEnded || this.destroyed;
-  }
-
-  public disconnect(): void {
-    this.destroyed = true;
-  }
-
-  public writeHead(status: number): void {
-    this.status = status;
-    this.headersSent = true;
-  }
-
-  public flushHeaders(): void {
-    this.headersSent = true;
-  }
-
-  public write(bytes: Buffer): boolean {
-    this.body += bytes.toString();
-    return true;
-  }
-
-  public end(bytes?: Buffer): void {
-    this.body += bytes?.toString() ?? '';
-    this.writableEnded = true;
-  }
-
-  public destroy(): void {
-    this.destroyed = true;
+    });
   }
 }
--- /dev/null
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -0,0 +1,103 @@
+/** The caller of a simulated request, and the request as the front hands it over. Not shipped. */
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import type { Clock } from '@tanagerdyke/kernel';
+import type { CallKind } from '../common/Messages.js';
+import { CallerResponse } from './CallerResponse.js';
+import type { ForwardedRequest } from './ForwardedRequest.js';
+import { configuration } from './ForwardingFixture.js';
+
+const DEADLINE_MS = 3_000;
+
+/** What differs between simulated requests. */
+export interface SimulatedRequestOptions {
+  readonly maxAttempts: number;
+  /** Aborts when the caller disconnects. */
+  readonly signal: AbortSignal;
+}
+
+/** Returns a request of a kind, on the route that the test configuration has for it. */
+export function simulatedRequest(
+  clock: Clock,
+  kind: CallKind,
+  caller: SimulatedCaller,
+  { maxAttempts, signal }: SimulatedRequestOptions,
+): ForwardedRequest {
+  const route = configuration.routes.find((each) => each.kind === kind);
+  const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
+  if (route === undefined || service === undefined) {
+    throw new Error(`the test configuration has no route for ${kind}`);
+  }
+  return {
+    id: 'r1',
+    method: 'POST',
+    path: route.pathPrefix,
+    headers: ['Host', 'test'],
+    body: Buffer.from('x'),
+    caller: {
+      attemptId: 'a1',
+      host: 'test',
+      remainingMs: DEADLINE_MS,
+      key: 'k',
+      promptTokens: 1_000,
+      outputTokens: 100,
+      lastEventId: undefined,
+    },
+    route: { ...route, maxAttempts },
+    service,
+    workspace: undefined,
+    receivedAt: clock.now(),
+    deadlineAt: clock.now() + DEADLINE_MS,
+    response: new CallerResponse(caller as unknown as ServerResponse, () => false),
+    signal,
+  };
+}
+
+/** Replaces the HTTP response and records what the caller receives. */
+export class SimulatedCaller extends EventEmitter {
+  public status: number | undefined;
+  /** Alternating names and values. */
+  public headers: readonly string[] = [];
+  public body = '';
+  public headersSent = false;
+  public writableEnded = false;
+  public destroyed = false;
+  public sendDate = true;
+
+  /** Whether the answer looks complete to the caller. */
+  public get isComplete(): boolean {
+    return this.writableEnded && !this.destroyed;
+  }
+
+  public get isOver(): boolean {
+    return this.writableEnded || this.destroyed;
+  }
+
+  public disconnect(): void {
+    this.destroyed = true;
+  }
+
+  public writeHead(status: number, headers: readonly string[]): void {
+    this.status = status;
+    this.headers = headers;
+    this.headersSent = true;
+  }
+
+  public flushHeaders(): void {
+    this.headersSent = true;
+  }
+
+  public write(bytes: Buffer): boolean {
+    this.body += bytes.toString();
+    return true;
+  }
+
+  public end(bytes?: Buffer): void {
+    this.body += bytes?.toString() ?? '';
+    this.writableEnded = true;
+  }
+
+  public destroy(): void {
+    this.destroyed = true;
+  }
+}
