Keep the request rate of a target over all nodes

Cause: no path by which a request reaches a target took the statement into account. Class: a limit on what all nodes do together that no node can keep by its own counts, as with the slots of engines before coordinators.

Change: every node counts the requests of all nodes to targets that state a rate. Coordinators and nodes that decide alone choose among targets that may get a request; each sender admits it once more, for first tries, retries, resumed streams and plain services alike. Refused callers get turns. It works because a coordinator counts at its decision, and the others within the time of a datagram; an excess delays what follows, so it can't add up.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -21,6 +21,7 @@
 import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
+import type { RateLimits } from './RateLimits.js';
 import { RetrySchedule } from './RetrySchedule.js';
 import type { TargetHealth } from './TargetHealth.js';
 
@@ -53,6 +54,7 @@
   readonly targets: TargetSource;
   readonly activeRequests: ActiveRequestTable;
   readonly health: TargetHealth;
+  readonly rateLimits: RateLimits;
   readonly random: RandomSource;
 }
 
@@ -131,7 +133,9 @@
     if (decision !== undefined) {
       return Promise.resolve(decision);
     }
-    if (now + this._expectedWaitMs(request, ahead) >= waitUntil) {
+    // Nodes that decide alone would all send a waiting prompt at the moment that a limit allows one.
+    const mayWait = account === AccountState.Complete || this._rateWaitMs(request, ahead) === 0;
+    if (!mayWait || now + this._expectedWaitMs(request, ahead) >= waitUntil) {
       return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
     }
     return new Promise((resolve) => {
@@ -204,7 +208,7 @@
     if (signal.aborted) {
       return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
-    const { activeRequests: table, clock, random } = this._options;
+    const { activeRequests: table, clock, random, rateLimits } = this._options;
     const loads = this._loadsOf(request);
     if (loads.length === 0) {
       return undefined;
@@ -215,6 +219,7 @@
     }
     if (placement !== undefined) {
       table.set(request.node, toActiveRequest(request, placement, clock.now()));
+      rateLimits.reserve(idsOf(placement.targets), requestKey(request));
     }
     return placement;
   }
@@ -243,8 +248,10 @@
     loads: readonly EngineLoad[],
     randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
-    const { clock, health } = this._options;
-    const eligible = loads.filter(({ entry }) => !request.excluded.has(entry.id));
+    const { clock, health, rateLimits } = this._options;
+    const eligible = loads.filter(
+      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id),
+    );
     const healthy = eligible.filter(
       ({ entry: { id } }) =>
         !request.suspects.has(id) &&
@@ -264,11 +271,24 @@
     return placePrompt(request.profile, prompt, candidates, randomLoss);
   }
 
+  /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
+  private _expectedWaitMs(request: PromptRequest, ahead: number): number {
+    return Math.max(this._capacityWaitMs(request, ahead), this._rateWaitMs(request, ahead));
+  }
+
+  private _rateWaitMs(request: PromptRequest, ahead: number): number {
+    return this._options.rateLimits.waitMs(this._usableIds(request), ahead);
+  }
+
+  private _usableIds(request: PromptRequest): readonly string[] {
+    return idsOf(this._enginesOf(request)).filter((id) => !request.excluded.has(id));
+  }
+
   /**
    * Time until `ahead` waiting prompts and this one get capacity. Active requests are half done in
    * the mean, so they end within twice their mean age.
    */
-  private _expectedWaitMs(request: PromptRequest, ahead: number): number {
+  private _capacityWaitMs(request: PromptRequest, ahead: number): number {
     const { activeRequests, clock } = this._options;
     const ids = new Set(this._enginesOf(request).map(({ id }) => id));
     const active = activeRequests.requests.filter(({ targets: [primary = ''] }) =>
@@ -284,6 +304,7 @@
   }
 
   private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
+    const { clock, rateLimits } = this._options;
     const engineCount = this._enginesOf(request).length;
     if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
       return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
@@ -292,9 +313,15 @@
       refusal === PlacementRefusal.NetLoss
         ? NET_LOSS_RETRY_MS
         : this._expectedWaitMs(request, ahead + 1);
-    const turnMs = prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount);
-    const retryAfterMs = this._retries.next(this._options.clock.now(), earliestMs, turnMs);
-    return new RefusedPrompt(refusal, engineCount, retryAfterMs, ahead);
+    const turnMs = Math.max(
+      prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount),
+      rateLimits.intervalMs(this._usableIds(request)),
+    );
+    const retryAfterMs = this._retries.next(clock.now(), earliestMs, turnMs);
+    const isRateLimited =
+      refusal === PlacementRefusal.NoCapacity && this._rateWaitMs(request, ahead) > 0;
+    const reason = isRateLimited ? PlacementRefusal.RateLimited : refusal;
+    return new RefusedPrompt(reason, engineCount, retryAfterMs, ahead);
   }
 }
 
@@ -321,3 +348,12 @@
     contextTokens: isMemoryShared ? reservedTokens : promptTokens,
   };
 }
+
+/** Identifies a placed prompt among those of all nodes. */
+export function requestKey({ id, node }: Pick<PromptRequest, 'id' | 'node'>): string {
+  return `${node} ${id}`;
+}
+
+function idsOf(targets: readonly TargetEntry[]): readonly string[] {
+  return targets.map(({ id }) => id);
+}
--- a/packages/gateway/src/common/placement/PlacementDecision.ts
+++ b/packages/gateway/src/common/placement/PlacementDecision.ts
@@ -36,6 +36,8 @@
   NoEngine = 'no-engine',
   /** No engine has capacity within the time that the prompt can wait. */
   NoCapacity = 'no-room',
+  /** All engines limit the rate of their requests. */
+  RateLimited = 'rate-limited',
   /** The prompt would cost other requests more than it is worth. */
   NetLoss = 'harmful',
   /** The caller disconnected while the prompt waited. */
@@ -58,7 +60,7 @@
 /** A placement on engines of which some can't be used by the entry node. */
 export class UnusableChoice {
   constructor(
-    /** Ids of the engines that it has no record of or that accept no requests any more. */
+    /** Ids of the engines that it has no record of, or that accept no request now. */
     public readonly engines: readonly string[],
   ) {}
 }
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -1,7 +1,7 @@
 /** The placement components of one node, connected as in a gateway node. Not shipped. */
 import { FixedMembership, type MemoryNetwork } from '@tanagerdyke/fakes';
 import { Metrics } from '@tanagerdyke/kernel';
-import type { Member } from '@tanagerdyke/mesh';
+import { type Member, ZoneBroadcast } from '@tanagerdyke/mesh';
 import { DecisionLog } from '../DecisionLog.js';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { ActiveRequestTable } from './ActiveRequestTable.js';
@@ -13,6 +13,7 @@
 import { simpleProfile } from './PlacementFixtures.js';
 import { PlacementServer } from './PlacementServer.js';
 import { PromptScheduler } from './PromptScheduler.js';
+import { RateLimitReports } from './RateLimitReports.js';
 import { RateLimits } from './RateLimits.js';
 import { TargetHealth } from './TargetHealth.js';
 
@@ -24,6 +25,8 @@
   /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
   public profile: EngineProfile | undefined = simpleProfile;
+  /** Whether the node applies reports about rates, which earlier builds don't. */
+  public appliesRateReports = true;
 
   constructor(
     self: Member,
@@ -39,10 +42,21 @@
     const health = new TargetHealth(clock);
     const log = new DecisionLog(clock, self.name, () => true);
     this.engines = engines;
-    this.rateLimits = new RateLimits({ log, metrics: new Metrics() });
     this.table = new ActiveRequestTable(clock, self.name);
     const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
-    const common = { clock, random, targets, health, activeRequests: this.table, transport };
+    this.rateLimits = new RateLimits({
+      clock,
+      log,
+      metrics: new Metrics(),
+      countNodes: () => ({ live: members.length, max: members.length }),
+    });
+    new RateLimitReports({
+      broadcast: new ZoneBroadcast({ clock, transport, membership }),
+      rateLimits: this.rateLimits,
+      isKnown: (id) => this.appliesRateReports && this.engines.some((each) => each.id === id),
+    });
+    const { rateLimits, table: activeRequests } = this;
+    const common = { clock, random, targets, health, rateLimits, activeRequests, transport };
     const scheduler = new EngineScheduler(common);
     new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
     const publisher = new LoadReporter({ ...common, channel, node: self.name });
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -12,6 +12,7 @@
 import {
   AccountState,
   type EngineScheduler,
+  requestKey,
   type TargetSource,
   toActiveRequest,
 } from './EngineScheduler.js';
@@ -23,6 +24,7 @@
   UnusableChoice,
 } from './PlacementDecision.js';
 import type { PromptPlacement } from './PromptPlacer.js';
+import type { RateLimits } from './RateLimits.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Request ids are numbers, written in a large base to be short. */
@@ -96,6 +98,7 @@
   readonly random: RandomSource;
   readonly targets: TargetSource;
   readonly health: TargetHealth;
+  readonly rateLimits: RateLimits;
   readonly scheduler: EngineScheduler;
   readonly publisher: ActiveRequestPublisher;
   readonly cells: CoordinatorSource;
@@ -170,12 +173,11 @@
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<Decided> {
-    const { cells, client, isCoordinated, node, scheduler } = this._options;
+    const { cells, client, isCoordinated, node } = this._options;
     for (const coordinator of cells.coordinatorsOf(request.cell)) {
       if (coordinator.name === node) {
         const account = isCoordinated() ? AccountState.Complete : AccountState.Partial;
-        const decision = scheduler.decide(request, waitUntil, signal, account);
-        return { decision: await decision, request, by: node };
+        return this._decideHere(request, waitUntil, signal, account);
       }
       if (signal.aborted) {
         break;
@@ -187,8 +189,25 @@
         }
       }
     }
-    const decision = scheduler.decide(request, waitUntil, signal, AccountState.Partial);
-    return { decision: await decision, request, by: node };
+    return this._decideHere(request, waitUntil, signal, AccountState.Partial);
+  }
+
+  private async _decideHere(
+    request: PromptRequest,
+    waitUntil: number,
+    signal: AbortSignal,
+    account: AccountState,
+  ): Promise<Decided> {
+    const { node, rateLimits, scheduler } = this._options;
+    const decision = await scheduler.decide(request, waitUntil, signal, account);
+    if (!(decision instanceof RefusedPrompt)) {
+      // The scheduler has counted the request; this reports it.
+      rateLimits.admit(
+        decision.targets.map(({ id }) => id),
+        requestKey(request),
+      );
+    }
+    return { decision, request, by: node };
   }
 
   /** Asks again without the engines that this node can't use, if the coordinator chose some. */
@@ -201,7 +220,8 @@
     const { client, publisher } = this._options;
     let request = original;
     for (let choices = 0; choices <= MAX_UNUSABLE_CHOICES; choices++) {
-      const answer = await client.ask(coordinator, request, waitUntil, signal);
+      const asked = await client.ask(coordinator, request, waitUntil, signal);
+      const answer = this._withoutLimited(request, asked);
       if (answer === undefined) {
         return undefined;
       }
@@ -215,6 +235,28 @@
     return undefined;
   }
 
+  /**
+   * Admits a placement. Makes it unusable if an engine may not get a request now, by limits that the
+   * coordinator has no record of.
+   */
+  private _withoutLimited(
+    request: PromptRequest,
+    answer: CoordinatorAnswer | undefined,
+  ): CoordinatorAnswer | undefined {
+    if (
+      answer === undefined ||
+      answer instanceof RefusedPrompt ||
+      answer instanceof UnusableChoice
+    ) {
+      return answer;
+    }
+    const { rateLimits } = this._options;
+    const ids = answer.targets.map(({ id }) => id);
+    return rateLimits.admit(ids, requestKey(request))
+      ? answer
+      : new UnusableChoice(ids.filter((id) => !rateLimits.permits(id)));
+  }
+
   private _nextId(): string {
     return `${this._process}.${(this._count++).toString(ID_RADIX)}`;
   }
--- a/packages/gateway/src/common/placement/RequestRates.test.ts
+++ b/packages/gateway/src/common/placement/RequestRates.test.ts
@@ -24,6 +24,7 @@
 const PROMPT_INTERVAL_MS = 50;
 const PROMPT_DURATION_MS = 200;
 const PLAY_MS = 16_000;
+const RESTART_INTERVAL_MS = 1_500;
 
 /** The most requests in any window. */
 function busiestWindow(times: readonly number[]): number {
@@ -85,7 +86,10 @@
       sentAt.push(clock.now());
     }
     clock.schedule(FIRST_EVENT_MS, () => {
-      node.rateLimits.recordStatement(id, limited.has(id) ? STATED_PER_SECOND : undefined);
+      node.rateLimits.recordStatement({
+        target: id,
+        requestsPerSecond: limited.has(id) ? STATED_PER_SECOND : undefined,
+      });
     });
     clock.schedule(PROMPT_DURATION_MS, () => {
       placed.end();
@@ -116,6 +120,25 @@
       expect(refused).toEqual([]);
     });
 
+    it('when its coordinator is of a build that keeps no rates', async () => {
+      const [coordinator] = coordinators();
+      const callers = nodes.filter((_each, index) => members[index] !== coordinator);
+      for (const node of nodes.filter((each) => !callers.includes(each))) {
+        node.appliesRateReports = false;
+      }
+      expect(busiestWindow(await play(undefined, callers))).toBeLessThanOrEqual(ALLOWED_IN_WINDOW);
+    });
+
+    it('when nodes restart one after the other', async () => {
+      const callers = [...nodes];
+      members.forEach((self, index) => {
+        clock.schedule((index + 1) * RESTART_INTERVAL_MS, () => {
+          callers[index] = new PlacementNode(self, members, network, engines);
+        });
+      });
+      expect(busiestWindow(await play(undefined, callers))).toBeLessThanOrEqual(ALLOWED_IN_WINDOW);
+    });
+
     it('when its coordinator is dead', async () => {
       const [coordinator] = coordinators();
       network.leave(coordinator?.peerAddress ?? '');
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -43,6 +43,7 @@
   private _cause: string | undefined;
   private _failure: BufferedAnswer | undefined;
   private _hasTimedOut = false;
+  private _retryAfterMs = NO_TARGET_RETRY_AFTER_MS;
   private readonly _triedTargets: string[] = [];
 
   constructor(
@@ -84,22 +85,49 @@
       if (target !== undefined || clock.now() >= waitUntil || signal.aborted) {
         return target;
       }
+      if (this._isRateLimited()) {
+        return undefined;
+      }
       await clock.sleep(TARGET_POLL_MS, signal);
     }
   }
 
   private _findTarget(): TargetEntry | undefined {
-    const { availabilityZone, health, targets } = this._dependencies;
-    const candidates = targets
-      .acceptingTargets(this._request.service.name)
-      .filter(({ id }) => !this._triedTargets.includes(id))
+    const { availabilityZone, health, random, rateLimits } = this._dependencies;
+    const candidates = this._untriedTargets()
+      .filter(({ id }) => rateLimits.permits(id))
       .map((entry) => ({
         entry,
         inFlight: health.inFlight(entry.id),
         failureRate: health.failureRate(entry.id),
         isSuspect: health.isSuspect(entry.id) || health.countReporters(entry.id) > 0,
       }));
-    return placeCall(candidates, availabilityZone);
+    const target = placeCall(candidates, availabilityZone);
+    if (target !== undefined) {
+      rateLimits.admit([target.id], random.identifier());
+    }
+    return target;
+  }
+
+  private _untriedTargets(): readonly TargetEntry[] {
+    return this._dependencies.targets
+      .acceptingTargets(this._request.service.name)
+      .filter(({ id }) => !this._triedTargets.includes(id));
+  }
+
+  /**
+   * Whether all targets limit their requests and take none now; sets the time to retry. The call
+   * does not wait: all nodes with waiting calls would send one at the same moment.
+   */
+  private _isRateLimited(): boolean {
+    const { rateLimits } = this._dependencies;
+    const ids = this._untriedTargets().map(({ id }) => id);
+    if (rateLimits.waitMs(ids) === 0) {
+      return false;
+    }
+    this._cause = `${ids.length} targets limit the rate of their requests`;
+    this._retryAfterMs = rateLimits.nextTurnMs(this._request.service.name, ids);
+    return true;
   }
 
   private async _sendToTarget(target: TargetEntry): Promise<BufferedOutcome> {
@@ -185,7 +213,7 @@
     const outcome = answerUnserved(this._request, {
       execution: this._execution,
       hasTimedOut: this._hasTimedOut,
-      retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+      retryAfterMs: this._retryAfterMs,
       notRunRemedy: 'no target of the service accepts the request now; send it again',
       mayHaveRunRemedy: 'the request may have run; check its effect before sending it again',
     });
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -158,7 +158,6 @@
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
   const { clock, dialect, rateLimits, upstream } = dependencies;
-  rateLimits.recordRequest(target.id);
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
     remainingMs: deadlineAt - clock.now(),
@@ -176,7 +175,7 @@
     request: { method, path, headers: forwardedHeaders, body },
     onAnswerHead: ({ isMisdirected, requestsPerSecond }) => {
       if (!isMisdirected) {
-        rateLimits.recordStatement(target.id, requestsPerSecond);
+        rateLimits.recordStatement({ target: target.id, requestsPerSecond });
       }
     },
     attemptId: caller.attemptId,
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -199,12 +199,24 @@
     const liveNodes = (): number => 1;
     const health = new TargetHealth(clock);
     const metrics = new Metrics();
-    const rateLimits = new RateLimits({ log, metrics });
-    const common = { clock, random, targets, health, availabilityZone: ZONE, liveNodes };
+    const rateLimits = new RateLimits({
+      clock,
+      log,
+      metrics,
+      countNodes: () => ({ live: 1, max: 1 }),
+    });
+    const common = {
+      clock,
+      random,
+      targets,
+      health,
+      rateLimits,
+      availabilityZone: ZONE,
+      liveNodes,
+    };
     this.dependencies = {
       ...common,
       metrics,
-      rateLimits,
       log,
       dialect: testDialect,
       configuration: new ConfigurationState(this._configurationRecords, decoder, log),
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -29,7 +29,8 @@
 import { PlacementClient } from '../common/placement/PlacementClient.js';
 import { PlacementServer } from '../common/placement/PlacementServer.js';
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
-import { RateLimits } from '../common/placement/RateLimits.js';
+import { RateLimitReports } from '../common/placement/RateLimitReports.js';
+import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import type {
   Dialect,
@@ -186,8 +187,12 @@
       new ZoneBroadcast({ clock, transport, membership: this._membership }),
     );
     this.register(new FailureReports({ broadcast, health, node }));
-    const { log, metrics } = this._options;
-    const rateLimits = new RateLimits({ log, metrics });
+    const countNodes = (): NodeCounts => {
+      return { live: this._membership.live.length, max: this._countNodesForShares() };
+    };
+    const rateLimits = this.register(new RateLimits({ ...this._options, countNodes }));
+    const isKnown = (id: string): boolean => targets.find(id) !== undefined;
+    this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     const upstream = this.register(new Upstream());
     const liveNodes = (): number => this._countNodesForShares();
     this.register(
@@ -206,7 +211,7 @@
         }
       }),
     );
-    const common = { clock, random, targets, health, availabilityZone, liveNodes };
+    const common = { clock, random, targets, health, rateLimits, availabilityZone, liveNodes };
     const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
     this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
     this.register(
@@ -235,7 +240,7 @@
       },
     });
     const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
-    return { ...this._options, ...common, configuration, scheduler, budget, upstream, rateLimits };
+    return { ...this._options, ...common, configuration, scheduler, budget, upstream };
   }
 
   private _registerGauges(): void {
--- a/packages/gateway/src/node/RateLimitedTarget.test.ts
+++ b/packages/gateway/src/node/RateLimitedTarget.test.ts
@@ -3,9 +3,12 @@
  * forwarders. A target gets at most half more than it stated, and five requests, in any four
  * seconds.
  */
-import { ManualClock } from '@tanagerdyke/kernel';
+import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
+import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { ZoneBroadcast } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { CallKind } from '../common/Messages.js';
+import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import { forwardCall } from './CallForwarder.js';
 import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
@@ -47,9 +50,14 @@
   let arrivals: Map<string, number[]>;
   let callers: SimulatedCaller[];
   let nodes: ForwardingFixture[];
+  let network: MemoryNetwork;
+  const members = Array.from({ length: NODES }, (_each, index) =>
+    memberOf(`n${index}`, `127.0.0.1:${index + 1}`),
+  );
 
   beforeEach(() => {
     clock = new ManualClock();
+    network = new MemoryNetwork(clock, new SeededRandom(1));
     targets = new Map();
     arrivals = new Map();
     callers = [];
@@ -113,6 +121,14 @@
 
   function createNode(service: string): ForwardingFixture {
     const fixture = new ForwardingFixture({ clock, upstream: sender });
+    const self = members[nodes.length];
+    if (self !== undefined) {
+      const transport = network.join(self.peerAddress);
+      const membership = new FixedMembership(self, members);
+      const broadcast = new ZoneBroadcast({ clock, transport, membership });
+      const { rateLimits } = fixture.dependencies;
+      new RateLimitReports({ broadcast, rateLimits, isKnown: () => true });
+    }
     for (const id of targets.keys()) {
       fixture.addTarget(targetEntry(id, service, `${id}:80`));
     }
