Log the shared parts of prompts whose attempts fail

Requests of one kind crashed engines one after the other. The record shows that the engines ended as they began to write, and that sound requests of the same workspaces were served; the logs don't show what the requests have in common, so they can't tell a common part of the prompts from load, from a caller, or from engines that fail by themselves.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -128,6 +128,8 @@
   readonly outputTokens: number;
   /** Id of the last event that the caller has received; `undefined` when it has received none. */
   readonly lastEventId: string | undefined;
+  /** Ids of the parts of the prompt that other prompts may have, too. */
+  readonly sharedParts: readonly string[];
 }
 
 /** What the status and headers of a target's answer state. */
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -70,6 +70,7 @@
     promptTokens: numberOf(findHeader(headers, 'prompt')) ?? 0,
     outputTokens: numberOf(findHeader(headers, 'output')) ?? 0,
     lastEventId: findHeader(headers, 'last'),
+    sharedParts: [],
   }),
   buildForwardedHeaders: (headers, gatewayHeaders) => {
     if (findHeader(headers, 'defect') !== undefined) {
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -12,6 +12,7 @@
 /** What differs between simulated requests. */
 export interface SimulatedRequestOptions {
   readonly maxAttempts: number;
+  readonly sharedParts?: readonly string[];
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -21,7 +22,7 @@
   clock: Clock,
   kind: CallKind,
   caller: SimulatedCaller,
-  { maxAttempts, signal }: SimulatedRequestOptions,
+  { maxAttempts, sharedParts = [], signal }: SimulatedRequestOptions,
 ): ForwardedRequest {
   const route = configuration.routes.find((each) => each.kind === kind);
   const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
@@ -42,6 +43,7 @@
       promptTokens: 1_000,
       outputTokens: 100,
       lastEventId: undefined,
+      sharedParts,
     },
     route: { ...route, maxAttempts },
     service,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -246,7 +246,7 @@
    * reported by another engine, it also becomes suspect: other requests avoid it for a while.
    */
   private _recordFailedAttempt(placed: PlacedPrompt, outcome: StreamOutcome): void {
-    const { health, log } = this._dependencies;
+    const { clock, health, log } = this._dependencies;
     const [primary] = placed.targets;
     const failedAddress = outcome.failure?.head.failedAddress;
     const faultyEngine = placed.targets.find(({ address }) => address === failedAddress) ?? primary;
@@ -269,6 +269,8 @@
       execution: outcome.execution,
       cause: outcome.cause,
       lastEventId: this._splitter.lastEventId,
+      firstEventAgeMs: ageOf(outcome.firstEventAt, clock.now()),
+      parts: this._request.caller.sharedParts.join(' '),
       suspectMs,
     });
   }
@@ -332,3 +334,8 @@
 ): Promise<RequestReport> {
   return new StreamForwarding(dependencies, request, profile).run();
 }
+
+/** Time since an event, rounded for the log. */
+function ageOf(at: number | undefined, now: number): number | undefined {
+  return at === undefined ? undefined : Math.round(now - at);
+}
