Reproduce prompts that crash one engine after the other

Callers lost streams and got 502 while 76 engines ended in a minute and a half: requests with one common part of their prompts end each engine that begins to write their answer, are sent to a second engine, and come again.

The test plays such prompts at five nodes, at three rates, with lost datagrams, and with nodes that restart in turn or together; sound prompts share the caller and another part.

--- /dev/null
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -0,0 +1,169 @@
+/**
+ * Plays prompts with a part that crashes each engine which begins to write an answer to them. They
+ * come at any node; sound prompts have their caller and their other parts. From three seconds after
+ * the fifth crash on, at most three of them may reach an engine, and from six seconds on sound
+ * prompts must begin at their first attempt again.
+ */
+import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
+import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { CallKind } from '../common/Messages.js';
+import { CrashingEngines } from './CrashingEngines.js';
+import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
+import { configuration, ForwardingFixture, targetEntry } from './ForwardingFixture.js';
+import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
+import { forwardStream } from './StreamForwarder.js';
+
+const NODES = 5;
+const ENGINES = 12;
+const HARMFUL = 'harmful';
+/** Both kinds of prompts have it. */
+const COMMON = 'common';
+const DOCUMENTS = 3;
+const PLAY_MS = 20_000;
+const SOUND_INTERVAL_MS = 80;
+const FIFTH = 4;
+const SETTLE_MS = 3_000;
+const ALLOWED_REQUESTS = 3;
+const MIN_SOUND_SHARE = 0.5;
+
+/** A sound prompt, with when it was sent. */
+interface SoundPrompt {
+  readonly at: number;
+  readonly report: Promise<RequestReport>;
+}
+
+describe('a part of prompts that crashes engines', () => {
+  const members = Array.from({ length: NODES }, (_each, index) =>
+    memberOf(`n${index}`, `127.0.0.1:${index + 1}`),
+  );
+  const engineIds = Array.from({ length: ENGINES }, (_each, index) => `e${index}`);
+  let clock: ManualClock;
+  let random: SeededRandom;
+  let network: MemoryNetwork;
+  let engines: CrashingEngines;
+  let nodes: ForwardingFixture[];
+  let sound: SoundPrompt[];
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    random = new SeededRandom(1);
+    network = new MemoryNetwork(clock, random);
+    engines = new CrashingEngines(clock, HARMFUL);
+    nodes = members.map((_each, index) => createNode(index));
+    sound = [];
+  });
+
+  function createNode(index: number): ForwardingFixture {
+    const fixture = new ForwardingFixture({ clock, upstream: engines, budgetAllowance: 1_000 });
+    for (const id of engineIds) {
+      fixture.addTarget(targetEntry(id, 'engine', `${id}:80`));
+    }
+    const self = members[index];
+    if (self !== undefined) {
+      network.join(self.peerAddress);
+      new FixedMembership(self, members);
+    }
+    return fixture;
+  }
+
+  function send(parts: readonly string[]): Promise<RequestReport> {
+    const node = nodes[random.integer(nodes.length)];
+    const engine = configuration.services.find(({ name }) => name === 'engine')?.engine;
+    if (node === undefined || engine === undefined) {
+      throw new Error('the test has no node or no engine');
+    }
+    const request = simulatedRequest(clock, CallKind.Stream, new SimulatedCaller(), {
+      maxAttempts: 2,
+      sharedParts: parts,
+      signal: new AbortController().signal,
+    });
+    return forwardStream(node.dependencies, request, engine);
+  }
+
+  /** Sends sound prompts all the time, and harmful ones at an interval. */
+  async function play(harmfulIntervalMs: number, isSoundSent = true): Promise<void> {
+    let harmfulAt = clock.now() + 1_000;
+    const endsAt = clock.now() + PLAY_MS;
+    while (clock.now() < endsAt) {
+      if (isSoundSent) {
+        const parts = [COMMON, `document${random.integer(DOCUMENTS)}`];
+        sound.push({ at: clock.now(), report: send(parts) });
+      }
+      if (clock.now() >= harmfulAt) {
+        harmfulAt += harmfulIntervalMs;
+        void send([COMMON, HARMFUL]);
+      }
+      await clock.advance(SOUND_INTERVAL_MS);
+    }
+    await clock.advance(SETTLE_MS);
+  }
+
+  /** Harmful requests that reached an engine after the nodes had time to recognize their part. */
+  function lateHarmful(): number {
+    const fifthCrashAt = engines.crashedAt[FIFTH];
+    return fifthCrashAt === undefined
+      ? 0
+      : engines.arrivals.filter(({ at, isHarmful }) => isHarmful && at > fifthCrashAt + SETTLE_MS)
+          .length;
+  }
+
+  /** Share of the sound prompts from a time on that were answered by their first engine. */
+  async function soundShare(from: number): Promise<number> {
+    const late = sound.filter(({ at }) => at >= from);
+    const reports = await Promise.all(late.map(({ report }) => report));
+    const served = reports.filter(
+      ({ attempts, ending }) => attempts === 1 && ending === RequestOutcome.Answered,
+    );
+    return served.length / Math.max(1, late.length);
+  }
+
+  describe('stops reaching engines', () => {
+    it.each([
+      ['often', 150],
+      ['now and then', 600],
+      ['rarely', 1_700],
+    ])('when its prompts come %s, and sound prompts are served', async (_how, intervalMs) => {
+      await play(intervalMs);
+      expect(engines.crashedAt.length).toBeGreaterThan(FIFTH);
+      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      const settledAt = (engines.crashedAt[FIFTH] ?? 0) + 2 * SETTLE_MS;
+      expect(await soundShare(settledAt)).toBeGreaterThan(MIN_SOUND_SHARE);
+    });
+
+    it('when datagrams get lost', async () => {
+      network.loss = 0.2;
+      await play(400);
+      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+    });
+
+    it('when nodes restart one after the other', async () => {
+      members.forEach((_each, index) => {
+        clock.schedule(5_000 + index * 2_000, () => {
+          nodes[index] = createNode(index);
+        });
+      });
+      await play(400);
+      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+    });
+
+    it('when all nodes restart at the same moment', async () => {
+      clock.schedule(8_000, () => {
+        nodes = members.map((_each, index) => createNode(index));
+      });
+      await play(400);
+      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+    });
+  });
+
+  it('leaves a sound part alone that is in crashes, too', async () => {
+    for (let at = 2_000; at < PLAY_MS; at += 350) {
+      clock.schedule(at, () => {
+        engines.crash(engineIds[random.integer(ENGINES)] ?? '');
+      });
+    }
+    await play(PLAY_MS);
+    const reports = await Promise.all(sound.map(({ report }) => report));
+    expect(reports.filter(({ ending }) => ending === RequestOutcome.Refused)).toEqual([]);
+  });
+});
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -33,7 +33,7 @@
     id: 'r1',
     method: 'POST',
     path: route.pathPrefix,
-    headers: ['Host', 'test'],
+    headers: ['Host', 'test', 'Parts', sharedParts.join(',')],
     body: Buffer.from('x'),
     caller: {
       attemptId: 'a1',
