Decide on placements without work for rates while no target limits them

A decision allocated arrays for each engine to ask for its rate. It now looks the limit up directly. The tests pass unchanged; the cost was not measured.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -277,7 +277,8 @@
   }
 
   private _rateWaitMs(request: PromptRequest, ahead: number): number {
-    return this._options.rateLimits.waitMs(this._usableIds(request), ahead);
+    const { rateLimits } = this._options;
+    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead) : 0;
   }
 
   private _usableIds(request: PromptRequest): readonly string[] {
--- a/packages/gateway/src/common/placement/RateLimits.ts
+++ b/packages/gateway/src/common/placement/RateLimits.ts
@@ -101,9 +101,17 @@
     return true;
   }
 
+  /** Whether any target limits its requests. */
+  public get hasLimits(): boolean {
+    return this._limited.size > 0;
+  }
+
   /** Whether the target may get a request now. */
   public permits(target: string): boolean {
-    return this.waitMs([target]) === 0;
+    const limited = this._limited.get(target);
+    return (
+      limited === undefined || limited.rate.waitMs(this._options.clock.now(), this._share()) === 0
+    );
   }
 
   /**
