Let nodes that lost the others learn quarantines from the store

A node that is cut off from the others but not from the store gets neither reports nor announcements of quarantined parts, so it keeps sending prompts with them until it has seen the crashes itself. It now reads the stored quarantines each second while it reaches at most half of the nodes that it reached before. A quarantine is also stored again every ten seconds, since the store may go back to an older copy.

Two tests; both failed without the change.

--- a/packages/gateway/src/common/quarantine/PartQuarantine.test.ts
+++ b/packages/gateway/src/common/quarantine/PartQuarantine.test.ts
@@ -1,7 +1,7 @@
 /** Quarantines of two nodes that report to each other, and of one that restarts. */
 import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
 import { ErrorKind, ManualClock, Metrics, SeededRandom, ServiceError } from '@tanagerdyke/kernel';
-import { ZoneBroadcast } from '@tanagerdyke/mesh';
+import { MemberStatus, ZoneBroadcast } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
@@ -10,6 +10,7 @@
 import { QuarantineReports } from './QuarantineReports.js';
 
 const PART = 'p';
+const STORED_MS = 12_000;
 const QUARANTINE_MS = 600_000;
 /** Two intervals, as the first node in rank may be the one that has no record. */
 const ANNOUNCED_MS = 2_100;
@@ -21,6 +22,7 @@
   let stored: Map<string, StoredQuarantine>;
   let isStoreDown: boolean;
   let reports: QuarantineReports[];
+  let memberships: FixedMembership[];
   let first: PartQuarantine;
   let second: PartQuarantine;
 
@@ -48,6 +50,7 @@
     const quarantine = new PartQuarantine({ clock, log, metrics: new Metrics() });
     const transport = network.join(self.peerAddress);
     const membership = new FixedMembership(self, members);
+    memberships[index] = membership;
     const broadcast = new ZoneBroadcast({ clock, transport, membership });
     reports[index]?.dispose();
     const started = new QuarantineReports({
@@ -69,6 +72,7 @@
     stored = new Map();
     isStoreDown = false;
     reports = [];
+    memberships = [];
     first = start(0);
     second = start(1);
     await clock.advance(10);
@@ -155,6 +159,27 @@
     });
   });
 
+  it('is stored again when the store goes back to an older copy', async () => {
+    await crash(4);
+    stored.clear();
+    await clock.advance(STORED_MS);
+    expect(stored.has(PART)).toBe(true);
+  });
+
+  it('reaches a node that the others cannot reach through the store', async () => {
+    network.cut('127.0.0.1:1', '127.0.0.1:2');
+    const [lost] = members;
+    if (lost !== undefined) {
+      memberships[1]?.applyUpdate({ ...lost, status: MemberStatus.Dead });
+    }
+    for (let index = 0; index < 4; index++) {
+      first.recordCrash({ engine: `e${index}`, request: `r${index}`, parts: [PART] });
+      await clock.advance(200);
+    }
+    await clock.advance(ANNOUNCED_MS);
+    expect([first, second].map((node) => isBlocked(node))).toEqual([true, true]);
+  });
+
   it('is stored as soon as the store answers', async () => {
     isStoreDown = true;
     await crash(4);
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -2,7 +2,7 @@
  * Shares crashes, answers and quarantines among all nodes, and stores quarantines on the
  * platform, since the nodes have no disk and may all restart at once. One node announces each
  * quarantine every second, for nodes that restarted or missed the report; the next one in rank takes
- * over when it is silent.
+ * over when it is silent. A node that lost most of the others reads the stored quarantines.
  */
 import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
 import {
@@ -24,6 +24,7 @@
 const ANNOUNCEMENT_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
 const RETRY_MS = 700;
+const STORE_INTERVAL_MS = 10_000;
 
 const parseCrash = notificationParser(CRASH_METHOD, parsePromptCrash);
 const parseAnswered = notificationParser(ANSWER_METHOD, parseAnsweredPart);
@@ -40,10 +41,12 @@
 
 /** Connects the quarantine of this node with those of the others and with the stored one. */
 export class QuarantineReports extends DisposableOwner {
-  /** Parts whose quarantine this node has stored. */
-  private readonly _stored = new Set<string>();
+  /** By part: when this node last stored its quarantine. */
+  private readonly _storedAt = new Map<string, number>();
   /** By part: when another node last announced its quarantine. */
   private readonly _announcedAt = new Map<string, number>();
+  /** The most nodes that were live at the same time. */
+  private _maxLive = 1;
 
   constructor(private readonly _options: QuarantineReportsOptions) {
     super();
@@ -78,6 +81,7 @@
 
   /** Reads the stored quarantines, and announces those that fall to this node. */
   public start(): void {
+    this._maxLive = this._options.membership.live.length;
     void this._load();
     void this._repeatAnnouncements();
   }
@@ -114,9 +118,19 @@
         this._announce(blocked);
         void this._store(blocked);
       }
+      if (this._isIsolated()) {
+        await this._read();
+      }
     }
   }
 
+  /** Whether this node reaches at most half of the nodes that it reached before. */
+  private _isIsolated(): boolean {
+    const live = this._options.membership.live.length;
+    this._maxLive = Math.max(this._maxLive, live);
+    return this._maxLive > 1 && live * 2 <= this._maxLive;
+  }
+
   /** Whether no node that ranks before this one for the part announces it. */
   private _isAnnouncer(part: string): boolean {
     const { clock, membership } = this._options;
@@ -127,40 +141,45 @@
   }
 
   private async _load(): Promise<void> {
+    while (!this.disposalSignal.aborted && !(await this._read())) {
+      await this._options.clock.sleep(RETRY_MS, this.disposalSignal);
+    }
+  }
+
+  /** Applies the stored quarantines; returns whether the store answered. */
+  private async _read(): Promise<boolean> {
     const { clock, log, quarantine, registry } = this._options;
-    while (!this.disposalSignal.aborted) {
-      const listed = await registry.list(CALL_TIMEOUT_MS);
-      if (listed.isOk) {
-        for (const { expiresAt, part } of listed.value) {
-          this._stored.add(part);
-          const remainingMs = expiresAt - clock.wallTime();
-          quarantine.applyBlocked({ part, remainingMs, engines: MIN_ENGINES_IF_ANSWERED });
-        }
-        return;
-      }
+    const listed = await registry.list(CALL_TIMEOUT_MS);
+    if (listed.isErr) {
       log.write('quarantine.unread', { cause: listed.error.message });
-      await clock.sleep(RETRY_MS, this.disposalSignal);
+      return false;
+    }
+    for (const { expiresAt, part } of listed.value) {
+      const remainingMs = expiresAt - clock.wallTime();
+      quarantine.applyBlocked({ part, remainingMs, engines: MIN_ENGINES_IF_ANSWERED });
     }
+    return true;
   }
 
-  /** Stores a quarantine once; a failed call is repeated with the next announcement. */
+  /** Stores a quarantine again after a while, as the store may go back to an older copy. */
   private async _store({ part, remainingMs }: QuarantinedPart): Promise<void> {
     const { clock, log, registry } = this._options;
-    if (this._stored.has(part)) {
+    const now = clock.now();
+    if (now - (this._storedAt.get(part) ?? Number.NEGATIVE_INFINITY) < STORE_INTERVAL_MS) {
       return;
     }
-    this._stored.add(part);
+    this._storedAt.set(part, now);
     const expiresAt = clock.wallTime() + remainingMs;
     const stored = await registry.store({ part, expiresAt }, CALL_TIMEOUT_MS);
     if (stored.isErr) {
-      this._stored.delete(part);
+      this._storedAt.delete(part);
       log.write('quarantine.unstored', { part, cause: stored.error.message });
     }
   }
 
   private async _removeStored(part: string): Promise<void> {
     const { log, registry } = this._options;
-    this._stored.delete(part);
+    this._storedAt.delete(part);
     const removed = await registry.remove(part, CALL_TIMEOUT_MS);
     if (removed.isErr) {
       log.write('quarantine.unremoved', { part, cause: removed.error.message });
