Name the tests of quarantines after what the part does

'Harmful' is the word of the logs for prompts that are a net loss. Names, comments and an unused parameter of tests and soak only, besides three comments of CrashEvidence.

--- a/packages/gateway/src/common/quarantine/CrashEvidence.ts
+++ b/packages/gateway/src/common/quarantine/CrashEvidence.ts
@@ -1,8 +1,8 @@
 /**
- * Decides when crashes of engines are put down to a part that their prompts have in common. Load
+ * Decides when crashes of engines are attributed to a part that their prompts have in common. Load
  * pattern: an engine that crashes breaks all its streams, most of which are sound, and sound prompts
- * share parts with the harmful ones. Prompts with a sound part are answered between crashes; those
- * with a harmful one never are, on any engine.
+ * share parts with those that crash engines. Prompts with a sound part are answered between crashes;
+ * prompts with a part that crashes engines never are.
  */
 import { LRUCache } from 'lru-cache';
 
@@ -38,7 +38,7 @@
 export class CrashEvidence {
   private readonly _crashes = new LRUCache<string, readonly CrashRecord[]>({ max: MAX_PARTS });
 
-  /** Engines whose crashes are put down to a part, and so don't count against other ones. */
+  /** Engines whose crashes are attributed to a part, and so don't count against other ones. */
   private readonly _explained = new LRUCache<string, true>({ max: MAX_EXPLAINED_ENGINES });
 
   public add({ engine, request }: PromptCrash, part: string, at: number): void {
@@ -49,7 +49,7 @@
     this._crashes.set(part, [...recent, { engine, request, at }]);
   }
 
-  /** Puts the crashes of a part down to it, and drops them from all other parts. */
+  /** Attributes the crashes of a part to it, and drops them from all other parts. */
   public explain(part: string): void {
     this.explainEngines((this._crashes.get(part) ?? []).map(({ engine }) => engine));
   }
--- a/packages/gateway/src/node/CrashingEngines.ts
+++ b/packages/gateway/src/node/CrashingEngines.ts
@@ -14,7 +14,7 @@
 /** A request that reached an engine. */
 export interface EngineArrival {
   readonly at: number;
-  readonly isHarmful: boolean;
+  readonly isCrashing: boolean;
 }
 
 /** Sends requests to simulated engines, and records what they get and when they crash. */
@@ -26,7 +26,7 @@
 
   constructor(
     private readonly _clock: ManualClock,
-    private readonly _harmfulPart: string,
+    private readonly _crashingPart: string,
   ) {}
 
   public send(
@@ -43,11 +43,11 @@
       }
       observer.onSendStart();
       running.add(observer);
-      const isHarmful = partsOf(request).includes(this._harmfulPart);
-      this.arrivals.push({ at: this._clock.now(), isHarmful });
+      const isCrashing = partsOf(request).includes(this._crashingPart);
+      this.arrivals.push({ at: this._clock.now(), isCrashing });
       this._clock.schedule(PREFILL_MS, () => {
         if (running.has(observer)) {
-          this._write(id, observer, isHarmful, lastEventOf(request) + 1);
+          this._write(id, observer, isCrashing, lastEventOf(request) + 1);
         }
       });
     });
@@ -69,8 +69,8 @@
     }
   }
 
-  private _write(id: string, observer: ExchangeObserver, isHarmful: boolean, event: number): void {
-    if (isHarmful) {
+  private _write(id: string, observer: ExchangeObserver, isCrashing: boolean, event: number): void {
+    if (isCrashing) {
       this.crashedAt.push(this._clock.now());
       this.crash(id);
       return;
--- a/packages/gateway/src/node/CrashingPart.test.ts
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -20,7 +20,7 @@
 
 const NODES = 5;
 const ENGINES = 12;
-const HARMFUL = 'harmful';
+const CRASHING = 'crashing';
 /** Both kinds of prompts have it. */
 const COMMON = 'common';
 const DOCUMENTS = 3;
@@ -57,7 +57,7 @@
     clock = new ManualClock();
     random = new SeededRandom(1);
     network = new MemoryNetwork(clock, random);
-    engines = new CrashingEngines(clock, HARMFUL);
+    engines = new CrashingEngines(clock, CRASHING);
     stored = new Map();
     registry = {
       store: (quarantine) => {
@@ -116,30 +116,28 @@
     return forwardStream(node.dependencies, request, engine);
   }
 
-  /** Sends sound prompts all the time, and harmful ones at an interval. */
-  async function play(harmfulIntervalMs: number, isSoundSent = true): Promise<void> {
-    let harmfulAt = clock.now() + 1_000;
+  /** Sends sound prompts all the time, and crashing ones at an interval. */
+  async function play(crashingIntervalMs: number): Promise<void> {
+    let crashingAt = clock.now() + 1_000;
     const endsAt = clock.now() + PLAY_MS;
     while (clock.now() < endsAt) {
-      if (isSoundSent) {
-        const parts = [COMMON, `document${random.integer(DOCUMENTS)}`];
-        sound.push({ at: clock.now(), report: send(parts) });
-      }
-      if (clock.now() >= harmfulAt) {
-        harmfulAt += harmfulIntervalMs;
-        void send([COMMON, HARMFUL]);
+      const parts = [COMMON, `document${random.integer(DOCUMENTS)}`];
+      sound.push({ at: clock.now(), report: send(parts) });
+      if (clock.now() >= crashingAt) {
+        crashingAt += crashingIntervalMs;
+        void send([COMMON, CRASHING]);
       }
       await clock.advance(SOUND_INTERVAL_MS);
     }
     await clock.advance(SETTLE_MS);
   }
 
-  /** Harmful requests that reached an engine after the nodes had time to recognize their part. */
-  function lateHarmful(): number {
+  /** Crashing requests that reached an engine after the nodes had time to recognize their part. */
+  function lateCrashing(): number {
     const fifthCrashAt = engines.crashedAt[FIFTH];
     return fifthCrashAt === undefined
       ? 0
-      : engines.arrivals.filter(({ at, isHarmful }) => isHarmful && at > fifthCrashAt + SETTLE_MS)
+      : engines.arrivals.filter(({ at, isCrashing }) => isCrashing && at > fifthCrashAt + SETTLE_MS)
           .length;
   }
 
@@ -166,8 +164,8 @@
     ])('when its prompts come %s, and sound prompts are served', async (_how, intervalMs) => {
       await play(intervalMs);
       expect(engines.crashedAt.length).toBeGreaterThan(FIFTH);
-      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
-      expect(blockedParts()).toEqual(new Set([HARMFUL]));
+      expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      expect(blockedParts()).toEqual(new Set([CRASHING]));
       const settledAt = (engines.crashedAt[FIFTH] ?? 0) + 2 * SETTLE_MS;
       expect(await soundShare(settledAt)).toBeGreaterThan(MIN_SOUND_SHARE);
     });
@@ -175,19 +173,19 @@
     it('with an answer that says so, and that it did not run', async () => {
       await play(400);
       const caller = new SimulatedCaller();
-      expect(await send([COMMON, HARMFUL], caller)).toMatchObject({
+      expect(await send([COMMON, CRASHING], caller)).toMatchObject({
         ending: RequestOutcome.Refused,
         attempts: 0,
       });
       expect(caller.status).toBe(503);
-      expect(caller.body).toContain(HARMFUL);
+      expect(caller.body).toContain(CRASHING);
       expect(caller.headers).toContain('Retry-After');
     });
 
     it('when datagrams get lost', async () => {
       network.loss = 0.2;
       await play(400);
-      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
     });
 
     it('when nodes restart one after the other', async () => {
@@ -197,7 +195,7 @@
         });
       });
       await play(400);
-      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
     });
 
     it('when all nodes restart at the same moment', async () => {
@@ -205,7 +203,7 @@
         nodes = members.map((_each, index) => createNode(index));
       });
       await play(400);
-      expect(lateHarmful()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
     });
   });
 
