Decode and log the epoch of the platform's log and targets that leave

The hypotheses on CONFIG and DRAIN could not be told apart: neither what the store says about its copy nor what a target says about its leaving was decoded, logged or counted.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -140,6 +140,8 @@
   readonly isNotRun: boolean;
   /** Whether the target states that its address now belongs to another target. */
   readonly isMisdirected: boolean;
+  /** Whether the target states that it is leaving and takes no new requests. */
+  readonly isLeaving: boolean;
   /** `IP:port` of the target that failed, if it is not the one that sent the answer. */
   readonly failedAddress: string | undefined;
   /**
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -20,6 +20,8 @@
 
 /** The newest record of every key, without the removed keys. */
 export interface KeyedSnapshot {
+  /** Epoch of the log; `undefined` when the platform does not state it. */
+  readonly epoch: number | undefined;
   readonly records: readonly KeyedRecord[];
   /** End offset: the snapshot reflects every record before it, and possibly later ones. */
   readonly end: number;
@@ -27,6 +29,8 @@
 
 /** Consecutive records, in the order of their offsets. */
 export interface KeyedPage {
+  /** Epoch of the log; `undefined` when the platform does not state it. */
+  readonly epoch: number | undefined;
   readonly records: readonly KeyedRecord[];
   /** Offset to continue reading from. */
   readonly end: number;
--- a/packages/gateway/src/common/state/KeyedTable.test.ts
+++ b/packages/gateway/src/common/state/KeyedTable.test.ts
@@ -33,7 +33,7 @@
   it('removes keys missing from a snapshot, unless their records are newer', () => {
     const table = new KeyedTable('t');
     table.apply([record('a', 1, '1'), record('b', 9, '9')], 10);
-    table.applySnapshot({ records: [record('c', 4, '4')], end: 5 });
+    table.applySnapshot({ epoch: undefined, records: [record('c', 4, '4')], end: 5 });
     expect(stateOf(table)).toEqual({ b: '9', c: '4' });
   });
 
@@ -41,7 +41,7 @@
     const table = new KeyedTable('t');
     let fired = 0;
     table.onChange(() => fired++);
-    table.applySnapshot({ records: [], end: 0 });
+    table.applySnapshot({ epoch: undefined, records: [], end: 0 });
     expect(fired).toBe(1);
     expect(table.hasSnapshot).toBe(true);
   });
--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -77,7 +77,7 @@
   it('delivers a change within 200 ms to a node that the platform rejects', async () => {
     create(3);
     nodes.forEach(({ table }) => {
-      table.applySnapshot({ records: [], end: 0 });
+      table.applySnapshot({ epoch: undefined, records: [], end: 0 });
     });
     receiveFromPlatform(0, 'a', '1');
     await clock.advance(200);
@@ -86,7 +86,7 @@
 
   it('sends the whole state to a node that has no snapshot', async () => {
     create(2);
-    nodes[0]?.table.applySnapshot({ records: [], end: 0 });
+    nodes[0]?.table.applySnapshot({ epoch: undefined, records: [], end: 0 });
     receiveFromPlatform(0, 'a', '1');
     await clock.advance(1_000);
     expect(nodes[1]?.table.hasSnapshot).toBe(true);
@@ -96,7 +96,7 @@
   it('forwards the removal of a key', async () => {
     create(2);
     nodes.forEach(({ table }) => {
-      table.applySnapshot({ records: [], end: 0 });
+      table.applySnapshot({ epoch: undefined, records: [], end: 0 });
     });
     receiveFromPlatform(0, 'a', '1');
     await clock.advance(500);
@@ -108,7 +108,7 @@
   it('delivers a change to all 40 nodes of a zone within a second', async () => {
     create(40);
     nodes.forEach(({ table }) => {
-      table.applySnapshot({ records: [], end: 0 });
+      table.applySnapshot({ epoch: undefined, records: [], end: 0 });
     });
     receiveFromPlatform(0, 'a', '1');
     await clock.advance(1_000);
@@ -127,7 +127,7 @@
       const zones = Array.from({ length: 30 }, (_each, index) => ZONES[index % 3] ?? '');
       create(zones.length, zones);
       nodes.forEach(({ table }) => {
-        table.applySnapshot({ records: [], end: 0 });
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
       });
       await clock.advance(1_000);
       const before = crossZoneDatagrams;
@@ -151,7 +151,7 @@
       connected = new Set(zones.keys());
       create(zones.length, zones);
       nodes.forEach(({ table }) => {
-        table.applySnapshot({ records: [], end: 0 });
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
       });
     });
 
@@ -187,7 +187,7 @@
     it('is read from the platform when the peer is connected to the platform', async () => {
       create(2);
       nodes.forEach(({ table }) => {
-        table.applySnapshot({ records: [], end: 0 });
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
       });
       receiveFromPlatform(0, 'a', 'x'.repeat(LONG_VALUE_BYTES));
       await clock.advance(300);
@@ -198,7 +198,7 @@
       connected = new Set();
       create(2);
       nodes.forEach(({ table }) => {
-        table.applySnapshot({ records: [], end: 0 });
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
       });
       receiveFromPlatform(0, 'a', 'x'.repeat(LONG_VALUE_BYTES));
       await clock.advance(1_000);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -316,7 +316,7 @@
       table.apply(records, response.end);
     } else {
       const present = records.filter(({ value }) => value !== undefined);
-      table.applySnapshot({ records: present, end: response.end });
+      table.applySnapshot({ epoch: undefined, records: present, end: response.end });
     }
   }
 
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -31,6 +31,8 @@
   private readonly _entries = new Map<string, TargetEntry>();
   /** By target: when it is removed unless its entry returns. */
   private readonly _removalDueAt = new Map<string, number>();
+  /** By target: start time of the instance that stated in an answer that it is leaving. */
+  private readonly _leaving = new Map<string, number | undefined>();
   private readonly _onChange = this.register(new Emitter<TargetEntry>());
   /** Fires with an entry that was added, changed or removed; a removed one is marked draining. */
   public readonly onChange = this._onChange.event;
@@ -63,6 +65,15 @@
     return entry !== undefined && !entry.isDraining && !this._isRemovalDue(id);
   }
 
+  /** Records that a target stated in an answer that it is leaving. */
+  public recordLeaving({ id, isDraining, service, startedAt }: TargetEntry): void {
+    if (this._leaving.has(id) && this._leaving.get(id) === startedAt) {
+      return;
+    }
+    this._leaving.set(id, startedAt);
+    this._options.log.write('target.leaving', { target: id, service, isDraining });
+  }
+
   private _isRemovalDue(id: string): boolean {
     const dueAt = this._removalDueAt.get(id);
     return dueAt !== undefined && this._options.clock.now() >= dueAt;
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -39,7 +39,7 @@
     }
     const newest = new Map(this._log.map((each) => [each.key, each]));
     const records = [...newest.values()].filter(({ value }) => value !== undefined);
-    return Result.ok({ records, end: this._log.length });
+    return Result.ok({ epoch: undefined, records, end: this._log.length });
   }
 
   public async read(
@@ -57,7 +57,7 @@
     for (let waited = 0; waited < waitMs && this._log.length <= from; waited += 10) {
       await this._clock.sleep(10);
     }
-    return Result.ok({ records: this._log.slice(from), end: this._log.length });
+    return Result.ok({ epoch: undefined, records: this._log.slice(from), end: this._log.length });
   }
 
   private async _simulateCall(timeoutMs: number): Promise<ServiceError | undefined> {
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -11,7 +11,7 @@
   type RandomSource,
   type ServiceError,
 } from '@tanagerdyke/kernel';
-import type { KeyedTopic } from '../services/Services.js';
+import type { KeyedPage, KeyedSnapshot, KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 
@@ -50,6 +50,7 @@
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
+  private _epoch: number | undefined;
 
   constructor(private readonly _options: TopicFollowerOptions) {
     super();
@@ -108,6 +109,7 @@
     if (snapshot.isErr) {
       return snapshot.error;
     }
+    this._recordEpoch(snapshot.value);
     table.applySnapshot(snapshot.value);
     return undefined;
   }
@@ -131,10 +133,20 @@
     if (page.isErr) {
       return page.error;
     }
+    this._recordEpoch(page.value);
     table.apply(page.value.records, page.value.end);
     return undefined;
   }
 
+  private _recordEpoch({ end, epoch }: KeyedSnapshot | KeyedPage): void {
+    if (epoch !== undefined && epoch !== this._epoch) {
+      const { log, table } = this._options;
+      const { end: tableEnd, name: topic } = table;
+      log.write('platform.epoch', { topic, epoch, before: this._epoch, end, tableEnd });
+      this._epoch = epoch;
+    }
+  }
+
   private _countCall(call: string, isAnswered: boolean): void {
     const outcome = isAnswered ? 'answered' : 'failed';
     this._options.metrics.increment('tanager_platform_calls_total', { call, outcome });
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -188,7 +188,7 @@
   target: TargetEntry,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
-  const { clock, dialect, rateLimits, upstream } = dependencies;
+  const { clock, dialect, rateLimits, targets, upstream } = dependencies;
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
     remainingMs: deadlineAt - clock.now(),
@@ -204,9 +204,13 @@
     target,
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
-    onAnswerHead: ({ isMisdirected, requestsPerSecond }) => {
-      if (!isMisdirected) {
-        rateLimits.recordStatement({ target: target.id, requestsPerSecond });
+    onAnswerHead: ({ isLeaving, isMisdirected, requestsPerSecond }) => {
+      if (isMisdirected) {
+        return;
+      }
+      rateLimits.recordStatement({ target: target.id, requestsPerSecond });
+      if (isLeaving) {
+        targets.recordLeaving(target);
       }
     },
     attemptId: caller.attemptId,
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -94,6 +94,7 @@
     attemptId: findHeader(headers, 'attempt'),
     isNotRun: findHeader(headers, 'not-run') !== undefined,
     isMisdirected: false,
+    isLeaving: findHeader(headers, 'leaving') !== undefined,
     failedAddress: findHeader(headers, 'failed-at'),
     requestsPerSecond: numberOf(findHeader(headers, 'rate')),
   }),
@@ -246,6 +247,7 @@
   /** Applies the configuration record. */
   public publishConfiguration(): void {
     this._configurationRecords.applySnapshot({
+      epoch: undefined,
       records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
       end: 1,
     });
