Order records by the epoch of the platform's log, not by offset alone

What callers saw: requests refused as an older version says, seconds after the newer one was acknowledged; targets that had said that they drain got requests.

Cause: when the platform returns from a copy some seconds old, it assigns the later offsets again. The tables kept the record with the highest offset of any time, the end offset never fell, and peers compared end offsets.

Change: tables, polls and peers state the epoch of the log and compare offsets only within one. A record of an earlier epoch stays if it states what was confirmed and can't be undone: a newer version of the configuration, an instance that started later or drains, and for five seconds a removal that the copy lacks. Peers exchange these records, so that a node which starts after the restore has them as well. Answers of an earlier epoch are dropped. Peers of earlier releases state no epoch; their records count as earlier ones, and the platform is read.

--- a/packages/gateway/src/common/state/KeyedTable.test.ts
+++ b/packages/gateway/src/common/state/KeyedTable.test.ts
@@ -71,4 +71,90 @@
     );
     fc.assert(property, { seed: SEED });
   });
+
+  describe('when the log was restored from an older copy', () => {
+    it('takes records of the new epoch with lower offsets', () => {
+      const table = new KeyedTable('t');
+      table.applySnapshot({ epoch: 1, records: [record('a', 8, 'old')], end: 9 });
+      table.applySnapshot({ epoch: 2, records: [record('a', 2, 'copy')], end: 3 });
+      table.apply([record('a', 3, 'new')], 4);
+      expect(stateOf(table)).toEqual({ a: 'new' });
+      expect(table.end).toBe(4);
+    });
+
+    it('ignores records and snapshots of the epoch before', () => {
+      const table = new KeyedTable('t');
+      table.applySnapshot({ epoch: 2, records: [record('a', 2, 'new')], end: 3 });
+      expect(table.applySnapshot({ epoch: 1, records: [record('a', 8, 'old')], end: 9 })).toBe(
+        false,
+      );
+      table.apply([record('a', 9, 'old')], 10, 1);
+      expect(stateOf(table)).toEqual({ a: 'new' });
+      expect(table.end).toBe(3);
+    });
+
+    it('keeps a record that outlasts the epoch until it is written again', () => {
+      const outlasts = (_key: string, earlier: Buffer, later: Buffer | undefined): boolean =>
+        earlier.toString() > (later?.toString() ?? '');
+      const table = new KeyedTable('t', { outlasts });
+      table.applySnapshot({ epoch: 1, records: [record('a', 8, '5')], end: 9 });
+      table.applySnapshot({ epoch: 2, records: [record('a', 2, '3')], end: 3 });
+      expect(stateOf(table)).toEqual({ a: '5' });
+      expect(table.earlierRecords).toHaveLength(1);
+      table.apply([record('a', 3, '5')], 4);
+      expect(table.earlierDigest).toBe('');
+      table.apply([record('a', 4, '6')], 5);
+      expect(stateOf(table)).toEqual({ a: '6' });
+    });
+
+    it('sends a peer of the epoch before a table that leads it to the same state', () => {
+      const table = new KeyedTable('t');
+      table.applySnapshot({ epoch: 2, records: [record('a', 2, 'new')], end: 3 });
+      const peer = new KeyedTable('t');
+      peer.applySnapshot({
+        epoch: 1,
+        records: [record('a', 8, 'old'), record('b', 9, 'old')],
+        end: 10,
+      });
+      peer.applySnapshot({ epoch: 2, records: table.recordsFrom(0), end: table.end });
+      expect(stateOf(peer)).toEqual({ a: 'new' });
+    });
+
+    it('ends with the records of the new log for any change before and after', () => {
+      const change = fc.record({
+        key: fc.constantFrom('a', 'b', 'c'),
+        value: fc.option(fc.string({ minLength: 1, maxLength: 3 }), { nil: undefined }),
+      });
+      const property = fc.property(
+        fc.array(change, { maxLength: 20 }),
+        fc.nat(20),
+        fc.array(change, { maxLength: 20 }),
+        fc.nat(20),
+        (before, lost, after, seen) => {
+          const old = before.map(({ key, value }, offset) => record(key, offset, value));
+          const copied = old.slice(0, Math.max(0, old.length - lost));
+          const written = after.map(({ key, value }, index) =>
+            record(key, copied.length + index, value),
+          );
+          const log = [...copied, ...written];
+          const end = Math.min(log.length, copied.length + seen);
+          const newest = new Map(log.slice(0, end).map((each) => [each.key, each]));
+          const table = new KeyedTable('t');
+          table.applySnapshot({ epoch: 1, records: [], end: 0 });
+          table.apply(old, old.length);
+          table.applySnapshot({
+            epoch: 2,
+            records: [...newest.values()].filter(({ value }) => value !== undefined),
+            end,
+          });
+          table.apply(log.slice(end), log.length);
+          table.endRemovalHold();
+          const expected = new KeyedTable('t');
+          expected.apply(log, log.length);
+          expect(stateOf(table)).toEqual(stateOf(expected));
+        },
+      );
+      fc.assert(property, { seed: SEED });
+    });
+  });
 });
--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -1,5 +1,7 @@
 import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
 import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { encodeNotification } from '@tanagerdyke/mesh';
+import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
 import { KeyedTable } from './KeyedTable.js';
@@ -206,6 +208,53 @@
     });
   });
 
+  describe('a peer of a release that does not state the epoch', () => {
+    const OLD_PEER = '127.0.0.1:99';
+    const HIGHER_END = 50;
+
+    beforeEach(async () => {
+      create(1);
+      nodes[0]?.table.applySnapshot({
+        epoch: 2,
+        records: [{ key: 'a', offset: 3, value: Buffer.from('new') }],
+        end: 4,
+      });
+      const peer = network.join(OLD_PEER);
+      peer.handle('gateway.records', () =>
+        Promise.resolve(
+          Result.ok({
+            end: HIGHER_END,
+            isKnown: true,
+            isTooLong: false,
+            records: [
+              ['a', 40, Buffer.from('old').toString('base64')],
+              ['b', 41, Buffer.from('old').toString('base64')],
+            ],
+          }),
+        ),
+      );
+      const progress = { from: OLD_PEER, inTouch: true, isDirect: true, unsettled: false };
+      for (let sent = 0; sent < 8; sent++) {
+        peer.sendDatagram(
+          '127.0.0.1:1',
+          encodeNotification('gateway.progress', { ...progress, ends: [['topic', HIGHER_END]] }),
+        );
+        await clock.advance(500);
+      }
+    });
+
+    it('does not bring records of before the restore back', () => {
+      expect(valueAt(0, 'a')).toBe('new');
+      expect(valueAt(0, 'b')).toBeUndefined();
+      expect(nodes[0]?.table.end).toBe(4);
+    });
+
+    it('makes the node read the platform, at most once a second', () => {
+      expect(nodes[0]?.caughtUp.length).toBeGreaterThan(1);
+      expect(nodes[0]?.caughtUp.length).toBeLessThanOrEqual(5);
+    });
+  });
+
   describe('polling', () => {
     it('is done by two nodes of a zone while they are connected to the platform', async () => {
       connected = new Set([0, 1]);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -2,7 +2,8 @@
  * Relays topic records from the platform between nodes, so that a node that the platform rejects,
  * or that starts during an outage of the platform, still receives updates. Each node sends the end
  * offsets of its tables to peers; a node that is behind fetches the missing records from the
- * sender.
+ * sender. Offsets are compared within one epoch of the log; a node of an earlier epoch fetches the
+ * whole table. Records of earlier epochs that are still valid are exchanged, too.
  */
 import {
   type Clock,
@@ -25,7 +26,7 @@
 import * as z from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedRecord } from '../services/Services.js';
-import type { KeyedTable } from './KeyedTable.js';
+import { type KeyedTable, UNSTATED_EPOCH } from './KeyedTable.js';
 import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
 
 const PROGRESS_METHOD = 'gateway.progress';
@@ -50,6 +51,7 @@
  */
 const MAX_RESPONSE_BYTES = 100_000;
 const FETCH_TIMEOUT_MS = 1_000;
+const CATCH_UP_INTERVAL_MS = 1_000;
 /**
  * Delay before a fetch: a record that is in transit from the platform usually arrives before a
  * fetch from a peer would complete.
@@ -66,11 +68,18 @@
   unsettled: z.boolean(),
   /** Name and end offset of each topic. */
   ends: z.array(z.tuple([z.string(), z.number().int()])),
+  /** Epoch and digest of the earlier records of each topic; nodes of earlier releases send none. */
+  epochs: z.array(z.tuple([z.number().int(), z.string()])).optional(),
 });
 
 const parseProgress = notificationParser(PROGRESS_METHOD, schemaReader(progressSchema));
 
-const recordsRequestSchema = z.object({ topic: z.string(), after: z.number().int() });
+const recordsRequestSchema = z.object({
+  topic: z.string(),
+  after: z.number().int(),
+  /** Epoch of `after`; in any other one the whole table is requested. */
+  epoch: z.number().int().optional(),
+});
 
 const recordsResponseSchema = z.object({
   end: z.number().int(),
@@ -80,8 +89,22 @@
   isTooLong: z.boolean(),
   /** Key, offset and base64 value of each record; the value of a removed key is null. */
   records: z.array(z.tuple([z.string(), z.number().int(), z.string().nullable()])),
+  /** Epoch of the records; nodes of earlier releases send none. */
+  epoch: z.number().int().optional(),
+  /** Key, epoch, offset and value of each record of an earlier epoch that is still valid. */
+  earlier: z
+    .array(z.tuple([z.string(), z.number().int(), z.number().int(), z.string().nullable()]))
+    .default([]),
 });
 
+/** How far a peer is with a topic. */
+interface TopicProgress {
+  readonly end: number;
+  /** `undefined` for a node of an earlier release, which compares offsets of any epochs. */
+  readonly epoch: number | undefined;
+  readonly earlierDigest: string;
+}
+
 export interface PeerRelayOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -100,6 +123,8 @@
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
 export class PeerRelay extends DisposableOwner {
   private readonly _fetching = new Set<string>();
+  /** By topic: when it was last read on the word of a peer that does not state the epoch. */
+  private readonly _caughtUpAt = new Map<string, number>();
   private _pollerConnectedAt: number;
   /** When a poller itself last reported that it is connected. */
   private _directReportAt = Number.NEGATIVE_INFINITY;
@@ -236,6 +261,7 @@
   private _sendProgressTo(peers: readonly Member[]): void {
     const { hadRecentOutage, isConnected, membership, tables, transport } = this._options;
     const ends = tables.map(({ name, end }) => [name, end]);
+    const epochs = tables.map(({ earlierDigest, epoch }) => [epoch, earlierDigest]);
     const isDirect = this.isPoller && isConnected();
     const params = {
       from: transport.address,
@@ -243,6 +269,7 @@
       isDirect,
       unsettled: hadRecentOutage(),
       ends,
+      epochs,
     };
     const payload = encodeNotification(PROGRESS_METHOD, params);
     for (const { name, peerAddress } of peers) {
@@ -263,10 +290,11 @@
     if (parsed.unsettled) {
       this._outageReportedAt = this._options.clock.now();
     }
-    for (const [name, end] of parsed.ends) {
+    for (const [index, [name, end]] of parsed.ends.entries()) {
       const table = this._options.tables.find((each) => each.name === name);
-      if (table !== undefined && end > table.end) {
-        await this._fetchRecords(parsed.from, table, end);
+      const [epoch, earlierDigest = ''] = parsed.epochs?.[index] ?? [];
+      if (table !== undefined) {
+        await this._fetchRecords(parsed.from, table, { end, epoch, earlierDigest });
       }
     }
   }
@@ -279,49 +307,83 @@
     }
   }
 
-  private async _fetchRecords(peer: string, table: KeyedTable, end: number): Promise<void> {
-    const { catchUp, clock, log, transport } = this._options;
-    if (this._fetching.has(table.name)) {
+  /** Fetches the records that a peer has and the table lacks. */
+  private async _fetchRecords(
+    peer: string,
+    table: KeyedTable,
+    progress: TopicProgress,
+  ): Promise<void> {
+    const { clock } = this._options;
+    if (this._fetching.has(table.name) || !isBehind(table, progress)) {
       return;
     }
     this._fetching.add(table.name);
     if (table.hasSnapshot) {
       await clock.sleep(FETCH_DELAY_MS, this.disposalSignal);
     }
-    if (end > table.end) {
-      const after = table.hasSnapshot ? table.end : 0;
-      const request = { topic: table.name, after };
-      const response = await transport.request(peer, RECORDS_METHOD, request, FETCH_TIMEOUT_MS);
-      const parsed = response.isOk ? recordsResponseSchema.safeParse(response.value) : undefined;
-      if (parsed?.success === true && parsed.data.isTooLong) {
-        await catchUp(table.name);
-      } else if (parsed?.success === true) {
-        this._applyResponse(table, parsed.data);
-        log.write('records.fetched', { topic: table.name, peer, after, end: parsed.data.end });
-      } else {
-        const cause = response.isErr ? response.error.message : 'malformed response';
-        log.write('records.unfetched', { topic: table.name, peer, after, cause });
-      }
+    if (isBehind(table, progress)) {
+      await this._requestRecords(peer, table);
     }
     this._fetching.delete(table.name);
   }
 
-  private _applyResponse(table: KeyedTable, response: z.infer<typeof recordsResponseSchema>): void {
-    const records = response.records.map(([key, offset, value]): KeyedRecord => ({
-      key,
-      offset,
-      value: value === null ? undefined : Buffer.from(value, 'base64'),
-    }));
-    if (table.hasSnapshot || !response.isKnown) {
-      table.apply(records, response.end);
-    } else {
+  private async _requestRecords(peer: string, table: KeyedTable): Promise<void> {
+    const { catchUp, log, transport } = this._options;
+    const { epoch, name: topic } = table;
+    const after = table.hasSnapshot ? table.end : 0;
+    const request = { topic, after, epoch };
+    const response = await transport.request(peer, RECORDS_METHOD, request, FETCH_TIMEOUT_MS);
+    const parsed = response.isOk ? recordsResponseSchema.safeParse(response.value) : undefined;
+    if (parsed?.success !== true) {
+      const cause = response.isErr ? response.error.message : 'malformed response';
+      log.write('records.unfetched', { topic, peer, after, cause });
+      return;
+    }
+    if (!parsed.data.isTooLong) {
+      this._applyRecords(table, parsed.data);
+    }
+    const isEpochUnknown = parsed.data.epoch === undefined && epoch !== UNSTATED_EPOCH;
+    if (parsed.data.isTooLong || (isEpochUnknown && this._mayCatchUp(topic))) {
+      await catchUp(topic);
+    }
+    table.applyEarlier(
+      parsed.data.earlier.map(([key, recordEpoch, offset, value]) => ({
+        ...decodeRecord(key, offset, value),
+        epoch: recordEpoch,
+      })),
+    );
+    log.write('records.fetched', { topic, peer, after, epoch, end: parsed.data.end });
+  }
+
+  /** Limits the reads for peers that do not state the epoch: their end offset may stay higher. */
+  private _mayCatchUp(topic: string): boolean {
+    const now = this._options.clock.now();
+    const isDue = now - (this._caughtUpAt.get(topic) ?? 0) >= CATCH_UP_INTERVAL_MS;
+    if (isDue) {
+      this._caughtUpAt.set(topic, now);
+    }
+    return isDue;
+  }
+
+  private _applyRecords(
+    table: KeyedTable,
+    { end, epoch, isKnown, records: encoded }: RecordsResponse,
+  ): void {
+    const records = encoded.map(([key, offset, value]) => decodeRecord(key, offset, value));
+    const recordEpoch = epoch ?? UNSTATED_EPOCH;
+    if (table.hasSnapshot && recordEpoch < table.epoch) {
+      table.applyEarlier(records.map((record) => ({ ...record, epoch: recordEpoch })));
+    } else if (isKnown && (!table.hasSnapshot || recordEpoch > table.epoch)) {
       const present = records.filter(({ value }) => value !== undefined);
-      table.applySnapshot({ epoch: undefined, records: present, end: response.end });
+      table.applySnapshot({ epoch: recordEpoch, records: present, end });
+    } else {
+      table.apply(records, end, recordEpoch);
     }
   }
 
   private _respond({
     after,
+    epoch,
     topic,
   }: z.infer<typeof recordsRequestSchema>): Result<unknown, ServiceError> {
     const table = this._options.tables.find(({ name }) => name === topic);
@@ -332,13 +394,42 @@
         }),
       );
     }
+    const isSameEpoch = epoch === undefined || epoch === table.epoch;
     const records = table
-      .recordsFrom(after)
-      .map(({ key, offset, value }) => [key, offset, value?.toString('base64') ?? null] as const);
+      .recordsFrom(isSameEpoch ? after : 0)
+      .map(({ key, offset, value }) => [key, offset, encodeValue(value)] as const);
+    const earlier = table.earlierRecords.map(
+      (each) => [each.key, each.epoch, each.offset, encodeValue(each.value)] as const,
+    );
     const length = records.reduce((sum, [, , value]) => sum + (value?.length ?? 0), 0);
     // While the platform is unreachable, a peer is the only source of the records.
     const isTooLong = length > MAX_RESPONSE_BYTES && this._options.isConnected();
     const { end, hasSnapshot } = table;
-    return Result.ok({ end, isKnown: hasSnapshot, isTooLong, records: isTooLong ? [] : records });
+    return Result.ok({
+      epoch: table.epoch,
+      end,
+      isKnown: hasSnapshot,
+      isTooLong,
+      records: isTooLong ? [] : records,
+      earlier,
+    });
   }
 }
+
+type RecordsResponse = z.infer<typeof recordsResponseSchema>;
+
+/** Whether a peer has records of a topic that the table lacks. */
+function isBehind(table: KeyedTable, { earlierDigest, end, epoch }: TopicProgress): boolean {
+  if (epoch !== undefined && epoch !== table.epoch) {
+    return epoch > table.epoch;
+  }
+  return end > table.end || (earlierDigest !== '' && earlierDigest !== table.earlierDigest);
+}
+
+function encodeValue(value: Buffer | undefined): string | null {
+  return value?.toString('base64') ?? null;
+}
+
+function decodeRecord(key: string, offset: number, value: string | null): KeyedRecord {
+  return { key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') };
+}
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -4,17 +4,25 @@
  */
 import {
   type Clock,
+  type Disposable,
   DisposableOwner,
   Emitter,
   type Metrics,
   type RandomSource,
+  toDisposable,
 } from '@tanagerdyke/kernel';
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTopic, RecordDecoder } from '../services/Services.js';
 import { ConfigurationState } from './ConfigurationState.js';
-import { KeyedTable } from './KeyedTable.js';
+import {
+  type EpochStart,
+  KeyedTable,
+  type RecordSuccession,
+  UNSTATED_EPOCH,
+} from './KeyedTable.js';
 import { PeerRelay } from './PeerRelay.js';
+import { configurationSuccession, targetSuccession } from './RecordSuccessions.js';
 import { TargetTable } from './TargetTable.js';
 import { TopicFollower } from './TopicFollower.js';
 
@@ -25,6 +33,11 @@
 const CONNECTION_TIMEOUT_MS = 4_500;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
+/**
+ * Time from the start of an epoch in which removals of the epoch before it hold. Longer than the
+ * platform takes to write lost removals again, or to let the entries of silent targets expire.
+ */
+const REMOVAL_HOLD_MS = 5_000;
 
 export interface PlatformViewOptions {
   readonly clock: Clock;
@@ -45,15 +58,30 @@
   private readonly _targetRecords: KeyedTable;
   private readonly _followers: readonly TopicFollower[];
   private readonly _relay: PeerRelay;
+  private readonly _removalHolds = new Map<KeyedTable, Disposable>();
+  private _restoredAt = Number.NEGATIVE_INFINITY;
+  private readonly _onRestore = this.register(new Emitter<void>());
+  /** Fires when the platform's log has been restored, once for each topic. */
+  public readonly onRestore = this._onRestore.event;
   private readonly _onUpdate = this.register(new Emitter<void>());
   /** Fires on each update of the configuration or the targets while requests can be routed. */
   public readonly onUpdate = this._onUpdate.event;
 
   constructor(private readonly _options: PlatformViewOptions) {
     super();
+    this.register(
+      toDisposable(() => {
+        for (const timer of this._removalHolds.values()) {
+          timer.dispose();
+        }
+      }),
+    );
     const { clock, configurationTopic, decoder, log, targetTopic } = _options;
-    const configurationRecords = this.register(new KeyedTable(configurationTopic.name));
-    this._targetRecords = this.register(new KeyedTable(targetTopic.name));
+    const configurationRecords = this._createTable(
+      configurationTopic.name,
+      configurationSuccession(decoder),
+    );
+    this._targetRecords = this._createTable(targetTopic.name, targetSuccession(decoder));
     this.configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
     this.targets = this.register(
       new TargetTable({
@@ -93,6 +121,11 @@
     return this.configuration.current !== undefined && this._targetRecords.hasSnapshot;
   }
 
+  /** Newest epoch of the platform's log that this node has a record of; 0 if none is stated. */
+  public get epoch(): number {
+    return this._targetRecords.epoch;
+  }
+
   /** Version of the configuration in force; 0 before the first one is loaded. */
   public get version(): number {
     return this.configuration.current?.version ?? 0;
@@ -114,6 +147,35 @@
     this._relay.start();
   }
 
+  private _createTable(name: string, succession: RecordSuccession): KeyedTable {
+    const table = this.register(new KeyedTable(name, succession));
+    this._holdRemovals(table);
+    this.register(
+      table.onEpoch((start) => {
+        this._recordEpoch(table, start);
+      }),
+    );
+    return table;
+  }
+
+  private _recordEpoch(table: KeyedTable, { before, endBefore, epoch }: EpochStart): void {
+    const { clock, log } = this._options;
+    log.write('platform.epoch', { topic: table.name, epoch, before, end: table.end, endBefore });
+    this._holdRemovals(table);
+    if (before !== UNSTATED_EPOCH) {
+      this._restoredAt = clock.now();
+      this._onRestore.fire();
+    }
+  }
+
+  private _holdRemovals(table: KeyedTable): void {
+    this._removalHolds.get(table)?.dispose();
+    const timer = this._options.clock.schedule(REMOVAL_HOLD_MS, () => {
+      table.endRemovalHold();
+    });
+    this._removalHolds.set(table, timer);
+  }
+
   private _follow(topic: KeyedTopic, table: KeyedTable): TopicFollower {
     const shouldPoll = (): boolean => this._relay.isPoller;
     const isAppointedPoller = (): boolean => this._relay.isAppointedPoller;
@@ -124,7 +186,10 @@
 
   private _hadRecentOutage(): boolean {
     const now = this._options.clock.now();
-    return this._followers.some(({ lastFailureAt }) => now - lastFailureAt < RECENT_OUTAGE_MS);
+    return (
+      now - this._restoredAt < RECENT_OUTAGE_MS ||
+      this._followers.some(({ lastFailureAt }) => now - lastFailureAt < RECENT_OUTAGE_MS)
+    );
   }
 
   /** Whether the platform responded recently for every topic. */
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -8,8 +8,8 @@
 import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { DecisionLog } from '../DecisionLog.js';
-import type { KeyedRecord, RecordDecoder } from '../services/Services.js';
-import type { KeyedTable } from './KeyedTable.js';
+import type { RecordDecoder } from '../services/Services.js';
+import type { EpochRecord, KeyedTable } from './KeyedTable.js';
 
 /**
  * How long a target whose entry was removed after an outage stays in use. Live targets renew their
@@ -79,21 +79,22 @@
     return dueAt !== undefined && this._options.clock.now() >= dueAt;
   }
 
-  private _applyRecord(record: KeyedRecord): void {
+  private _applyRecord(record: EpochRecord): void {
     if (record.value === undefined) {
-      this._remove(record.key);
+      this._remove(record);
     } else {
       this._store(record.key, record.value, record.offset);
     }
   }
 
-  private _remove(id: string): void {
-    const { clock, hadRecentOutage, log } = this._options;
+  private _remove({ epoch, key: id }: EpochRecord): void {
+    const { clock, hadRecentOutage, log, table } = this._options;
     const entry = this._entries.get(id);
     if (entry === undefined) {
       return;
     }
-    const mayReturn = hadRecentOutage() && !entry.isDraining;
+    // A removal of an earlier epoch preceded the outage, so it does not follow from it.
+    const mayReturn = hadRecentOutage() && !entry.isDraining && epoch === table.epoch;
     log.write('target.gone', { target: id, service: entry.service, mayReturn });
     if (mayReturn) {
       this._removalDueAt.set(id, clock.now() + REMOVAL_GRACE_MS);
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -1,7 +1,8 @@
 /**
  * Follows one keyed topic of the platform: loads a snapshot, then long-polls from its end offset,
- * and loads a new snapshot when records expired before they were read. Every call has its own
- * timeout, since a connection may stop responding without being closed.
+ * and loads a new snapshot when records expired before they were read, or when the log was restored
+ * from an older copy. Every call has its own timeout, since a connection may stop responding without
+ * being closed.
  */
 import {
   type Clock,
@@ -9,9 +10,9 @@
   ErrorKind,
   type Metrics,
   type RandomSource,
-  type ServiceError,
+  ServiceError,
 } from '@tanagerdyke/kernel';
-import type { KeyedPage, KeyedSnapshot, KeyedTopic } from '../services/Services.js';
+import type { KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 
@@ -50,7 +51,8 @@
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
-  private _epoch: number | undefined;
+  /** Calls in a row that failed since the platform no longer holds the records. */
+  private _expirations = 0;
 
   constructor(private readonly _options: TopicFollowerOptions) {
     super();
@@ -92,13 +94,17 @@
       }
       if (error.kind === ErrorKind.RecordsExpired) {
         needsSnapshot = true;
+        this._expirations++;
+        // A snapshot is of no use if the records after it are not there either.
+        if (this._expirations > 1) {
+          await clock.sleep(retryDelayMs(this._expirations, MAX_RETRY_MS, random), signal);
+        }
         continue;
       }
       this._recordFailure(error);
       const isSubstitute = !needsSnapshot && !this._options.isAppointedPoller();
       const maxRetryMs = isSubstitute ? MAX_SUBSTITUTE_RETRY_MS : MAX_RETRY_MS;
-      const maxDelayMs = Math.min(maxRetryMs, FIRST_RETRY_MS * 2 ** Math.min(this._failures, 8));
-      await clock.sleep(maxDelayMs * (0.5 + random.next() / 2), signal);
+      await clock.sleep(retryDelayMs(this._failures, maxRetryMs, random), signal);
     }
   }
 
@@ -109,14 +115,15 @@
     if (snapshot.isErr) {
       return snapshot.error;
     }
-    this._recordEpoch(snapshot.value);
-    table.applySnapshot(snapshot.value);
-    return undefined;
+    return table.applySnapshot(snapshot.value) ? undefined : restoredError(table.name);
   }
 
   /** Reads the records beyond the table's end offset, without waiting for new ones. */
   public async catchUp(): Promise<void> {
-    const error = await this._readRecords(0, READ_TIMEOUT_MS);
+    let error = await this._readRecords(0, READ_TIMEOUT_MS);
+    if (error?.kind === ErrorKind.RecordsExpired) {
+      error = await this._loadSnapshot();
+    }
     if (error !== undefined && error.kind !== ErrorKind.RecordsExpired) {
       this._recordFailure(error);
     }
@@ -128,23 +135,22 @@
 
   private async _readRecords(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
-    const page = await topic.read(table.end, waitMs, timeoutMs);
+    const { end: from, epoch: epochBefore } = table;
+    const page = await topic.read(from, waitMs, timeoutMs);
     this._countCall('read', page.isOk);
     if (page.isErr) {
       return page.error;
     }
-    this._recordEpoch(page.value);
-    table.apply(page.value.records, page.value.end);
-    return undefined;
-  }
-
-  private _recordEpoch({ end, epoch }: KeyedSnapshot | KeyedPage): void {
-    if (epoch !== undefined && epoch !== this._epoch) {
-      const { log, table } = this._options;
-      const { end: tableEnd, name: topic } = table;
-      log.write('platform.epoch', { topic, epoch, before: this._epoch, end, tableEnd });
-      this._epoch = epoch;
+    const { end, epoch = epochBefore, records } = page.value;
+    if (epoch > table.epoch) {
+      return restoredError(table.name);
+    }
+    this._expirations = 0;
+    // Otherwise the records begin at an offset of another epoch.
+    if (epoch === epochBefore) {
+      table.apply(records, end, epoch);
     }
+    return undefined;
   }
 
   private _countCall(call: string, isAnswered: boolean): void {
@@ -171,3 +177,16 @@
     }
   }
 }
+
+function retryDelayMs(failures: number, maxDelayMs: number, random: RandomSource): number {
+  const delayMs = Math.min(maxDelayMs, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
+  return delayMs * (0.5 + random.next() / 2);
+}
+
+function restoredError(topic: string): ServiceError {
+  return new ServiceError(
+    ErrorKind.RecordsExpired,
+    `the log of '${topic}' was restored from an older copy`,
+    { remedy: 'none needed; the newest record of each key is read again' },
+  );
+}
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -264,6 +264,7 @@
     metrics.gauge('tanager_members_live', () => this._membership.live.length);
     metrics.gauge('tanager_requests_running', () => this._front.running);
     metrics.gauge('tanager_configuration_version', () => this._platform.version);
+    metrics.gauge('tanager_platform_epoch', () => this._platform.epoch);
     metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.silenceMs));
     metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
   }
