Send nothing to targets that state in an answer that they are leaving

Cause: a target says so in its answers before, or without, a change of its entry; nodes took it from the entry alone.

Change: a node that receives such an answer sends that instance nothing more: first tries, retries, resumed streams, plain services and the decisions of coordinators, which all choose among the accepting targets. It reports the instance to all nodes. The statement ends with the instance: a later start under the same id is used.

--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -1,7 +1,8 @@
 /**
  * The targets that accept requests. The targets' entries are written by another system and may be
  * malformed: an unreadable entry is skipped, so its target keeps the previous one, if any, and the
- * other targets stay in use. A target that starts to drain gets no new requests from then on.
+ * other targets stay in use. A target that starts to drain, or that states in an answer that it is
+ * leaving, gets no new requests from then on, as long as the same instance has its id.
  * Neither does one whose entry was removed, except shortly after an outage of the platform: during
  * an outage the entries of live targets expire.
  */
@@ -17,6 +18,12 @@
  */
 const REMOVAL_GRACE_MS = 1_800;
 
+/** When there are more instances that are leaving, the oldest one is discarded. */
+const MAX_LEAVING = 1_000;
+
+/** Identifies one instance of a target, of those that had its id. */
+export type TargetInstance = Pick<TargetEntry, 'id' | 'startedAt'>;
+
 export interface TargetTableOptions {
   readonly clock: Clock;
   readonly table: KeyedTable;
@@ -33,6 +40,9 @@
   private readonly _removalDueAt = new Map<string, number>();
   /** By target: start time of the instance that stated in an answer that it is leaving. */
   private readonly _leaving = new Map<string, number | undefined>();
+  private readonly _onLeaving = this.register(new Emitter<TargetInstance>());
+  /** Fires when an instance first states to this node that it is leaving. */
+  public readonly onLeaving = this._onLeaving.event;
   private readonly _onChange = this.register(new Emitter<TargetEntry>());
   /** Fires with an entry that was added, changed or removed; a removed one is marked draining. */
   public readonly onChange = this._onChange.event;
@@ -62,16 +72,43 @@
   /** Whether a target accepts new requests. */
   public acceptsRequests(id: string): boolean {
     const entry = this._entries.get(id);
-    return entry !== undefined && !entry.isDraining && !this._isRemovalDue(id);
+    return (
+      entry !== undefined && !entry.isDraining && !this._isLeaving(entry) && !this._isRemovalDue(id)
+    );
   }
 
-  /** Records that a target stated in an answer that it is leaving. */
-  public recordLeaving({ id, isDraining, service, startedAt }: TargetEntry): void {
-    if (this._leaving.has(id) && this._leaving.get(id) === startedAt) {
-      return;
+  /** Number of targets that are draining or leaving. */
+  public get leavingCount(): number {
+    return [...this._entries.values()].filter((entry) => entry.isDraining || this._isLeaving(entry))
+      .length;
+  }
+
+  /** Records that a target stated to this node that it is leaving. */
+  public recordLeaving(instance: TargetInstance): void {
+    if (this.applyLeaving(instance)) {
+      this._onLeaving.fire(instance);
     }
+  }
+
+  /** Records that an instance is leaving. Returns whether that was unknown. */
+  public applyLeaving(instance: TargetInstance): boolean {
+    const { id, startedAt } = instance;
+    if (this._isLeaving(instance)) {
+      return false;
+    }
+    this._leaving.delete(id);
     this._leaving.set(id, startedAt);
-    this._options.log.write('target.leaving', { target: id, service, isDraining });
+    const [oldest] = this._leaving.keys();
+    if (this._leaving.size > MAX_LEAVING && oldest !== undefined) {
+      this._leaving.delete(oldest);
+    }
+    const isDraining = this._entries.get(id)?.isDraining;
+    this._options.log.write('target.leaving', { target: id, startedAt, isDraining });
+    return true;
+  }
+
+  private _isLeaving({ id, startedAt }: TargetInstance): boolean {
+    return this._leaving.has(id) && this._leaving.get(id) === startedAt;
   }
 
   private _isRemovalDue(id: string): boolean {
@@ -119,6 +156,10 @@
   private _evict(entry: TargetEntry): void {
     this._entries.delete(entry.id);
     this._removalDueAt.delete(entry.id);
+    if (entry.startedAt === undefined) {
+      // The next instance with the id could not be told from this one.
+      this._leaving.delete(entry.id);
+    }
     this._onChange.fire({ ...entry, isDraining: true });
   }
 
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -44,6 +44,7 @@
 } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import { NodeDirectory } from '../common/state/NodeDirectory.js';
+import { LeavingReports } from '../common/state/LeavingReports.js';
 import { PlatformView } from '../common/state/PlatformView.js';
 import { ControlServer } from './ControlServer.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
@@ -193,6 +194,7 @@
       new ZoneBroadcast({ clock, transport, membership: this._membership }),
     );
     this.register(new FailureReports({ broadcast, health, node }));
+    this.register(new LeavingReports({ broadcast, targets }));
     const countNodes = (): NodeCounts => {
       return { live: this._membership.live.length, max: this._countNodesForShares() };
     };
@@ -264,6 +266,7 @@
     metrics.gauge('tanager_members_live', () => this._membership.live.length);
     metrics.gauge('tanager_requests_running', () => this._front.running);
     metrics.gauge('tanager_configuration_version', () => this._platform.version);
+    metrics.gauge('tanager_targets_leaving', () => this._platform.targets.leavingCount);
     metrics.gauge('tanager_platform_epoch', () => this._platform.epoch);
     metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.silenceMs));
     metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
--- a/packages/gateway/src/node/LeavingTarget.test.ts
+++ b/packages/gateway/src/node/LeavingTarget.test.ts
@@ -2,9 +2,12 @@
  * Plays targets that state in their answers that they are leaving while their entries still say that
  * they accept requests, behind the real forwarders.
  */
-import { ManualClock } from '@tanagerdyke/kernel';
+import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
+import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { ZoneBroadcast } from '@tanagerdyke/mesh';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { CallKind, type TargetEntry } from '../common/Messages.js';
+import { LeavingReports } from '../common/state/LeavingReports.js';
 import { forwardCall } from './CallForwarder.js';
 import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
@@ -31,6 +34,10 @@
   let nodes: ForwardingFixture[];
   let entries: TargetEntry[];
 
+  const members = Array.from({ length: NODES }, (_each, index) =>
+    memberOf(`n${index}`, `127.0.0.1:${index + 1}`),
+  );
+
   const sender: RequestSender = {
     send: ({ id }, _connections, _request, observer) => {
       arrivals.push(id);
@@ -59,12 +66,17 @@
   });
 
   function createNodes(service: string): void {
+    const network = new MemoryNetwork(clock, new SeededRandom(1));
     entries = ['t0', 't1'].map((id) => ({
       ...targetEntry(id, service, `${id}:80`),
       startedAt: 1,
     }));
-    nodes = Array.from({ length: NODES }, () => {
+    nodes = members.map((self) => {
       const fixture = new ForwardingFixture({ clock, upstream: sender });
+      const transport = network.join(self.peerAddress);
+      const membership = new FixedMembership(self, members);
+      const broadcast = new ZoneBroadcast({ clock, transport, membership });
+      new LeavingReports({ broadcast, targets: fixture.dependencies.targets });
       for (const entry of entries) {
         fixture.addTarget(entry);
       }
