Register nodes again after the platform was restored from an older copy

The record by which other nodes find a node is written once, at its start. A copy of the platform from before that lacks it, so a node whose seeds are gone could not find its peers. Each node writes it again within two seconds of the new epoch, spread, so that all nodes do not write at once.

--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -1,9 +1,10 @@
 /**
  * Discovers other nodes through the platform, for when the seed addresses in the settings are
- * stale. Each node registers its peer address there when it starts; a node without peers reads the
- * registered addresses.
+ * stale. Each node registers its peer address there when it starts, and again when the platform was
+ * restored from an older copy, which may lack it; a node without peers reads the registered
+ * addresses.
  */
-import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
 import type { SwimMembership } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { NodeRegistry } from '../services/Services.js';
@@ -12,9 +13,12 @@
 const RETRY_MS = 700;
 /** Time for seeds to respond before the platform is queried. */
 const SEED_WAIT_MS = 600;
+/** All nodes notice a restore at the same moment; they register again within this time. */
+const RENEWAL_SPREAD_MS = 2_000;
 
 export interface NodeDirectoryOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly membership: SwimMembership;
   readonly registry: NodeRegistry;
@@ -22,6 +26,8 @@
 
 /** Registers this node with the platform and joins the mesh through the nodes listed there. */
 export class NodeDirectory extends DisposableOwner {
+  private _isRenewing = false;
+
   constructor(private readonly _options: NodeDirectoryOptions) {
     super();
   }
@@ -31,6 +37,18 @@
     void this._findPeers();
   }
 
+  /** Registers this node again, once for all calls within a short time. */
+  public async renew(): Promise<void> {
+    if (this._isRenewing) {
+      return;
+    }
+    this._isRenewing = true;
+    const { clock, random } = this._options;
+    await clock.sleep(random.next() * RENEWAL_SPREAD_MS, this.disposalSignal);
+    this._isRenewing = false;
+    await this._announce();
+  }
+
   private async _announce(): Promise<void> {
     const { clock, log, membership, registry } = this._options;
     const { name, peerAddress } = membership.self;
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -89,7 +89,7 @@
 
   constructor(private readonly _options: GatewayNodeOptions) {
     super();
-    const { clock, dialect, log, metrics, registry, settings, transport } = _options;
+    const { clock, dialect, log, metrics, random, registry, settings, transport } = _options;
     const { name } = settings.node;
     const membership = this._createMembership();
     this._membership = membership;
@@ -105,7 +105,14 @@
     this._loadReporter = this.register(
       new LoadReporter({ clock, channel, node: name, activeRequests }),
     );
-    this._nodeDirectory = this.register(new NodeDirectory({ clock, log, membership, registry }));
+    this._nodeDirectory = this.register(
+      new NodeDirectory({ clock, random, log, membership, registry }),
+    );
+    this.register(
+      this._platform.onRestore(() => {
+        void this._nodeDirectory.renew();
+      }),
+    );
     const state = {
       isClosed: () => this._isClosed,
       isDraining: () => this._isDraining,
