Send long records to nodes that the platform refuses

A node that the platform turned away while it answered the others never got a record over 100 KB: its peers, which are connected, told it to read the record from the platform. A large configuration therefore stayed out of force there. The node now says that its read failed and gets the record from the peer.

The new test of PeerRelay failed before (the record was undefined after a second) and passes now.

--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -48,7 +48,7 @@
         hadRecentOutage: () => recentOutage.has(index),
         catchUp: (topic) => {
           caughtUp.push(topic);
-          return Promise.resolve();
+          return Promise.resolve(connected.has(index));
         },
         log: new DecisionLog(clock, self.name, () => true),
       });
@@ -196,6 +196,16 @@
       expect(nodes[1]?.caughtUp).toContain('topic');
     });
 
+    it('is fetched from the peer when the platform refuses only the node that lacks it', async () => {
+      create(2);
+      nodes.forEach(({ table }) => {
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+      });
+      receiveFromPlatform(0, 'a', 'x'.repeat(LONG_VALUE_BYTES));
+      await clock.advance(1_000);
+      expect(valueAt(1, 'a')).toHaveLength(LONG_VALUE_BYTES);
+    });
+
     it('is fetched from the peer when neither node is connected to the platform', async () => {
       connected = new Set();
       create(2);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -79,6 +79,8 @@
   after: z.number().int(),
   /** Epoch of `after`; in any other one the whole table is requested. */
   epoch: z.number().int().optional(),
+  /** Whether the platform does not answer the requester, so that the size is not limited. */
+  isPlatformLost: z.boolean().optional(),
 });
 
 const recordsResponseSchema = z.object({
@@ -115,8 +117,8 @@
   readonly isConnected: () => boolean;
   /** Whether this node recently observed an outage of the platform. */
   readonly hadRecentOutage: () => boolean;
-  /** Reads the missing records of a topic from the platform. */
-  readonly catchUp: (topic: string) => Promise<void>;
+  /** Reads the missing records of a topic from the platform; returns whether it answered. */
+  readonly catchUp: (topic: string) => Promise<boolean>;
   readonly log: DecisionLog;
 }
 
@@ -327,11 +329,15 @@
     this._fetching.delete(table.name);
   }
 
-  private async _requestRecords(peer: string, table: KeyedTable): Promise<void> {
+  private async _requestRecords(
+    peer: string,
+    table: KeyedTable,
+    isPlatformLost = false,
+  ): Promise<void> {
     const { catchUp, log, transport } = this._options;
     const { epoch, name: topic } = table;
     const after = table.hasSnapshot ? table.end : 0;
-    const request = { topic, after, epoch };
+    const request = { topic, after, epoch, isPlatformLost };
     const response = await transport.request(peer, RECORDS_METHOD, request, FETCH_TIMEOUT_MS);
     const parsed = response.isOk ? recordsResponseSchema.safeParse(response.value) : undefined;
     if (parsed?.success !== true) {
@@ -343,7 +349,11 @@
       this._applyRecords(table, parsed.data);
     }
     const isEpochUnknown = parsed.data.epoch === undefined && epoch !== UNSTATED_EPOCH;
-    if (parsed.data.isTooLong || (isEpochUnknown && this._mayCatchUp(topic))) {
+    if (parsed.data.isTooLong && !(await catchUp(topic)) && !isPlatformLost) {
+      await this._requestRecords(peer, table, true);
+      return;
+    }
+    if (isEpochUnknown && this._mayCatchUp(topic)) {
       await catchUp(topic);
     }
     table.applyEarlier(
@@ -384,6 +394,7 @@
   private _respond({
     after,
     epoch,
+    isPlatformLost,
     topic,
   }: z.infer<typeof recordsRequestSchema>): Result<unknown, ServiceError> {
     const table = this._options.tables.find(({ name }) => name === topic);
@@ -403,7 +414,8 @@
     );
     const length = records.reduce((sum, [, , value]) => sum + (value?.length ?? 0), 0);
     // While the platform is unreachable, a peer is the only source of the records.
-    const isTooLong = length > MAX_RESPONSE_BYTES && this._options.isConnected();
+    const isTooLong =
+      length > MAX_RESPONSE_BYTES && this._options.isConnected() && isPlatformLost !== true;
     const { end, hasSnapshot } = table;
     return Result.ok({
       epoch: table.epoch,
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -200,7 +200,8 @@
     );
   }
 
-  private async _catchUp(topic: string): Promise<void> {
-    await this._followers.find(({ name }) => name === topic)?.catchUp();
+  private async _catchUp(topic: string): Promise<boolean> {
+    const follower = this._followers.find(({ name }) => name === topic);
+    return (await follower?.catchUp()) ?? false;
   }
 }
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -118,8 +118,11 @@
     return table.applySnapshot(snapshot.value) ? undefined : restoredError(table.name);
   }
 
-  /** Reads the records beyond the table's end offset, without waiting for new ones. */
-  public async catchUp(): Promise<void> {
+  /**
+   * Reads the records beyond the table's end offset, without waiting for new ones. Returns whether
+   * the platform answered.
+   */
+  public async catchUp(): Promise<boolean> {
     let error = await this._readRecords(0, READ_TIMEOUT_MS);
     if (error?.kind === ErrorKind.RecordsExpired) {
       error = await this._loadSnapshot();
@@ -127,6 +130,7 @@
     if (error !== undefined && error.kind !== ErrorKind.RecordsExpired) {
       this._recordFailure(error);
     }
+    return error === undefined;
   }
 
   private _poll(): Promise<ServiceError | undefined> {
