--- a/packages/ctl/src/node/commands/GatewayCommands.ts
+++ b/packages/ctl/src/node/commands/GatewayCommands.ts
@@ -68,6 +68,10 @@
   readonly configurationVersion: number;
   /** Time since the platform last responded, for the topic that waits the longest. */
   readonly platformSilenceMs: number;
+  /** Epoch of the platform's log, which rises when it is restored; 0 if it is not stated. */
+  readonly platformEpoch: number;
+  /** Targets that are draining or state that they are leaving. */
+  readonly targetsLeaving: number;
   /** Log lines dropped since the last line that was written. */
   readonly linesDropped: number;
   /** Requests by outcome. */
@@ -86,6 +90,8 @@
     running: sumOf(samples, 'tanager_requests_running'),
     configurationVersion: sumOf(samples, 'tanager_configuration_version'),
     platformSilenceMs: sumOf(samples, 'tanager_platform_silence_ms'),
+    platformEpoch: sumOf(samples, 'tanager_platform_epoch'),
+    targetsLeaving: sumOf(samples, 'tanager_targets_leaving'),
     linesDropped: sumOf(samples, 'tanager_log_lines_dropped'),
     endings: sumsByLabel('tanager_requests_total', 'ending'),
     retries: sumsByLabel('tanager_retries_total', 'outcome'),
@@ -100,6 +106,7 @@
       .join(', ') || 'none';
   return [
     `configuration ${summary.configurationVersion}, platform silent for ${summary.platformSilenceMs} ms`,
+    `platform epoch ${summary.platformEpoch}, targets leaving ${summary.targetsLeaving}`,
     `members ${summary.members}, running ${summary.running}, log lines dropped ${summary.linesDropped}`,
     `requests: ${renderCounts(summary.endings)}`,
     `retries: ${renderCounts(summary.retries)}`,
