Bound answers of targets that send bytes without an end

Cause: bytes without an end were bounded in time only in some parts of an answer. A status line and informational answers were read until the deadline (171 MB in a second on loopback), as was the body of a failure of a stream (575 MB) and one event (until the time limit); 20 calls at once, each below the limit of one answer, took 442 MB of memory.

Change: the head of an answer is limited to 64 KiB, an event to 1 MiB, the failure of a stream to 256 KiB (a longer one is now broken; it was cut before), and all large answers that are buffered together to 32 MiB, while small ones always fit.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -4,6 +4,7 @@
  */
 import { Execution } from '../common/Execution.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
+import type { AnswerBuffers } from './AnswerBuffers.js';
 import {
   type BufferedAnswer,
   CALLER_DISCONNECTED_CAUSE,
@@ -13,9 +14,6 @@
 import { RelayLinkError } from './paths/RelayedSocket.js';
 import type { Exchange } from './Upstream.js';
 
-/** A larger answer of a target is treated as broken. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
 /** The outcome of an exchange: a complete answer, or the cause of its absence. */
 export type BufferedOutcome =
   | { readonly answer: BufferedAnswer; readonly execution: Execution }
@@ -33,6 +31,7 @@
 export interface BufferedExchangeOptions extends ExchangeOptions {
   /** Time on the clock at which the exchange is aborted. */
   readonly timeoutAt: number;
+  readonly answerBuffers: AnswerBuffers;
 }
 
 /** Sends the request and buffers the answer. */
@@ -43,10 +42,11 @@
     let execution = Execution.NotSent;
     let answer: TargetAnswer | undefined;
     let headers: RawHeaders = [];
-    let size = 0;
+    const buffer = options.answerBuffers.open();
     const chunks: Buffer[] = [];
     const finish = (outcome: BufferedOutcome): void => {
       timer.dispose();
+      buffer.release();
       signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
@@ -80,9 +80,9 @@
         }
       },
       onData: (chunk) => {
-        size += chunk.length;
-        chunks.push(chunk);
-        if (size > MAX_ANSWER_BYTES) {
+        if (buffer.add(chunk.length)) {
+          chunks.push(chunk);
+        } else {
           abort('the answer is too large to buffer');
         }
       },
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -145,6 +145,7 @@
         ...prepareExchange(this._dependencies, this._request, target, {
           lastEventId: caller.lastEventId,
         }),
+        answerBuffers: this._dependencies.answerBuffers,
         timeoutAt: isLastAttempt ? deadlineAt : Math.min(deadlineAt, attemptTimeoutAt),
       });
     } finally {
--- a/packages/gateway/src/node/Exchanges.test.ts
+++ b/packages/gateway/src/node/Exchanges.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
+import { AnswerBuffers } from './AnswerBuffers.js';
 import { exchangeBuffered } from './BufferedExchange.js';
 import type { CallerResponse } from './CallerResponse.js';
 import { targetEntry, testDialect } from './ForwardingFixture.js';
@@ -35,6 +36,7 @@
     onAnswerHead: () => undefined,
     attemptId: 'a1',
     timeoutAt: clock.now() + TIME_LIMIT_MS,
+    answerBuffers: new AnswerBuffers(),
     signal: AbortSignal.abort(),
   };
 }
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -19,6 +19,7 @@
 import type { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
+import type { AnswerBuffers } from './AnswerBuffers.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { ExchangeOptions } from './ExchangeOptions.js';
 import type { RequestSender } from './Upstream.js';
@@ -39,6 +40,7 @@
   readonly engineReservations: EngineReservations;
   readonly budget: SharedRetryBudget;
   readonly upstream: RequestSender;
+  readonly answerBuffers: AnswerBuffers;
   readonly availabilityZone: string;
   /** Number of gateway nodes that divide the connections of a target among them. */
   readonly liveNodes: () => number;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -28,6 +28,7 @@
 import { ConfigurationState } from '../common/state/ConfigurationState.js';
 import { KeyedTable } from '../common/state/KeyedTable.js';
 import { TargetTable } from '../common/state/TargetTable.js';
+import { AnswerBuffers } from './AnswerBuffers.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import type { RequestSender } from './Upstream.js';
 
@@ -241,6 +242,7 @@
         liveNodes,
       ),
       upstream,
+      answerBuffers: new AnswerBuffers(),
     };
   }
 
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -39,6 +39,11 @@
     });
   }
 
+  /** Bytes of the large answers that are being buffered. */
+  public get bufferedBytes(): number {
+    return this._fixture.dependencies.answerBuffers.bytes;
+  }
+
   /** Listens, and publishes the configuration unless the test does so itself. */
   public async start(isConfigured = true): Promise<void> {
     const probe = createServer();
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -49,6 +49,7 @@
 import { NodeDirectory } from '../common/state/NodeDirectory.js';
 import { LeavingReports } from '../common/state/LeavingReports.js';
 import { PlatformView } from '../common/state/PlatformView.js';
+import { AnswerBuffers } from './AnswerBuffers.js';
 import { ControlServer } from './ControlServer.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import { GatewayFront } from './GatewayFront.js';
@@ -88,6 +89,7 @@
   private _quarantineReports: QuarantineReports | undefined;
   private readonly _front: GatewayFront;
   private readonly _paths: TargetPaths;
+  private readonly _answerBuffers = new AnswerBuffers();
   private readonly _relayServer: RelayServer;
   private readonly _controlServer: ControlServer;
   private _startedAt = Number.POSITIVE_INFINITY;
@@ -294,6 +296,7 @@
       upstream,
       quarantine,
       engineReservations,
+      answerBuffers: this._answerBuffers,
     };
   }
 
@@ -355,6 +358,7 @@
     metrics.gauge('tanager_members_live', () => this._membership.live.length);
     metrics.gauge('tanager_requests_running', () => this._front.running);
     metrics.gauge('tanager_configuration_version', () => this._platform.version);
+    metrics.gauge('tanager_answers_buffered_bytes', () => this._answerBuffers.bytes);
     metrics.gauge('tanager_targets_leaving', () => this._platform.targets.leavingCount);
     metrics.gauge('tanager_platform_epoch', () => this._platform.epoch);
     metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.silenceMs));
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -18,8 +18,10 @@
 import type { Exchange } from './Upstream.js';
 
 const FIRST_NON_SUCCESS_STATUS = 300;
-/** Bodies of failures are short; chunks beyond this are discarded. */
+/** Bodies of failures are short; a larger one is treated as broken. */
 const MAX_FAILURE_BYTES = 256 * 1024;
+/** Events hold some tokens each; a larger one is treated as broken. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** How an exchange ended. */
 export enum StreamEnd {
@@ -140,10 +142,17 @@
       this._failureBytes += chunk.length;
       if (this._failureBytes <= MAX_FAILURE_BYTES) {
         this._failureChunks.push(chunk);
+      } else {
+        this._abort(StreamEnd.Broken, 'the failure is too large to buffer');
       }
       return;
     }
-    const events = this._options.splitter.push(chunk);
+    const { splitter } = this._options;
+    const events = splitter.push(chunk);
+    if (splitter.bufferedBytes > MAX_EVENT_BYTES) {
+      this._abort(StreamEnd.Broken, 'an event is too large to buffer');
+      return;
+    }
     if (events.length === 0) {
       return;
     }
--- a/packages/gateway/src/node/paths/DirectConnections.ts
+++ b/packages/gateway/src/node/paths/DirectConnections.ts
@@ -1,6 +1,7 @@
 /** Connections on the own link only, for tests. Not shipped. */
 import type { Clock } from '@tanagerdyke/kernel';
 import type { UpstreamOptions } from '../Upstream.js';
+import { limitAnswerHead } from './AnswerHeadLimit.js';
 import { detectResets, openSocket } from './OpenSocket.js';
 
 const CONNECT_TIMEOUT_MS = 300;
@@ -16,6 +17,7 @@
           callback(new Error(opened.error), null);
         } else {
           detectResets(opened.value);
+          limitAnswerHead(opened.value);
           callback(null, opened.value);
         }
       });
