Bound answers of the store without an end

Cause: the answer to a call of the store or of a reservation was read until the time limit of the call, whatever its size: up to 1.1 GB in a second on loopback; a status line without an end likewise.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,4 +6,5 @@
 export * from './common/GatewaySettings.js';
 export * from './common/HttpHeaders.js';
 export * from './node/GatewayNode.js';
+export * from './node/paths/AnswerHeadLimit.js';
 export * from './node/StandardOutput.js';
--- a/packages/gateway/src/node/paths/AnswerHeadLimit.ts
+++ b/packages/gateway/src/node/paths/AnswerHeadLimit.ts
@@ -3,6 +3,7 @@
  * header fields, so a status line without an end would be read until the deadline.
  */
 import type { Duplex } from 'node:stream';
+import { buildConnector } from 'undici';
 
 const MAX_HEAD_BYTES = 64 * 1024;
 const HEAD_END = Buffer.from('\r\n\r\n');
@@ -33,6 +34,20 @@
   };
 }
 
+/** A connector that limits the heads of the answers on its connections. */
+export function limitingConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket !== null) {
+        limitAnswerHead(socket);
+      }
+      callback(...result);
+    });
+  };
+}
+
 /** Finds the end of the head of one answer after the other. */
 class HeadReader {
   /** The head as far as it arrived; `undefined` while none is expected. */
