--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -18,19 +18,26 @@
   type Member,
   type Membership,
   membersOfOwnZone,
-  notificationParser,
-  schemaReader,
   type Transport,
 } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
-import * as z from 'zod';
+import type * as z from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
-import type { KeyedRecord } from '../services/Services.js';
 import { type KeyedTable, UNSTATED_EPOCH } from './KeyedTable.js';
 import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
+import {
+  decodeRecord,
+  encodeValue,
+  isBehind,
+  parseProgress,
+  PROGRESS_METHOD,
+  RECORDS_METHOD,
+  type RecordsResponse,
+  recordsRequestSchema,
+  recordsResponseSchema,
+  type TopicProgress,
+} from './RelayMessages.js';
 
-const PROGRESS_METHOD = 'gateway.progress';
-const RECORDS_METHOD = 'gateway.records';
 const PROGRESS_INTERVAL_MS = 500;
 /** Members of its zone that a node which does not poll notifies; limits messages in large zones. */
 const ZONE_PEERS_PER_INTERVAL = 1;
@@ -58,55 +65,6 @@
  */
 const FETCH_DELAY_MS = 60;
 
-const progressSchema = z.object({
-  from: z.string(),
-  /** Whether the sender polls the platform and is connected to it, or a relay reports one. */
-  inTouch: z.boolean(),
-  /** Whether the sender is connected itself; a relay must not forward what a relay reports. */
-  isDirect: z.boolean().optional(),
-  /** Whether the sender recently observed an outage of the platform. */
-  unsettled: z.boolean(),
-  /** Name and end offset of each topic. */
-  ends: z.array(z.tuple([z.string(), z.number().int()])),
-  /** Epoch and digest of the earlier records of each topic; nodes of earlier releases send none. */
-  epochs: z.array(z.tuple([z.number().int(), z.string()])).optional(),
-});
-
-const parseProgress = notificationParser(PROGRESS_METHOD, schemaReader(progressSchema));
-
-const recordsRequestSchema = z.object({
-  topic: z.string(),
-  after: z.number().int(),
-  /** Epoch of `after`; in any other one the whole table is requested. */
-  epoch: z.number().int().optional(),
-  /** Whether the platform does not answer the requester, so that the size is not limited. */
-  isPlatformLost: z.boolean().optional(),
-});
-
-const recordsResponseSchema = z.object({
-  end: z.number().int(),
-  /** Whether the sender's table holds a snapshot. */
-  isKnown: z.boolean(),
-  /** Whether the records are left out, since they exceed the size limit. */
-  isTooLong: z.boolean(),
-  /** Key, offset and base64 value of each record; the value of a removed key is null. */
-  records: z.array(z.tuple([z.string(), z.number().int(), z.string().nullable()])),
-  /** Epoch of the records; nodes of earlier releases send none. */
-  epoch: z.number().int().optional(),
-  /** Key, epoch, offset and value of each record of an earlier epoch that is still valid. */
-  earlier: z
-    .array(z.tuple([z.string(), z.number().int(), z.number().int(), z.string().nullable()]))
-    .default([]),
-});
-
-/** How far a peer is with a topic. */
-interface TopicProgress {
-  readonly end: number;
-  /** `undefined` for a node of an earlier release, which compares offsets of any epochs. */
-  readonly epoch: number | undefined;
-  readonly earlierDigest: string;
-}
-
 export interface PeerRelayOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -427,21 +385,3 @@
     });
   }
 }
-
-type RecordsResponse = z.infer<typeof recordsResponseSchema>;
-
-/** Whether a peer has records of a topic that the table lacks. */
-function isBehind(table: KeyedTable, { earlierDigest, end, epoch }: TopicProgress): boolean {
-  if (epoch !== undefined && epoch !== table.epoch) {
-    return epoch > table.epoch;
-  }
-  return end > table.end || (earlierDigest !== '' && earlierDigest !== table.earlierDigest);
-}
-
-function encodeValue(value: Buffer | undefined): string | null {
-  return value?.toString('base64') ?? null;
-}
-
-function decodeRecord(key: string, offset: number, value: string | null): KeyedRecord {
-  return { key, offset, value: value === null ? undefined : Buffer.from(value, 'base64') };
-}
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -33,8 +33,6 @@
 import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
-import { RelayChoice } from '../common/paths/RelayChoice.js';
-import { TargetPaths } from '../common/paths/TargetPaths.js';
 import { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
 import { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
 import type {
@@ -53,10 +51,7 @@
 import { ControlServer } from './ControlServer.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import { GatewayFront } from './GatewayFront.js';
-import { RelayServer } from './paths/RelayServer.js';
-import { SilenceMonitor, type WatchedExchange } from './paths/SilenceMonitor.js';
-import { TargetConnector } from './paths/TargetConnector.js';
-import { Upstream } from './Upstream.js';
+import { TargetConnections } from './paths/TargetConnections.js';
 
 const DRAIN_POLL_MS = 50;
 /** Time after which a node that found no peers counts as the only one. */
@@ -88,9 +83,8 @@
   private readonly _nodeDirectory: NodeDirectory;
   private _quarantineReports: QuarantineReports | undefined;
   private readonly _front: GatewayFront;
-  private readonly _paths: TargetPaths;
   private readonly _answerBuffers = new AnswerBuffers();
-  private readonly _relayServer: RelayServer;
+  private readonly _connections: TargetConnections;
   private readonly _controlServer: ControlServer;
   private _startedAt = Number.POSITIVE_INFINITY;
   private _isDraining = false;
@@ -110,8 +104,15 @@
         this._publishReadiness();
       }),
     );
-    this._paths = this.register(new TargetPaths(_options));
-    this._relayServer = this.register(this._createRelayServer());
+    this._connections = this.register(
+      new TargetConnections({
+        ..._options,
+        membership,
+        targets: this._platform.targets,
+        relayAddress: settings.listen.relay,
+        isDraining: () => this._isDraining,
+      }),
+    );
     const activeRequests = this.register(new ActiveRequestTable(clock, name));
     const cells = this.register(new CellDirectory(membership));
     const channel = this.register(new CoordinatorChannel({ clock, transport, membership, cells }));
@@ -156,7 +157,7 @@
     const { listen } = settings;
     this._startedAt = clock.now();
     await this._front.listen(listen.caller);
-    await this._relayServer.listen(listen.relay);
+    await this._connections.listen();
     for (const address of new Set(listen.control)) {
       await this._controlServer.listen(address);
     }
@@ -190,7 +191,7 @@
   /** Requests of this node's callers, and of others whose connections it relays. */
   private get _activity(): DrainActivity {
     const { lastRequestAt, running } = this._front;
-    return { lastRequestAt, running: running + this._relayServer.relayed };
+    return { lastRequestAt, running: running + this._connections.relayed };
   }
 
   private _createMembership(): SwimMembership {
@@ -216,7 +217,7 @@
     const { clock, random, settings, transport } = this._options;
     const { configuration, targets } = this._platform;
     const { availabilityZone, name: node } = settings.node;
-    const health = this.register(new TargetHealth(clock, () => this._paths.cutOffSince));
+    const health = this.register(new TargetHealth(clock, () => this._connections.cutOffSince));
     const broadcast = this.register(
       new ZoneBroadcast({ clock, transport, membership: this._membership }),
     );
@@ -238,8 +239,7 @@
         registry: this._options.quarantineRegistry,
       }),
     );
-    const connector = this._createConnector();
-    const upstream = this._createUpstream(connector);
+    const { connect, upstream } = this._connections;
     const liveNodes = (): number => this._countNodesForShares();
     this.register(
       targets.onChange((entry) => {
@@ -286,7 +286,7 @@
       },
     });
     const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
-    const engineReservations = this._options.createEngineReservations(connector.connect);
+    const engineReservations = this._options.createEngineReservations(connect);
     return {
       ...this._options,
       ...common,
@@ -300,59 +300,6 @@
     };
   }
 
-  private _createConnector(): TargetConnector {
-    const { settings } = this._options;
-    const membership = this._membership;
-    const [, relayPort] = settings.listen.relay.split(':');
-    return this.register(
-      new TargetConnector({
-        ...this._options,
-        membership,
-        paths: this._paths,
-        choice: new RelayChoice({ ...this._options, membership }),
-        relayAddressOf: ({ peerAddress }) =>
-          `${peerAddress.split(':')[0] ?? ''}:${relayPort ?? ''}`,
-        zoneOf: (address) => this._platform.targets.findByAddress(address)?.availabilityZone,
-      }),
-    );
-  }
-
-  /** Connections to targets, which are renewed when the way to a target changes. */
-  private _createUpstream(connector: TargetConnector): Upstream {
-    const { clock } = this._options;
-    const paths = this._paths;
-    const connectedAddresses = (): readonly string[] => upstream.addresses;
-    const monitor = this.register(
-      new SilenceMonitor({ clock, paths, probe: connector, connectedAddresses }),
-    );
-    const watch = (address: string): WatchedExchange => monitor.watch(address);
-    const upstream = this.register(new Upstream({ connect: connector.connect, watch }));
-    const renew = (address?: string): void => {
-      upstream.renewConnections(address);
-    };
-    this.register(paths.onChange(renew));
-    this.register(connector.onRelayLeaving(renew));
-    this.register(
-      paths.onCutOff(() => {
-        renew();
-      }),
-    );
-    return upstream;
-  }
-
-  private _createRelayServer(): RelayServer {
-    const { targets } = this._platform;
-    return new RelayServer({
-      ...this._options,
-      paths: this._paths,
-      isTarget: (address) => {
-        const target = targets.findByAddress(address);
-        return target !== undefined && targets.acceptsRequests(target.id);
-      },
-      isDraining: () => this._isDraining,
-    });
-  }
-
   private _registerGauges(): void {
     const { log, metrics } = this._options;
     metrics.gauge('tanager_members_live', () => this._membership.live.length);
