Send nothing to targets that asked for a pause

Cause: a refusal with 503 and Retry-After counted as any refusal, so a node sent the target the next request at once.

Change: the target gets nothing of this node until the pause ends: calls choose among the others, and prompts exclude it in their own decisions and in what they ask of coordinators. A pause of all targets is refused at once, with the time until the first one ends.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -142,6 +142,11 @@
   readonly isMisdirected: boolean;
   /** Whether the target states that it is leaving and takes no new requests. */
   readonly isLeaving: boolean;
+  /**
+   * Time for which the target asks this node to send it nothing, with a refusal; `undefined` if it
+   * asks for no pause.
+   */
+  readonly pauseMs: number | undefined;
   /** `IP:port` of the target that failed, if it is not the one that sent the answer. */
   readonly failedAddress: string | undefined;
   /**
--- a/packages/gateway/src/common/placement/PlacementDecision.ts
+++ b/packages/gateway/src/common/placement/PlacementDecision.ts
@@ -38,6 +38,8 @@
   NoCapacity = 'no-room',
   /** All engines limit the rate of their requests. */
   RateLimited = 'rate-limited',
+  /** All engines asked this node for a pause. */
+  Paused = 'paused',
   /** The prompt would cost other requests more than it is worth. */
   NetLoss = 'harmful',
   /** The caller disconnected while the prompt waited. */
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -15,6 +15,7 @@
 import { PromptScheduler } from './PromptScheduler.js';
 import { RateLimitReports } from './RateLimitReports.js';
 import { RateLimits } from './RateLimits.js';
+import { TargetPauses } from './TargetPauses.js';
 import { TargetHealth } from './TargetHealth.js';
 
 /** A node of a simulated network, with all that takes part in the placement of prompts. */
@@ -63,6 +64,7 @@
     publisher.start();
     this.prompts = new PromptScheduler({
       ...common,
+      pauses: new TargetPauses({ clock, log, metrics: new Metrics() }),
       scheduler,
       publisher,
       cells,
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -25,6 +25,7 @@
 } from './PlacementDecision.js';
 import type { PromptPlacement } from './PromptPlacer.js';
 import type { RateLimits } from './RateLimits.js';
+import type { TargetPauses } from './TargetPauses.js';
 import type { TargetHealth } from './TargetHealth.js';
 
 /** Request ids are numbers, written in a large base to be short. */
@@ -99,6 +100,7 @@
   readonly targets: TargetSource;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
+  readonly pauses: TargetPauses;
   readonly scheduler: EngineScheduler;
   readonly publisher: ActiveRequestPublisher;
   readonly cells: CoordinatorSource;
@@ -134,8 +136,12 @@
     waitUntil: number,
     signal: AbortSignal,
   ): Promise<PlacedPrompt | RefusedPrompt> {
-    const { availabilityZone, random, targets } = this._options;
+    const { availabilityZone, pauses, random, targets } = this._options;
     const engines = targets.acceptingTargets(prompt.service);
+    const pauseMs = pauses.remainingMs(engines.map(({ id }) => id));
+    if (pauseMs > 0) {
+      return new RefusedPrompt(PlacementRefusal.Paused, engines.length, pauseMs);
+    }
     const cells = chooseCells(cellsOf(prompt.service, engines), availabilityZone, random);
     let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
     for (const cell of cells) {
@@ -153,7 +159,7 @@
   }
 
   private _toRequest(prompt: PromptToPlace, cell: EngineCell): PromptRequest {
-    const { availabilityZone, health, node, targets } = this._options;
+    const { availabilityZone, health, node, pauses, targets } = this._options;
     const suspects = targets
       .acceptingTargets(cell.service)
       .filter((engine) => health.isSuspect(engine.id))
@@ -164,6 +170,8 @@
       node,
       availabilityZone,
       cell,
+      // The decision is that of a coordinator, which has no record of this node's pauses.
+      excluded: new Set([...prompt.excluded, ...pauses.pausedIds]),
       suspects: new Set(suspects),
     };
   }
--- /dev/null
+++ b/packages/gateway/src/common/placement/TargetPauses.ts
@@ -0,0 +1,57 @@
+/**
+ * Keeps the pauses that targets ask this node for when they refuse a request. Load pattern: a target
+ * at its limit refuses request after request, and each node sends the next one at once. A paused
+ * target gets no request of this node until the pause ends.
+ */
+import type { Clock, Metrics } from '@tanagerdyke/kernel';
+import type { DecisionLog } from '../DecisionLog.js';
+
+/** Longer pauses are shortened, so that a wrong value does not exclude a target for good. */
+const MAX_PAUSE_MS = 60_000;
+
+export interface TargetPausesOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+}
+
+/** Holds the end of each pause. */
+export class TargetPauses {
+  private readonly _endsAt = new Map<string, number>();
+
+  constructor(private readonly _options: TargetPausesOptions) {
+    _options.metrics.gauge('tanager_targets_paused', () => this.pausedIds.length);
+  }
+
+  /** Ids of the targets that are paused. */
+  public get pausedIds(): readonly string[] {
+    return [...this._endsAt.keys()].filter((id) => this.isPaused(id));
+  }
+
+  /** Records that a target asked for a pause; the longest one counts. */
+  public record(id: string, pauseMs: number): void {
+    const { clock, log } = this._options;
+    const now = clock.now();
+    for (const [each, endsAt] of this._endsAt) {
+      if (now >= endsAt) {
+        this._endsAt.delete(each);
+      }
+    }
+    const endsAt = now + Math.min(MAX_PAUSE_MS, pauseMs);
+    if (endsAt > (this._endsAt.get(id) ?? 0)) {
+      this._endsAt.set(id, endsAt);
+      log.write('target.paused', { target: id, pauseMs });
+    }
+  }
+
+  public isPaused(id: string): boolean {
+    return this._options.clock.now() < (this._endsAt.get(id) ?? 0);
+  }
+
+  /** Time until the first of the targets is no longer paused; 0 if one is not, or there is none. */
+  public remainingMs(ids: readonly string[]): number {
+    const now = this._options.clock.now();
+    const ends = ids.map((id) => this._endsAt.get(id) ?? 0);
+    return ends.length === 0 ? 0 : Math.max(0, Math.min(...ends) - now);
+  }
+}
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -89,7 +89,7 @@
       if (target !== undefined || clock.now() >= waitUntil || signal.aborted) {
         return target;
       }
-      if (this._isRateLimited()) {
+      if (this._isRateLimited() || this._isPaused()) {
         return undefined;
       }
       await clock.sleep(TARGET_POLL_MS, signal);
@@ -97,9 +97,9 @@
   }
 
   private _findTarget(): TargetEntry | undefined {
-    const { availabilityZone, health, random, rateLimits } = this._dependencies;
+    const { availabilityZone, health, pauses, random, rateLimits } = this._dependencies;
     const candidates = this._untriedTargets()
-      .filter(({ id }) => rateLimits.permits(id))
+      .filter(({ id }) => rateLimits.permits(id) && !pauses.isPaused(id))
       .map((entry) => ({
         entry,
         inFlight: health.inFlight(entry.id),
@@ -134,6 +134,17 @@
     return true;
   }
 
+  /** Whether all targets asked for a pause; sets the time to retry. */
+  private _isPaused(): boolean {
+    const ids = this._untriedTargets().map(({ id }) => id);
+    const remainingMs = this._dependencies.pauses.remainingMs(ids);
+    if (remainingMs > 0) {
+      this._cause = `${ids.length} targets are paused`;
+      this._retryAfterMs = remainingMs;
+    }
+    return remainingMs > 0;
+  }
+
   private async _sendToTarget(target: TargetEntry): Promise<BufferedOutcome> {
     const { clock, health } = this._dependencies;
     const { caller, deadlineAt, route } = this._request;
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -15,6 +15,7 @@
 } from '../common/Messages.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
+import type { TargetPauses } from '../common/placement/TargetPauses.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
@@ -36,6 +37,7 @@
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
   readonly quarantine: PartQuarantine;
+  readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
   readonly engineReservations: EngineReservations;
   readonly budget: SharedRetryBudget;
@@ -190,7 +192,7 @@
   target: TargetEntry,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
-  const { clock, dialect, rateLimits, targets, upstream } = dependencies;
+  const { clock, dialect, pauses, rateLimits, targets, upstream } = dependencies;
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
     remainingMs: deadlineAt - clock.now(),
@@ -206,11 +208,14 @@
     target,
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
-    onAnswerHead: ({ isLeaving, isMisdirected, requestsPerSecond }) => {
+    onAnswerHead: ({ isLeaving, isMisdirected, pauseMs, requestsPerSecond }) => {
       if (isMisdirected) {
         return;
       }
       rateLimits.recordStatement({ target: target.id, requestsPerSecond });
+      if (pauseMs !== undefined) {
+        pauses.record(target.id, pauseMs);
+      }
       if (isLeaving) {
         targets.recordLeaving(target);
       }
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -21,6 +21,7 @@
   PromptScheduler,
 } from '../common/placement/PromptScheduler.js';
 import { RateLimits } from '../common/placement/RateLimits.js';
+import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
 import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
@@ -96,6 +97,7 @@
     isNotRun: findHeader(headers, 'not-run') !== undefined,
     isMisdirected: false,
     isLeaving: findHeader(headers, 'leaving') !== undefined,
+    pauseMs: numberOf(findHeader(headers, 'pause')),
     failedAddress: findHeader(headers, 'failed-at'),
     requestsPerSecond: numberOf(findHeader(headers, 'rate')),
   }),
@@ -209,11 +211,13 @@
       metrics,
       countNodes: () => ({ live: 1, max: 1 }),
     });
+    const pauses = new TargetPauses({ clock, log, metrics });
     const common = {
       clock,
       random,
       targets,
       health,
+      pauses,
       rateLimits,
       availabilityZone: ZONE,
       liveNodes,
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -32,6 +32,7 @@
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
+import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
 import { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
@@ -257,7 +258,11 @@
         }
       }),
     );
-    const common = { clock, random, targets, health, rateLimits, availabilityZone, liveNodes };
+    const pauses = new TargetPauses(this._options);
+    const common = {
+      ...{ clock, random, targets, health, pauses },
+      ...{ rateLimits, availabilityZone, liveNodes },
+    };
     const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
     this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
     this.register(
--- /dev/null
+++ b/packages/gateway/src/node/PausedTarget.test.ts
@@ -0,0 +1,135 @@
+/** Plays targets that refuse a request and ask for a pause, behind the real forwarders. */
+import { ManualClock } from '@tanagerdyke/kernel';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { CallKind } from '../common/Messages.js';
+import { forwardCall } from './CallForwarder.js';
+import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
+import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
+import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
+import { forwardStream } from './StreamForwarder.js';
+import type { RequestSender } from './Upstream.js';
+
+const ANSWER_MS = 15;
+const REQUEST_INTERVAL_MS = 50;
+const PAUSE_MS = 2_000;
+/** Time from the first refusal after which the pause is checked. */
+const NOTICE_MS = 500;
+const MAX_IN_PAUSE = 2;
+
+const SERVICES: Record<CallKind, string> = {
+  [CallKind.Idempotent]: 'app',
+  [CallKind.NonIdempotent]: 'app',
+  [CallKind.Stream]: 'engine',
+};
+
+interface TimedReport extends RequestReport {
+  readonly tookMs: number;
+}
+
+describe('a target that asks for a pause', () => {
+  let clock: ManualClock;
+  let pausing: Set<string>;
+  let arrivals: { readonly id: string; readonly at: number }[];
+  let callers: SimulatedCaller[];
+  let node: ForwardingFixture;
+
+  const sender: RequestSender = {
+    send: ({ id }, _connections, _request, observer) => {
+      arrivals.push({ id, at: clock.now() });
+      clock.schedule(ANSWER_MS, () => {
+        const isPausing = pausing.has(id);
+        observer.onSendStart();
+        observer.onHead(isPausing ? 503 : 200, [
+          ...['Attempt', 'a1'],
+          ...(isPausing ? ['Not-Run', '1', 'Pause', String(PAUSE_MS)] : []),
+        ]);
+        observer.onData(Buffer.from('id: 1\ndata: x\n\n'));
+        observer.onEnd();
+      });
+      return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    },
+  };
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    pausing = new Set();
+    arrivals = [];
+    callers = [];
+    node = new ForwardingFixture({ clock, upstream: sender });
+  });
+
+  async function send(kind: CallKind, durationMs: number): Promise<TimedReport[]> {
+    const reports: Promise<TimedReport>[] = [];
+    for (let passedMs = 0; passedMs < durationMs; passedMs += REQUEST_INTERVAL_MS) {
+      const caller = new SimulatedCaller();
+      callers.push(caller);
+      const request = simulatedRequest(clock, kind, caller, {
+        maxAttempts: 2,
+        signal: new AbortController().signal,
+      });
+      const { engine } = request.service;
+      const startedAt = clock.now();
+      const forwarded =
+        engine === undefined || kind !== CallKind.Stream
+          ? forwardCall(node.dependencies, request)
+          : forwardStream(node.dependencies, request, engine);
+      reports.push(forwarded.then((report) => ({ ...report, tookMs: clock.now() - startedAt })));
+      await clock.advance(REQUEST_INTERVAL_MS);
+    }
+    // The longest wait for a target, before the next pause ends.
+    await clock.advance(NOTICE_MS);
+    return Promise.all(reports);
+  }
+
+  function countArrivals(id: string, from: number, until: number): number {
+    return arrivals.filter((each) => each.id === id && each.at >= from && each.at < until).length;
+  }
+
+  describe.each([
+    ['idempotent calls', CallKind.Idempotent],
+    ['calls that may not be repeated', CallKind.NonIdempotent],
+    ['streams', CallKind.Stream],
+  ])('for %s', (_name, kind) => {
+    it('gets at most two during it, and all are served by another one', async () => {
+      pausing.add('t0');
+      for (const id of ['t0', 't1']) {
+        node.addTarget(targetEntry(id, SERVICES[kind], `${id}:80`));
+      }
+      const reports = await send(kind, PAUSE_MS);
+      const first = arrivals.find(({ id }) => id === 't0')?.at ?? Number.NaN;
+      expect(first).toBeGreaterThanOrEqual(0);
+      expect(countArrivals('t0', first + NOTICE_MS, first + PAUSE_MS)).toBeLessThanOrEqual(
+        MAX_IN_PAUSE,
+      );
+      expect(new Set(reports.map(({ ending }) => ending))).toEqual(
+        new Set([RequestOutcome.Answered]),
+      );
+    });
+
+    it('is used again after it', async () => {
+      pausing.add('t0');
+      node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
+      await send(kind, 200);
+      pausing.clear();
+      await clock.advance(PAUSE_MS);
+      const reports = await send(kind, 200);
+      expect(new Set(reports.map(({ ending }) => ending))).toEqual(
+        new Set([RequestOutcome.Answered]),
+      );
+    });
+
+    it('as the only one makes a refusal at once, which says when it ends', async () => {
+      pausing.add('t0');
+      node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
+      await send(kind, 200);
+      callers = [];
+      const [report] = await send(kind, REQUEST_INTERVAL_MS);
+      expect(report?.ending).toBe(RequestOutcome.Refused);
+      expect(report?.tookMs).toBeLessThan(ANSWER_MS);
+      const headers = callers[0]?.headers ?? [];
+      const retryAfterMs = Number(headers[headers.indexOf('Retry-After') + 1]) * 1_000;
+      expect(retryAfterMs).toBeGreaterThan(PAUSE_MS - 2 * NOTICE_MS);
+      expect(retryAfterMs).toBeLessThanOrEqual(PAUSE_MS);
+    });
+  });
+});
