Do not end the process when the store refuses a connection

Cause: the connector that limits heads took the socket of a failed connection, which undici leaves undefined, and not null as after a custom connector.

Change: it looks at the error. The new test of StoreClient got no answer before (the callback was never called) and passes now.

--- a/packages/gateway/src/node/paths/AnswerHeadLimit.ts
+++ b/packages/gateway/src/node/paths/AnswerHeadLimit.ts
@@ -39,8 +39,8 @@
   const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
     connect(options, (...result) => {
-      const [, socket] = result;
-      if (socket !== null) {
+      const [error, socket] = result;
+      if (error === null) {
         limitAnswerHead(socket);
       }
       callback(...result);
