Notice a restore of a platform whose first epoch is 0

Cause: an epoch after 0 counted as the first one that a node reads, since 0 also stands for none, so entries that the copy lacks were dropped at once instead of after the time in which they are written again, and nodes did not register again. Found by reading.

The platform of the tests begins at epoch 0: one of the 22 tests failed before and all pass now.

--- a/packages/gateway/src/common/state/KeyedTable.ts
+++ b/packages/gateway/src/common/state/KeyedTable.ts
@@ -41,6 +41,8 @@
   readonly before: number;
   /** End offset of the table in the epoch before. */
   readonly endBefore: number;
+  /** Whether the table had a snapshot of an epoch before, so that the log was restored. */
+  readonly isRestore: boolean;
 }
 
 /** Merges records and snapshots of one topic and notifies listeners of changes. */
@@ -171,7 +173,12 @@
   }
 
   private _startEpoch(epoch: number, end: number, present: ReadonlyMap<string, KeyedRecord>): void {
-    const start = { epoch, before: this._epoch, endBefore: this._end };
+    const start = {
+      epoch,
+      before: this._epoch,
+      endBefore: this._end,
+      isRestore: this._hasSnapshot,
+    };
     this._epoch = epoch;
     this._end = end;
     this._restoredEnd = end;
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -15,12 +15,7 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTopic, RecordDecoder } from '../services/Services.js';
 import { ConfigurationState } from './ConfigurationState.js';
-import {
-  type EpochStart,
-  KeyedTable,
-  type RecordSuccession,
-  UNSTATED_EPOCH,
-} from './KeyedTable.js';
+import { type EpochStart, KeyedTable, type RecordSuccession } from './KeyedTable.js';
 import { PeerRelay } from './PeerRelay.js';
 import { configurationSuccession, targetSuccession } from './RecordSuccessions.js';
 import { TargetTable } from './TargetTable.js';
@@ -158,11 +153,12 @@
     return table;
   }
 
-  private _recordEpoch(table: KeyedTable, { before, endBefore, epoch }: EpochStart): void {
+  private _recordEpoch(table: KeyedTable, start: EpochStart): void {
     const { clock, log } = this._options;
+    const { before, endBefore, epoch, isRestore } = start;
     log.write('platform.epoch', { topic: table.name, epoch, before, end: table.end, endBefore });
     this._holdRemovals(table);
-    if (before !== UNSTATED_EPOCH) {
+    if (isRestore) {
       this._restoredAt = clock.now();
       this._onRestore.fire();
     }
--- a/packages/gateway/src/common/state/RestoredLog.ts
+++ b/packages/gateway/src/common/state/RestoredLog.ts
@@ -21,7 +21,8 @@
 export class RestoredLog {
   public calls = 0;
   public isEpochStated = true;
-  private _epoch = 1;
+  /** The lowest epoch that a platform can state. */
+  private _epoch = 0;
   private _records: KeyedRecord[] = [];
   private readonly _held: (() => void)[] = [];
 
