--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -83,7 +83,7 @@
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
 export class PeerRelay extends DisposableOwner {
   private readonly _fetching = new Set<string>();
-  /** By topic: when it was last read on the word of a peer that does not state the epoch. */
+  /** By topic: when it was last read since a peer that does not state the epoch was ahead. */
   private readonly _caughtUpAt = new Map<string, number>();
   private _pollerConnectedAt: number;
   /** When a poller itself last reported that it is connected. */
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -162,7 +162,7 @@
     this._entries.delete(entry.id);
     this._removalDueAt.delete(entry.id);
     if (entry.startedAt === undefined) {
-      // The next instance with the id could not be told from this one.
+      // Without a start time, the next instance with the id would count as the same one.
       this._leaving.delete(entry.id);
     }
     this._onChange.fire({ ...entry, isDraining: true });
