Log how long a link between nodes was silent, and how long a node is behind

A link that went silent, a slow peer and a peer that is gone all read 'timed out'. The cause of a failed request states for how long nothing was received on its link, and records.fetched and records.unfetched how long the node has known that a peer is ahead.

--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -83,6 +83,8 @@
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
 export class PeerRelay extends DisposableOwner {
   private readonly _fetching = new Set<string>();
+  /** By topic: since when this node has known that a peer is ahead. */
+  private readonly _behindSince = new Map<string, number>();
   /** By topic: when it was last read since a peer that does not state the epoch was ahead. */
   private readonly _caughtUpAt = new Map<string, number>();
   private _pollerConnectedAt: number;
@@ -278,6 +280,7 @@
       return;
     }
     this._fetching.add(table.name);
+    this._behindSince.set(table.name, this._behindSince.get(table.name) ?? clock.now());
     if (table.hasSnapshot) {
       await clock.sleep(FETCH_DELAY_MS, this.disposalSignal);
     }
@@ -300,7 +303,13 @@
     const parsed = response.isOk ? recordsResponseSchema.safeParse(response.value) : undefined;
     if (parsed?.success !== true) {
       const cause = response.isErr ? response.error.message : 'malformed response';
-      log.write('records.unfetched', { topic, peer, after, cause });
+      log.write('records.unfetched', {
+        topic,
+        peer,
+        after,
+        cause,
+        behindMs: this._behindMs(topic),
+      });
       return;
     }
     if (!parsed.data.isTooLong) {
@@ -320,7 +329,14 @@
         epoch: recordEpoch,
       })),
     );
-    log.write('records.fetched', { topic, peer, after, epoch, end: parsed.data.end });
+    const behindMs = this._behindMs(topic);
+    log.write('records.fetched', { topic, peer, after, epoch, end: parsed.data.end, behindMs });
+    this._behindSince.delete(topic);
+  }
+
+  private _behindMs(topic: string): number {
+    const now = this._options.clock.now();
+    return Math.round(now - (this._behindSince.get(topic) ?? now));
   }
 
   /** Limits the reads for peers that do not state the epoch: their end offset may stay higher. */
--- a/packages/mesh/src/node/PeerLink.ts
+++ b/packages/mesh/src/node/PeerLink.ts
@@ -16,6 +16,7 @@
   private readonly _socket: Socket;
   private readonly _client: JSONRPCClient;
   private _idleTimer: Disposable | undefined;
+  private _lastReceivedAt: number;
 
   constructor(
     private readonly _clock: Clock,
@@ -26,6 +27,7 @@
     super();
     const [host, port] = _address.split(':');
     this._socket = connect({ host, port: Number(port), noDelay: true });
+    this._lastReceivedAt = _clock.now();
     this._client = new JSONRPCClient((request) => {
       this._write(JSON.stringify(request));
     });
@@ -41,7 +43,12 @@
     this._postponeIdleClose(timeoutMs);
     return new Promise((resolve, reject) => {
       const timer = this._clock.schedule(timeoutMs, () => {
-        reject(new Error(`timed out after ${timeoutMs} ms`));
+        const silenceMs = Math.round(this._clock.now() - this._lastReceivedAt);
+        reject(
+          new Error(
+            `timed out after ${timeoutMs} ms; nothing received on the link for ${silenceMs} ms`,
+          ),
+        );
       });
       this._client.request(method, params).then(
         (value) => {
@@ -76,6 +83,7 @@
   }
 
   private _receive(line: string): void {
+    this._lastReceivedAt = this._clock.now();
     try {
       this._client.receive(JSON.parse(line) as JSONRPCResponse);
     } catch {
