--- a/packages/fakes/src/common/MemoryNetwork.ts
+++ b/packages/fakes/src/common/MemoryNetwork.ts
@@ -65,6 +65,7 @@
    */
   public isFrozen = false;
   public bytesSent = 0;
+  public requestsSent = 0;
   private readonly _handlers = new Map<string, RequestHandler>();
   private readonly _datagramHandlers = new Set<DatagramHandler>();
 
@@ -80,6 +81,7 @@
     timeoutMs: number,
   ): Promise<Result<unknown, ServiceError>> {
     const { clock, delayMs } = this._network;
+    this.requestsSent++;
     this.bytesSent += JSON.stringify({ method, params }).length;
     await clock.sleep(delayMs);
     const peer = this._network.find(address);
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -2,4 +2,5 @@
 export * from './common/FixedMembership.js';
 export * from './common/MemoryLog.js';
 export * from './common/MemoryNetwork.js';
+export * from './node/FaultProxy.js';
 export * from './node/Loopback.js';
--- a/platform/soak/FaultProxy.ts
+++ b/packages/fakes/src/node/FaultProxy.ts
@@ -3,8 +3,8 @@
  * and loss of data in one or both directions. It serves one link, such as from a node to the store.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { listenOnLoopback } from '@tanagerdyke/fakes';
-import { pause } from './Pause.js';
+import { SystemClock } from '@tanagerdyke/kernel';
+import { listenOnLoopback } from './Loopback.js';
 
 /** The fault of a link. */
 export enum LinkFault {
@@ -20,11 +20,18 @@
 
 const DELAY_MS = 60;
 
+/** A connection through the proxy. */
+interface ProxiedConnection {
+  readonly sockets: readonly Socket[];
+  isSilent: boolean;
+}
+
 /** A TCP proxy for the connections of one link. */
 export class FaultProxy {
+  private readonly _clock = new SystemClock();
   private _fault = LinkFault.None;
   private readonly _server: Server;
-  private readonly _sockets = new Set<Socket>();
+  private readonly _connections = new Set<ProxiedConnection>();
 
   constructor(private readonly _targetPort: number) {
     this._server = createServer((socket) => {
@@ -36,6 +43,13 @@
     return listenOnLoopback(this._server);
   }
 
+  /** Drops all data of the connections that are open now, for good; new ones are not affected. */
+  public silenceOpenConnections(): void {
+    for (const connection of this._connections) {
+      connection.isSilent = true;
+    }
+  }
+
   /** Sets the fault. Clearing it closes open connections too, because they may have lost data. */
   public set fault(fault: LinkFault) {
     this._fault = fault;
@@ -55,17 +69,23 @@
       return;
     }
     const target = connect(this._targetPort, '127.0.0.1');
-    for (const socket of [caller, target]) {
-      this._sockets.add(socket);
+    const connection = { sockets: [caller, target], isSilent: false };
+    this._connections.add(connection);
+    for (const socket of connection.sockets) {
       socket.on('error', () => undefined);
       socket.on('close', () => {
-        this._sockets.delete(socket);
+        this._connections.delete(connection);
         caller.destroy();
         target.destroy();
       });
     }
-    caller.on('data', (chunk) => void this._forward(chunk, target, false));
-    target.on('data', (chunk) => void this._forward(chunk, caller, true));
+    const forward = async (chunk: Buffer, to: Socket, isAnswer: boolean): Promise<void> => {
+      if (!connection.isSilent) {
+        await this._forward(chunk, to, isAnswer);
+      }
+    };
+    caller.on('data', (chunk) => void forward(chunk, target, false));
+    target.on('data', (chunk) => void forward(chunk, caller, true));
   }
 
   private async _forward(chunk: Buffer, to: Socket, isAnswer: boolean): Promise<void> {
@@ -76,14 +96,14 @@
       return;
     }
     if (this._fault === LinkFault.Delays) {
-      await pause(DELAY_MS);
+      await this._clock.sleep(DELAY_MS);
     }
     to.write(chunk);
   }
 
   private _destroySockets(): void {
     // An answer without a length looks complete if its connection ends without a reset.
-    for (const socket of this._sockets) {
+    for (const socket of [...this._connections].flatMap(({ sockets }) => sockets)) {
       socket.resetAndDestroy();
     }
   }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -9,6 +9,7 @@
   type Clock,
   DisposableOwner,
   ErrorKind,
+  type Metrics,
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
@@ -78,6 +79,7 @@
   /** Reads the missing records of a topic from the platform; returns whether it answered. */
   readonly catchUp: (topic: string) => Promise<boolean>;
   readonly log: DecisionLog;
+  readonly metrics: Metrics;
 }
 
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
