--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -1,5 +1,5 @@
 import { FixedMembership, memberOf, MemoryNetwork } from '@tanagerdyke/fakes';
-import { ManualClock, SeededRandom } from '@tanagerdyke/kernel';
+import { ManualClock, Metrics, SeededRandom } from '@tanagerdyke/kernel';
 import { encodeNotification } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -51,6 +51,7 @@
           return Promise.resolve(connected.has(index));
         },
         log: new DecisionLog(clock, self.name, () => true),
+        metrics: new Metrics(),
       });
       relay.start();
       return { table, relay, caughtUp };
@@ -218,6 +219,57 @@
     });
   });
 
+  describe('peers that do not answer requests, though their datagrams arrive', () => {
+    const zones = ['a', 'b', 'c', 'a', 'b', 'c', 'a'];
+    /** Appointed relays of the zone of the last node, and a poller of another zone. */
+    const [first, second, remote] = [0, 3, 1];
+    const last = zones.length - 1;
+    const addressOf = (index: number): string => `127.0.0.1:${index + 1}`;
+    /** Time in which a change must be in force. */
+    const MAX_DELAY_MS = 2_000;
+
+    beforeEach(() => {
+      connected = new Set([first, second, remote]);
+      create(zones.length, zones);
+      nodes.forEach(({ table }) => {
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+      });
+    });
+
+    it.each([first, second])(
+      'do not delay a change while another one does: node %i',
+      async (index) => {
+        network.cut(addressOf(last), addressOf(index));
+        receiveFromPlatform(0, 'a', '1');
+        await clock.advance(MAX_DELAY_MS / 2);
+        expect(valueAt(last, 'a')).toBe('1');
+      },
+    );
+
+    it('do not delay a change while the platform answers', async () => {
+      for (const index of zones.keys()) {
+        network.cut(addressOf(last), addressOf(index));
+      }
+      receiveFromPlatform(0, 'a', '1');
+      await clock.advance(MAX_DELAY_MS);
+      expect(nodes[last]?.caughtUp).toContain('topic');
+    });
+
+    it('are not asked more than five times a second', async () => {
+      for (const index of zones.keys()) {
+        network.cut(addressOf(last), addressOf(index));
+      }
+      receiveFromPlatform(0, 'a', '1');
+      const before = requestsOf(last);
+      await clock.advance(10_000);
+      expect(requestsOf(last) - before).toBeLessThanOrEqual(50);
+    });
+
+    function requestsOf(index: number): number {
+      return network.find(addressOf(index))?.requestsSent ?? 0;
+    }
+  });
+
   describe('a peer of a release that does not state the epoch', () => {
     const OLD_PEER = '127.0.0.1:99';
     const HIGHER_END = 50;
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -20,6 +20,9 @@
   public calls = 0;
   private readonly _log: KeyedRecord[] = [];
   private _first = 0;
+  private _polls = 0;
+  /** Polls up to this one are never answered. */
+  private _silentPolls = 0;
 
   constructor(private readonly _clock: ManualClock) {}
 
@@ -28,6 +31,11 @@
     this._log.push({ key, offset: this._log.length, value: bytes });
   }
 
+  /** The poll that is open gets no answer. */
+  public silencePoll(): void {
+    this._silentPolls = this._polls;
+  }
+
   public expireAll(): void {
     this._first = this._log.length;
   }
@@ -54,9 +62,16 @@
     if (from < this._first) {
       return Result.err(errorOf(ErrorKind.RecordsExpired));
     }
+    this._polls++;
+    const poll = this._polls;
+    const startedAt = this._clock.now();
     for (let waited = 0; waited < waitMs && this._log.length <= from; waited += 10) {
       await this._clock.sleep(10);
     }
+    if (poll <= this._silentPolls) {
+      await this._clock.sleep(startedAt + timeoutMs - this._clock.now());
+      return Result.err(errorOf(ErrorKind.PlatformUnavailable));
+    }
     return Result.ok({ epoch: undefined, records: this._log.slice(from), end: this._log.length });
   }
 
@@ -153,6 +168,20 @@
     });
   });
 
+  describe('when the connection of a poll went silent', () => {
+    /** Connections count as disturbed for 3 s; half a second of it is for the other nodes. */
+    const MAX_DELAY_MS = 2_500;
+
+    it('replaces it within 2,500 ms', async () => {
+      start();
+      await clock.advance(50);
+      topic.silencePoll();
+      topic.write('a', '1');
+      await clock.advance(MAX_DELAY_MS);
+      expect(table.find('a')?.value?.toString()).toBe('1');
+    });
+  });
+
   describe('when the platform does not respond', () => {
     it('delays the start by no more than the timeout of a call', async () => {
       topic.write('a', '1');
