Replace links between nodes that went silent

Cause: a link was trusted as long as it was not closed, and each call put off the idle timer that would have closed it. Requests that wait on it still get their response if it arrives. Incoming connections without bytes for three minutes are closed.

--- a/packages/claims/src/common/AnswerStore.ts
+++ b/packages/claims/src/common/AnswerStore.ts
@@ -4,7 +4,7 @@
  * so is the answer.
  */
 import { DisposableOwner } from '@tanagerdyke/kernel';
-import { checkedHandler, type Membership, type Transport } from '@tanagerdyke/mesh';
+import { checkedHandler, Delivery, type Membership, type Transport } from '@tanagerdyke/mesh';
 import { LRUCache } from 'lru-cache';
 import { Result } from 'true-myth';
 import {
@@ -55,6 +55,7 @@
       FETCH_ANSWER_METHOD,
       { key },
       FETCH_TIMEOUT_MS,
+      Delivery.AtLeastOnce,
     );
     const parsed = response.isOk ? fetchAnswerResponseSchema.safeParse(response.value) : undefined;
     return parsed?.success === true ? parsed.data.body : undefined;
--- a/packages/claims/src/common/ShardRouter.ts
+++ b/packages/claims/src/common/ShardRouter.ts
@@ -5,7 +5,13 @@
  */
 import { createHash } from 'node:crypto';
 import { type Clock, ErrorKind, type ServiceError } from '@tanagerdyke/kernel';
-import { type Member, type Membership, rankByRendezvous, type Transport } from '@tanagerdyke/mesh';
+import {
+  Delivery,
+  type Member,
+  type Membership,
+  rankByRendezvous,
+  type Transport,
+} from '@tanagerdyke/mesh';
 import type { Result } from 'true-myth';
 import {
   AppendOutcome,
@@ -95,6 +101,7 @@
         FIND_METHOD,
         params,
         timeoutMs,
+        Delivery.AtLeastOnce,
       );
       const parsed = response.isOk ? findResponseSchema.safeParse(response.value) : undefined;
       if (parsed?.success === true) {
--- a/packages/configuration/src/common/PeerCatchUp.ts
+++ b/packages/configuration/src/common/PeerCatchUp.ts
@@ -4,7 +4,13 @@
  * catches up within seconds.
  */
 import { type Clock, DisposableOwner, type ServiceError } from '@tanagerdyke/kernel';
-import { checkedHandler, type Member, type Membership, type Transport } from '@tanagerdyke/mesh';
+import {
+  checkedHandler,
+  Delivery,
+  type Member,
+  type Membership,
+  type Transport,
+} from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import type { ConfigurationFollower } from './ConfigurationFollower.js';
 import {
@@ -128,6 +134,7 @@
       PULL_METHOD,
       params,
       PULL_TIMEOUT_MS,
+      Delivery.AtLeastOnce,
     );
     const parsed = response.isOk ? pullResponseSchema.safeParse(response.value) : undefined;
     if (parsed?.success !== true) {
--- a/packages/daemon/src/node/runDaemon.ts
+++ b/packages/daemon/src/node/runDaemon.ts
@@ -102,6 +102,10 @@
       metrics.increment('tanager_peer_bytes_sent_total', {}, bytes);
     },
   });
+  sockets.onLinkSilent(({ address, pending, silenceMs }) => {
+    metrics.increment('tanager_silent_links_total');
+    logger.log(LogLevel.Info, 'link silent', { peer: address, pending, silenceMs });
+  });
   const transport = dependencies.wrapTransport(sockets, clock, settings);
   const node = createNode({
     clock,
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod';
 import { isLive, type MemberTable } from './MemberTable.js';
 import { JOIN_METHOD, type Member, memberSchema, MemberStatus } from './Messages.js';
-import type { Transport } from './services/Services.js';
+import { Delivery, type Transport } from './services/Services.js';
 
 const JOIN_TIMEOUT_MS = 1_000;
 /** Time between attempts while this node has no peers. */
@@ -78,7 +78,13 @@
 
   private async _exchange(address: string, request: z.infer<typeof joinSchema>): Promise<void> {
     const { merge, transport } = this._options;
-    const response = await transport.request(address, JOIN_METHOD, request, JOIN_TIMEOUT_MS);
+    const response = await transport.request(
+      address,
+      JOIN_METHOD,
+      request,
+      JOIN_TIMEOUT_MS,
+      Delivery.AtLeastOnce,
+    );
     const parsed = response.isOk ? joinSchema.safeParse(response.value) : undefined;
     if (parsed?.success === true) {
       merge(parsed.data.members.map(downgradeDeath));
--- a/packages/mesh/src/common/services/Services.ts
+++ b/packages/mesh/src/common/services/Services.ts
@@ -8,15 +8,26 @@
 
 export type DatagramHandler = (payload: string) => void;
 
+/** How often the peer may handle a request. */
+export enum Delivery {
+  AtMostOnce = 'at-most-once',
+  /** It is sent again over a new link when its link goes silent. */
+  AtLeastOnce = 'at-least-once',
+}
+
 /** Requests over persistent links, and datagrams that may be lost. Addresses are `IP:port`. */
 export interface Transport extends Disposable {
   readonly address: string;
-  /** Calls a peer. Errors: those of its handler, and `LinkFailed` (the peer may have acted). */
+  /**
+   * Calls a peer, at most once unless stated otherwise. Errors: those of its handler, and
+   * `LinkFailed` (the peer may have acted).
+   */
   request(
     address: string,
     method: string,
     params: unknown,
     timeoutMs: number,
+    delivery?: Delivery,
   ): Promise<Result<unknown, ServiceError>>;
   handle(method: string, handler: RequestHandler): Disposable;
   sendDatagram(address: string, payload: string): void;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -11,4 +11,5 @@
 export * from './common/SwimMembership.js';
 export * from './common/ZoneBroadcast.js';
 export * from './common/Zones.js';
+export type { LinkSilence } from './node/PeerLink.js';
 export * from './node/SocketTransport.js';
--- a/packages/mesh/src/node/SocketTransport.ts
+++ b/packages/mesh/src/node/SocketTransport.ts
@@ -1,18 +1,36 @@
 /**
  * Transport over sockets: JSON-RPC 2.0 as lines of JSON over persistent TCP links, which are opened
- * on first use and closed when idle, and datagrams over UDP on the same port number.
+ * on first use, replaced when they go silent and closed when idle, and datagrams over UDP on the
+ * same port number.
  */
 import { createSocket, type Socket as DatagramSocket } from 'node:dgram';
 import { createServer, type Server, type Socket } from 'node:net';
-import { type Clock, DisposableOwner, toDisposable, type Disposable } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  type Disposable,
+  DisposableOwner,
+  Emitter,
+  toDisposable,
+} from '@tanagerdyke/kernel';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { Result } from 'true-myth';
 import type { ServiceError } from '@tanagerdyke/kernel';
 import { fromRpcException, toRpcException } from '../common/RpcErrors.js';
-import type { DatagramHandler, RequestHandler, Transport } from '../common/services/Services.js';
-import { PeerLink } from './PeerLink.js';
+import {
+  type DatagramHandler,
+  Delivery,
+  type RequestHandler,
+  type Transport,
+} from '../common/services/Services.js';
+import { type LinkSilence, type PeerCall, PeerLink, PROBE_METHOD } from './PeerLink.js';
 import { readLines } from './LineReader.js';
 
+/**
+ * An incoming connection on which nothing arrives for this long is closed; its opener closes a link
+ * that works sooner.
+ */
+const INCOMING_IDLE_TIMEOUT_MS = 180_000;
+
 /** Counts the bytes that the transport sends, against a node's budget for control traffic. */
 export interface TrafficCounter {
   count(bytes: number): void;
@@ -21,9 +39,15 @@
 /** Owns the TCP server, the UDP socket and the outgoing links of a node. */
 export class SocketTransport extends DisposableOwner implements Transport {
   private readonly _rpcServer = new JSONRPCServer();
+  /** The link to each peer that takes new requests. */
   private readonly _links = new Map<string, PeerLink>();
+  /** Links that went silent while requests wait for a response. */
+  private readonly _silentLinks = new Set<PeerLink>();
   private readonly _datagramHandlers = new Set<DatagramHandler>();
   private _address = '';
+  private readonly _onLinkSilent = this.register(new Emitter<LinkSilence>());
+  /** Fires when a link went silent and is replaced. */
+  public readonly onLinkSilent = this._onLinkSilent.event;
 
   private constructor(
     private readonly _clock: Clock,
@@ -36,7 +60,7 @@
     this.register(toDisposable(() => this._datagrams.close()));
     this.register(
       toDisposable(() => {
-        for (const link of this._links.values()) {
+        for (const link of [...this._links.values(), ...this._silentLinks]) {
           link.dispose();
         }
       }),
@@ -76,9 +100,15 @@
     method: string,
     params: unknown,
     timeoutMs: number,
+    delivery: Delivery = Delivery.AtMostOnce,
   ): Promise<Result<unknown, ServiceError>> {
+    const call = { method, params, timeoutMs };
     try {
-      return Result.ok(await this._linkTo(address).call(method, params, timeoutMs));
+      const response =
+        delivery === Delivery.AtMostOnce
+          ? this._linkTo(address).call(call)
+          : this._callRepeatable(address, call);
+      return Result.ok(await response);
     } catch (error) {
       return Result.err(fromRpcException(error, address));
     }
@@ -113,6 +143,7 @@
 
   private _start(address: string): void {
     this._address = address;
+    this._rpcServer.addMethod(PROBE_METHOD, () => null);
     this._server.on('connection', (socket) => {
       void this._serveConnection(socket);
     });
@@ -130,6 +161,7 @@
   private async _serveConnection(socket: Socket): Promise<void> {
     const registration = this.register(toDisposable(() => socket.destroy()));
     socket.setNoDelay(true);
+    socket.setTimeout(INCOMING_IDLE_TIMEOUT_MS, () => socket.destroy());
     for await (const line of readLines(socket)) {
       void this._respond(socket, line);
     }
@@ -147,14 +179,49 @@
     socket.write(responseLine);
   }
 
+  /** Sends a request, and once more if its link goes silent; the first response counts. */
+  private _callRepeatable(address: string, call: PeerCall): Promise<unknown> {
+    const deadlineAt = this._clock.now() + call.timeoutMs;
+    const link = this._linkTo(address);
+    return new Promise((resolve, reject) => {
+      let isRepeated = false;
+      const subscription = link.onSilent(() => {
+        isRepeated = true;
+        const timeoutMs = deadlineAt - this._clock.now();
+        this._linkTo(address)
+          .call({ ...call, timeoutMs })
+          .then(resolve, reject);
+      });
+      void link
+        .call(call)
+        .then(resolve, (error: unknown) => {
+          if (!isRepeated) {
+            reject(error instanceof Error ? error : new Error(String(error)));
+          }
+        })
+        .finally(() => {
+          subscription.dispose();
+        });
+    });
+  }
+
   private _linkTo(address: string): PeerLink {
-    let link = this._links.get(address);
-    if (link === undefined || link.isDisposed) {
-      link = new PeerLink(this._clock, address, this._traffic, () => {
+    return this._links.get(address) ?? this._openLink(address);
+  }
+
+  private _openLink(address: string): PeerLink {
+    const link = new PeerLink(this._clock, address, this._traffic, () => {
+      this._silentLinks.delete(link);
+      if (this._links.get(address) === link) {
         this._links.delete(address);
-      });
-      this._links.set(address, link);
-    }
+      }
+    });
+    link.onSilent((silence) => {
+      this._links.delete(address);
+      this._silentLinks.add(link);
+      this._onLinkSilent.fire(silence);
+    });
+    this._links.set(address, link);
     return link;
   }
 }
--- a/packages/serving/src/common/EngineReconciler.ts
+++ b/packages/serving/src/common/EngineReconciler.ts
@@ -7,7 +7,7 @@
 import { type Clock, DisposableOwner, type Metrics, type TimeLine } from '@tanagerdyke/kernel';
 import type { Engine, HeldItem } from '@tanagerdyke/contracts';
 import type { HostedTarget } from '@tanagerdyke/configuration';
-import { isLive, type Member, type Membership, type Transport } from '@tanagerdyke/mesh';
+import { Delivery, isLive, type Member, type Membership, type Transport } from '@tanagerdyke/mesh';
 import type { AttemptRegistry } from './AttemptRegistry.js';
 import { LIVE_METHOD, liveResponseSchema } from './Messages.js';
 import type { ReservedItem, TargetAccount } from './TargetAccount.js';
@@ -133,6 +133,7 @@
       LIVE_METHOD,
       { target, ids },
       LIVE_TIMEOUT_MS,
+      Delivery.AtLeastOnce,
     );
     const parsed = response.isOk ? liveResponseSchema.safeParse(response.value) : undefined;
     const live = parsed?.success === true ? parsed.data.live : ids;
--- a/packages/standins/src/node/faults/FaultyTransport.ts
+++ b/packages/standins/src/node/faults/FaultyTransport.ts
@@ -6,7 +6,7 @@
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
-import type { DatagramHandler, RequestHandler, Transport } from '@tanagerdyke/mesh';
+import type { DatagramHandler, Delivery, RequestHandler, Transport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import type { LinkRule, LinkRules } from '../../common/LinkRules.js';
 
@@ -31,6 +31,7 @@
     method: string,
     params: unknown,
     timeoutMs: number,
+    delivery?: Delivery,
   ): Promise<Result<unknown, ServiceError>> {
     const rule = this._rules.ruleFor(address);
     if (this._drawLoss(rule)) {
@@ -38,7 +39,7 @@
       return Result.err(linkLostError(address));
     }
     await this._clock.sleep(this._drawDelayMs(rule));
-    const response = await this._inner.request(address, method, params, timeoutMs);
+    const response = await this._inner.request(address, method, params, timeoutMs, delivery);
     const responseRule = this._rules.ruleFor(address);
     if (this._drawLoss(responseRule)) {
       await this._clock.sleep(timeoutMs);
