Fetch records from other peers and the platform when one does not respond

Cause: a fetch blocked all others of its topic until it timed out, and the next one waited for the next progress message, from whichever node sent it. The time from 'a peer is ahead' to 'in force' had no bound. Change: RecordFetcher (moved out of PeerRelay) keeps the peers that are ahead; without a response within 300 ms it asks the next one as well, and after the last one the platform, at most once a second. A change is announced twice, since datagrams get lost.

--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -1,17 +1,19 @@
 /**
  * Relays topic records from the platform between nodes, so that a node that the platform rejects,
  * or that starts during an outage of the platform, still receives updates. Each node sends the end
- * offsets of its tables to peers; a node that is behind fetches the missing records from the
- * sender. Offsets are compared within one epoch of the log; a node of an earlier epoch fetches the
- * whole table. Records of earlier epochs that are still valid are exchanged, too.
+ * offsets of its tables to peers; a node that is behind fetches the missing records from those that
+ * are ahead. Offsets are compared within one epoch of the log; a node of an earlier epoch fetches
+ * the whole table. Records of earlier epochs that are still valid are exchanged, too.
  */
 import {
   type Clock,
+  type Disposable,
   DisposableOwner,
   ErrorKind,
   type Metrics,
   type RandomSource,
   ServiceError,
+  toDisposable,
 } from '@tanagerdyke/kernel';
 import {
   checkedHandler,
@@ -24,19 +26,15 @@
 import { Result } from 'true-myth';
 import type * as z from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
-import { type KeyedTable, UNSTATED_EPOCH } from './KeyedTable.js';
+import type { KeyedTable } from './KeyedTable.js';
 import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
+import { RecordFetcher } from './RecordFetcher.js';
 import {
-  decodeRecord,
   encodeValue,
-  isBehind,
   parseProgress,
   PROGRESS_METHOD,
   RECORDS_METHOD,
-  type RecordsResponse,
   recordsRequestSchema,
-  recordsResponseSchema,
-  type TopicProgress,
 } from './RelayMessages.js';
 
 const PROGRESS_INTERVAL_MS = 500;
@@ -58,13 +56,8 @@
  * bandwidth.
  */
 const MAX_RESPONSE_BYTES = 100_000;
-const FETCH_TIMEOUT_MS = 1_000;
-const CATCH_UP_INTERVAL_MS = 1_000;
-/**
- * Delay before a fetch: a record that is in transit from the platform usually arrives before a
- * fetch from a peer would complete.
- */
-const FETCH_DELAY_MS = 60;
+/** Time after a change at which dependents are notified again, since datagrams get lost. */
+const REPEATED_NOTICE_DELAY_MS = 150;
 
 export interface PeerRelayOptions {
   readonly clock: Clock;
@@ -84,11 +77,8 @@
 
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
 export class PeerRelay extends DisposableOwner {
-  private readonly _fetching = new Set<string>();
-  /** By topic: since when this node has known that a peer is ahead. */
-  private readonly _behindSince = new Map<string, number>();
-  /** By topic: when it was last read since a peer that does not state the epoch was ahead. */
-  private readonly _caughtUpAt = new Map<string, number>();
+  private readonly _fetcher: RecordFetcher;
+  private _repeatedNotice: Disposable | undefined;
   private _pollerConnectedAt: number;
   /** When a poller itself last reported that it is connected. */
   private _directReportAt = Number.NEGATIVE_INFINITY;
@@ -105,7 +95,17 @@
       }),
     );
     this._pollerConnectedAt = clock.now();
-    this.register(transport.onDatagram((payload) => void this._onDatagram(payload)));
+    this._fetcher = this.register(new RecordFetcher(_options));
+    this.register(
+      toDisposable(() => {
+        this._repeatedNotice?.dispose();
+      }),
+    );
+    this.register(
+      transport.onDatagram((payload) => {
+        this._onDatagram(payload);
+      }),
+    );
     this.register(
       transport.handle(
         RECORDS_METHOD,
@@ -217,9 +217,16 @@
     return [...members.slice(first), ...members.slice(0, first)].slice(0, count);
   }
 
-  /** Notifies those that rely on this node of a change immediately, not at the next interval. */
+  /**
+   * Notifies those that rely on this node of a change immediately and once more soon after, not only
+   * at the next interval.
+   */
   private _notifyDependents(): void {
     this._sendProgressTo(this._dependents());
+    this._repeatedNotice ??= this._options.clock.schedule(REPEATED_NOTICE_DELAY_MS, () => {
+      this._repeatedNotice = undefined;
+      this._sendProgressTo(this._dependents());
+    });
   }
 
   private _sendProgressTo(peers: readonly Member[]): void {
@@ -243,7 +250,7 @@
     }
   }
 
-  private async _onDatagram(payload: string): Promise<void> {
+  private _onDatagram(payload: string): void {
     const parsed = parseProgress(payload);
     if (parsed === undefined) {
       return;
@@ -258,7 +265,7 @@
       const table = this._options.tables.find((each) => each.name === name);
       const [epoch, earlierDigest = ''] = parsed.epochs?.[index] ?? [];
       if (table !== undefined) {
-        await this._fetchRecords(parsed.from, table, { end, epoch, earlierDigest });
+        this._fetcher.recordProgress(parsed.from, table, { end, epoch, earlierDigest });
       }
     }
   }
@@ -271,102 +278,6 @@
     }
   }
 
-  /** Fetches the records that a peer has and the table lacks. */
-  private async _fetchRecords(
-    peer: string,
-    table: KeyedTable,
-    progress: TopicProgress,
-  ): Promise<void> {
-    const { clock } = this._options;
-    if (this._fetching.has(table.name) || !isBehind(table, progress)) {
-      return;
-    }
-    this._fetching.add(table.name);
-    this._behindSince.set(table.name, this._behindSince.get(table.name) ?? clock.now());
-    if (table.hasSnapshot) {
-      await clock.sleep(FETCH_DELAY_MS, this.disposalSignal);
-    }
-    if (isBehind(table, progress)) {
-      await this._requestRecords(peer, table);
-    }
-    this._fetching.delete(table.name);
-  }
-
-  private async _requestRecords(
-    peer: string,
-    table: KeyedTable,
-    isPlatformLost = false,
-  ): Promise<void> {
-    const { catchUp, log, transport } = this._options;
-    const { epoch, name: topic } = table;
-    const after = table.hasSnapshot ? table.end : 0;
-    const request = { topic, after, epoch, isPlatformLost };
-    const response = await transport.request(peer, RECORDS_METHOD, request, FETCH_TIMEOUT_MS);
-    const parsed = response.isOk ? recordsResponseSchema.safeParse(response.value) : undefined;
-    if (parsed?.success !== true) {
-      const cause = response.isErr ? response.error.message : 'malformed response';
-      log.write('records.unfetched', {
-        topic,
-        peer,
-        after,
-        cause,
-        behindMs: this._behindMs(topic),
-      });
-      return;
-    }
-    if (!parsed.data.isTooLong) {
-      this._applyRecords(table, parsed.data);
-    }
-    const isEpochUnknown = parsed.data.epoch === undefined && epoch !== UNSTATED_EPOCH;
-    if (parsed.data.isTooLong && !(await catchUp(topic)) && !isPlatformLost) {
-      await this._requestRecords(peer, table, true);
-      return;
-    }
-    if (isEpochUnknown && this._mayCatchUp(topic)) {
-      await catchUp(topic);
-    }
-    table.applyEarlier(
-      parsed.data.earlier.map(([key, recordEpoch, offset, value]) => ({
-        ...decodeRecord(key, offset, value),
-        epoch: recordEpoch,
-      })),
-    );
-    const behindMs = this._behindMs(topic);
-    log.write('records.fetched', { topic, peer, after, epoch, end: parsed.data.end, behindMs });
-    this._behindSince.delete(topic);
-  }
-
-  private _behindMs(topic: string): number {
-    const now = this._options.clock.now();
-    return Math.round(now - (this._behindSince.get(topic) ?? now));
-  }
-
-  /** Limits the reads for peers that do not state the epoch: their end offset may stay higher. */
-  private _mayCatchUp(topic: string): boolean {
-    const now = this._options.clock.now();
-    const isDue = now - (this._caughtUpAt.get(topic) ?? 0) >= CATCH_UP_INTERVAL_MS;
-    if (isDue) {
-      this._caughtUpAt.set(topic, now);
-    }
-    return isDue;
-  }
-
-  private _applyRecords(
-    table: KeyedTable,
-    { end, epoch, isKnown, records: encoded }: RecordsResponse,
-  ): void {
-    const records = encoded.map(([key, offset, value]) => decodeRecord(key, offset, value));
-    const recordEpoch = epoch ?? UNSTATED_EPOCH;
-    if (table.hasSnapshot && recordEpoch < table.epoch) {
-      table.applyEarlier(records.map((record) => ({ ...record, epoch: recordEpoch })));
-    } else if (isKnown && (!table.hasSnapshot || recordEpoch > table.epoch)) {
-      const present = records.filter(({ value }) => value !== undefined);
-      table.applySnapshot({ epoch: recordEpoch, records: present, end });
-    } else {
-      table.apply(records, end, recordEpoch);
-    }
-  }
-
   private _respond({
     after,
     epoch,
