Replace silent connections of polls within 2.2 s instead of 4 s

Cause: a poll waits 3 s and may take 1 s more, so a connection to the platform that went silent kept a poller from receiving changes for 4 s; when it happens to all pollers, a change is late everywhere. Polls now wait for 1.2 s. That is 2.5 times the calls of the four pollers.

--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -18,8 +18,8 @@
 
 /** Snapshots usually arrive within a few ms; a lost call must not delay the start of a node. */
 const SNAPSHOT_TIMEOUT_MS = 800;
-/** Long, to keep calls few, but an unresponsive connection must be replaced within seconds. */
-const POLL_WAIT_MS = 3_000;
+/** Long, to keep calls few, but a silent connection must be replaced within 2.5 s. */
+const POLL_WAIT_MS = 1_200;
 /** Time that the response to a poll may take beyond the requested wait. */
 const POLL_MARGIN_MS = 1_000;
 const FIRST_RETRY_MS = 100;
