Log what identifies the content of requests whose attempts fail

Attempts that broke off could not be told apart by content: the same call comes again under other ids, at other nodes. Failed attempts log the fingerprint of method, path, workspace and body.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -130,6 +130,8 @@
   readonly lastEventId: string | undefined;
   /** Ids of the parts of the prompt that other prompts may have, too. */
   readonly sharedParts: readonly string[];
+  /** Id of the part that no other prompt has; `undefined` for a request without parts. */
+  readonly ownPart: string | undefined;
 }
 
 /** What the status and headers of a target's answer state. */
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -219,6 +219,7 @@
       cause: this._cause,
       suspectMs,
       attempts: this._attempts,
+      fingerprint: this._request.fingerprints[0],
     });
   }
 
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -57,6 +57,8 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly caller: CallerRequest;
+  /** Identify the content of the request, whatever its id. */
+  readonly fingerprints: readonly string[];
   readonly route: ForwardRoute;
   readonly service: TargetService;
   /** Undefined if the caller sent no valid key and needed none. */
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -74,6 +74,7 @@
     outputTokens: numberOf(findHeader(headers, 'output')) ?? 0,
     lastEventId: findHeader(headers, 'last'),
     sharedParts: [],
+    ownPart: undefined,
   }),
   buildForwardedHeaders: (headers, gatewayHeaders) => {
     if (findHeader(headers, 'defect') !== undefined) {
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -16,6 +16,7 @@
   type ForwardingConfiguration,
   type RawHeaders,
 } from '../common/Messages.js';
+import { fingerprintsOf } from '../common/quarantine/RequestFingerprint.js';
 import { chooseService } from '../common/RouteShares.js';
 import { BodyReader } from './BodyReader.js';
 import { CallerResponse, type GatewayAnswer } from './CallerResponse.js';
@@ -218,14 +219,18 @@
     if (body === undefined) {
       return reject(caller, signal.aborted ? CALLER_DISCONNECTED : BODY_TOO_LARGE);
     }
+    const method = incoming.method ?? 'GET';
+    const { ownPart, sharedParts } = caller;
+    const parts = ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
     const timeoutMs = Math.min(caller.remainingMs ?? route.timeoutMs, route.timeoutMs);
     return Result.ok({
       id: caller.attemptId ?? random.identifier(),
-      method: incoming.method ?? 'GET',
+      method,
       path,
       headers: incoming.rawHeaders,
       body,
       caller,
+      fingerprints: fingerprintsOf({ method, path, body, workspace: workspace?.name, parts }),
       route,
       service,
       workspace,
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -3,17 +3,20 @@
 import type { ServerResponse } from 'node:http';
 import type { Clock } from '@tanagerdyke/kernel';
 import type { CallKind } from '../common/Messages.js';
+import { fingerprintsOf } from '../common/quarantine/RequestFingerprint.js';
 import { CallerResponse } from './CallerResponse.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import { configuration } from './ForwardingFixture.js';
 
 const DEADLINE_MS = 3_000;
+const BODY = Buffer.from('x');
 
 /** What differs between simulated requests. */
 export interface SimulatedRequestOptions {
   readonly id?: string;
   readonly maxAttempts: number;
   readonly sharedParts?: readonly string[];
+  readonly body?: Buffer;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -23,19 +26,18 @@
   clock: Clock,
   kind: CallKind,
   caller: SimulatedCaller,
-  { id = 'r1', maxAttempts, sharedParts = [], signal }: SimulatedRequestOptions,
+  { body = BODY, id = 'r1', maxAttempts, sharedParts = [], signal }: SimulatedRequestOptions,
 ): ForwardedRequest {
   const route = configuration.routes.find((each) => each.kind === kind);
   const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
   if (route === undefined || service === undefined) {
     throw new Error(`the test configuration has no route for ${kind}`);
   }
+  const content = { method: 'POST', path: route.pathPrefix, body };
   return {
     id,
-    method: 'POST',
-    path: route.pathPrefix,
+    ...content,
     headers: ['Host', 'test', 'Parts', sharedParts.join(',')],
-    body: Buffer.from('x'),
     caller: {
       attemptId: 'a1',
       host: 'test',
@@ -45,7 +47,9 @@
       outputTokens: 100,
       lastEventId: undefined,
       sharedParts,
+      ownPart: undefined,
     },
+    fingerprints: fingerprintsOf({ ...content, workspace: undefined, parts: sharedParts }),
     route: { ...route, maxAttempts },
     service,
     workspace: undefined,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -292,6 +292,7 @@
       lastEventId: this._splitter.lastEventId,
       firstEventAgeMs: eventAgeMs,
       parts: this._request.caller.sharedParts.join(' '),
+      fingerprint: this._request.fingerprints[0],
       suspectMs,
     });
   }
