--- a/packages/gateway/src/node/CrashingEngines.ts
+++ b/packages/gateway/src/node/CrashingEngines.ts
@@ -1,6 +1,6 @@
 /**
- * Engines that crash when they begin to write an answer to a prompt with a certain part, on a manual
- * clock, for tests. A crash breaks all streams of the engine, which starts again later. Not shipped.
+ * Targets that crash when they begin to write the answer to certain requests, on a manual clock, for
+ * tests. A crash breaks all answers of the target, which starts again later. Not shipped.
  */
 import type { ManualClock } from '@tanagerdyke/kernel';
 import type { Exchange, ExchangeObserver, RequestSender, UpstreamRequest } from './Upstream.js';
@@ -21,12 +21,14 @@
 export class CrashingEngines implements RequestSender {
   public readonly arrivals: EngineArrival[] = [];
   public readonly crashedAt: number[] = [];
+  /** Called with the id of a target that crashed. */
+  public onCrash: (id: string) => void = () => undefined;
   private readonly _running = new Map<string, Set<ExchangeObserver>>();
   private readonly _downUntil = new Map<string, number>();
 
   constructor(
     private readonly _clock: ManualClock,
-    private readonly _crashingPart: string,
+    private readonly _isCrashing: (request: UpstreamRequest) => boolean,
   ) {}
 
   public send(
@@ -43,7 +45,7 @@
       }
       observer.onSendStart();
       running.add(observer);
-      const isCrashing = partsOf(request).includes(this._crashingPart);
+      const isCrashing = this._isCrashing(request);
       this.arrivals.push({ at: this._clock.now(), isCrashing });
       this._clock.schedule(PREFILL_MS, () => {
         if (running.has(observer)) {
@@ -58,10 +60,16 @@
     };
   }
 
-  /** Breaks all streams of an engine, which accepts connections again after a while. */
+  /** Breaks all answers of a target, which accepts connections again after a while. */
   public crash(id: string): void {
-    const running = this._runningAt(id);
     this._downUntil.set(id, this._clock.now() + RESTART_MS);
+    this.reset(id);
+    this.onCrash(id);
+  }
+
+  /** Breaks all answers of a target, which goes on. */
+  public reset(id: string): void {
+    const running = this._runningAt(id);
     const broken = [...running];
     running.clear();
     for (const observer of broken) {
@@ -104,7 +112,8 @@
   }
 }
 
-function partsOf({ headers }: UpstreamRequest): readonly string[] {
+/** Ids of the parts of a prompt. */
+export function partsOf({ headers }: UpstreamRequest): readonly string[] {
   const index = headers.indexOf('Parts');
   return index === -1 ? [] : (headers[index + 1] ?? '').split(',');
 }
--- a/packages/gateway/src/node/CrashingPart.test.ts
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -12,7 +12,7 @@
 import { CallKind } from '../common/Messages.js';
 import { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
 import type { QuarantineRegistry, StoredQuarantine } from '../common/services/Services.js';
-import { CrashingEngines } from './CrashingEngines.js';
+import { CrashingEngines, partsOf } from './CrashingEngines.js';
 import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
 import { configuration, ForwardingFixture, targetEntry } from './ForwardingFixture.js';
 import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
@@ -57,7 +57,7 @@
     clock = new ManualClock();
     random = new SeededRandom(1);
     network = new MemoryNetwork(clock, random);
-    engines = new CrashingEngines(clock, CRASHING);
+    engines = new CrashingEngines(clock, (request) => partsOf(request).includes(CRASHING));
     stored = new Map();
     registry = {
       store: (quarantine) => {
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -260,6 +260,13 @@
     });
   }
 
+  /** Applies the removal of a target. */
+  public removeTarget(id: string): void {
+    this._entries.delete(id);
+    const offset = this._targetRecords.end;
+    this._targetRecords.apply([{ key: id, offset, value: undefined }], offset + 1);
+  }
+
   /** Applies the record of a target. */
   public addTarget(entry: TargetEntry): void {
     this._entries.set(entry.id, entry);
