Quarantine requests that crash each target which begins to run them

Cause: crashes were counted by the shared parts of prompts only, and a call has none, so its crashes were put down to the targets alone. Change: PartQuarantine becomes CrashQuarantine, one mechanism for parts and for the fingerprint of a request (method, path, workspace, body; with the parts, too, if it has any). It isn't if another request was on the same targets and may as well be the cause, and a request that was answered in the last minute needs twelve. A connection that breaks is no crash if its target answers a request sent within the next second. Crash reports are sent twice, and counted once. The caller gets 503, not run, with the remaining time. Messages keep their names and fields for releases that know parts only. CrashingRequest.test: 8 cases failed before (24 to 59 requests where 3 are allowed), all pass; the five with sound requests beside crashes, power losses, flaps, stops and resets block nothing. CrashingPart.test sends prompts with bodies of their own now, as it means different prompts; the same body is one request and is blocked before the fifth crash.

--- a/packages/gateway/src/common/quarantine/CrashEvidence.ts
+++ b/packages/gateway/src/common/quarantine/CrashEvidence.ts
@@ -1,107 +1,187 @@
 /**
- * Decides when crashes of engines are attributed to a part that their prompts have in common. Load
- * pattern: an engine that crashes breaks all its streams, most of which are sound, and sound prompts
- * share parts with those that crash engines. Prompts with a sound part are answered between crashes;
- * prompts with a part that crashes engines never are.
+ * Decides when crashes of targets are attributed to what their requests have in common: a part of
+ * prompts, or the content of one request that comes again. Load pattern: a target that crashes breaks
+ * all that it runs, most of which is sound, and sound prompts share parts with those that crash
+ * engines. Sound requests are answered between crashes, and what crashes targets never is. A broken
+ * connection alone is no crash: a target that answers a request sent after it was still there.
  */
 import { LRUCache } from 'lru-cache';
+import { isFingerprint } from './RequestFingerprint.js';
 
-/** Crashes closer to each other may have one cause outside the prompts, such as a power loss. */
+/** Crashes closer to each other may have one cause outside the requests, such as a power loss. */
 const MOMENT_MS = 150;
-const MIN_MOMENTS = 3;
-const MIN_ENGINES = 4;
-/** A part under which prompts were answered a while ago is in crashes by chance more often. */
-export const MIN_ENGINES_IF_ANSWERED = 12;
-const MIN_REQUESTS = 3;
 /** Crashes further apart are not related. */
 const WINDOW_MS = 60_000;
-const MAX_PARTS = 1_000;
-const MAX_EXPLAINED_ENGINES = 1_000;
-const MAX_CRASHES_PER_PART = 50;
-
-/** An engine that crashed as it began to write the answer to a prompt. */
-export interface PromptCrash {
-  /** Identifies one instance of the engine. */
-  readonly engine: string;
+/** A target that crashed needs longer than this until it answers again. */
+const MIN_RESTART_MS = 1_000;
+/** More targets than another request crashed with it are needed if both crashed the same ones. */
+const MARGIN_IF_AMBIGUOUS = 2;
+const MAX_CAUSES = 1_000;
+const MAX_EXPLAINED_TARGETS = 1_000;
+const MAX_CRASHES_PER_CAUSE = 50;
+/** A cause with which requests were answered a while ago is in crashes by chance more often. */
+export const MIN_TARGETS_IF_ANSWERED = 12;
+
+/** What crashes can be attributed to. */
+export enum CauseKind {
+  /** A part that several prompts have. */
+  Part = 'part',
+  /** The content of one request. */
+  Request = 'request',
+}
+
+/** What it takes to attribute crashes to a cause under which nothing was answered lately. */
+interface Threshold {
+  readonly targets: number;
+  /** Ids of requests; one that comes again has a new one. */
+  readonly requests: number;
+  readonly moments: number;
+}
+
+const THRESHOLDS: Readonly<Record<CauseKind, Threshold>> = {
+  [CauseKind.Part]: { targets: 4, requests: 3, moments: 3 },
+  [CauseKind.Request]: { targets: 3, requests: 1, moments: 2 },
+};
+
+export function kindOfCause(cause: string): CauseKind {
+  return isFingerprint(cause) ? CauseKind.Request : CauseKind.Part;
+}
+
+/** A target that crashed under a request. */
+export interface TargetCrash {
+  /** Identifies one instance of the target. */
+  readonly target: string;
   readonly request: string;
-  /** Ids of the parts of the prompt that other prompts may have, too. */
-  readonly parts: readonly string[];
+  /** What the crash may be attributed to: shared parts of the prompt, and fingerprints. */
+  readonly causes: readonly string[];
 }
 
 interface CrashRecord {
-  readonly engine: string;
+  readonly target: string;
   readonly request: string;
   readonly at: number;
 }
 
-/** The crashes under prompts with each part since one was last answered. Times in ms, of one clock. */
+/** The crashes under each cause since it was last in an answer. Times in ms, of one clock. */
 export class CrashEvidence {
-  private readonly _crashes = new LRUCache<string, readonly CrashRecord[]>({ max: MAX_PARTS });
+  private readonly _crashes = new LRUCache<string, readonly CrashRecord[]>({ max: MAX_CAUSES });
 
-  /** Engines whose crashes are attributed to a part, and so don't count against other ones. */
-  private readonly _explained = new LRUCache<string, true>({ max: MAX_EXPLAINED_ENGINES });
+  /** Targets whose crashes are attributed to a cause, and so don't count against other ones. */
+  private readonly _explained = new LRUCache<string, true>({ max: MAX_EXPLAINED_TARGETS });
 
-  public add({ engine, request }: PromptCrash, part: string, at: number): void {
-    if (this._explained.has(engine)) {
-      return;
+  /** Adds a crash; a report of it that arrives again counts once. */
+  public add({ request, target }: TargetCrash, cause: string, at: number): void {
+    const recent = this._recentOf(cause, at).slice(-MAX_CRASHES_PER_CAUSE);
+    const isKnown = recent.some((each) => each.target === target && each.request === request);
+    if (!isKnown && !this._explained.has(target)) {
+      this._crashes.set(cause, [...recent, { target, request, at }]);
     }
-    const recent = this._recentOf(part, at).slice(-MAX_CRASHES_PER_PART);
-    this._crashes.set(part, [...recent, { engine, request, at }]);
   }
 
-  /** Attributes the crashes of a part to it, and drops them from all other parts. */
-  public explain(part: string): void {
-    this.explainEngines((this._crashes.get(part) ?? []).map(({ engine }) => engine));
+  /**
+   * Attributes the crashes of a cause to it, and drops them from all other requests. A part of a
+   * prompt that crashed targets keeps them: other prompts may have it, too.
+   */
+  public explain(cause: string): void {
+    const crashes = this._crashes.get(cause) ?? [];
+    const targets = targetsOf(crashes);
+    const requests = new Set(crashes.map(({ request }) => request));
+    for (const target of targets) {
+      this._explained.set(target, true);
+    }
+    const isPart = kindOfCause(cause) === CauseKind.Part;
+    this._drop(({ request, target }) => targets.has(target) && (isPart || !requests.has(request)));
   }
 
-  /** Drops the crashes of engines that ended under a part which is known to cause that. */
-  public explainEngines(engines: readonly string[]): void {
-    for (const engine of engines) {
-      this._explained.set(engine, true);
-    }
-    for (const [part, crashes] of this._crashes.entries()) {
-      const unexplained = crashes.filter(({ engine }) => !engines.includes(engine));
-      if (unexplained.length < crashes.length) {
-        this._crashes.set(part, unexplained);
-      }
+  /** Drops the crashes of targets that ended under a cause which is known to crash them. */
+  public explainTargets(targets: readonly string[]): void {
+    for (const target of targets) {
+      this._explained.set(target, true);
     }
+    this._drop(({ target }) => targets.includes(target));
   }
 
   /**
-   * Drops the crashes of a part before the time at which a prompt with it was answered. Returns
+   * Drops the supposed crashes of a target that answered a request which was sent soon after them.
+   * Returns whether there were any.
+   */
+  public refute(target: string, sentAt: number): boolean {
+    return this._drop(
+      (crash) => crash.target === target && crash.at < sentAt && sentAt - crash.at < MIN_RESTART_MS,
+    );
+  }
+
+  /**
+   * Drops the crashes of a cause before the time at which a request with it was answered. Returns
    * whether there were any.
    */
-  public clear(part: string, answeredAt: number): boolean {
-    const crashes = this._crashes.get(part) ?? [];
+  public clear(cause: string, answeredAt: number): boolean {
+    const crashes = this._crashes.get(cause) ?? [];
     const later = crashes.filter(({ at }) => at > answeredAt);
     if (later.length < crashes.length) {
-      this._crashes.set(part, later);
+      this._crashes.set(cause, later);
     }
     return later.length < crashes.length;
   }
 
-  /** Number of engines that crashed under prompts with the part. */
-  public countEngines(part: string, now: number): number {
-    return new Set(this._recentOf(part, now).map(({ engine }) => engine)).size;
+  /** Number of targets that crashed under requests with the cause. */
+  public countTargets(cause: string, now: number): number {
+    return targetsOf(this._recentOf(cause, now)).size;
   }
 
   /**
-   * Whether the crashes can hardly have another cause than the part.
+   * Whether the crashes can hardly have another cause.
    *
-   * @param wasAnswered whether a prompt with the part was answered in the last minute
+   * @param wasAnswered whether a request with the cause was answered in the last minute
    */
-  public isConclusive(part: string, now: number, wasAnswered: boolean): boolean {
-    const crashes = this._recentOf(part, now);
+  public isConclusive(cause: string, now: number, wasAnswered: boolean): boolean {
+    const threshold = THRESHOLDS[kindOfCause(cause)];
+    const crashes = this._recentOf(cause, now);
+    const minTargets = wasAnswered ? MIN_TARGETS_IF_ANSWERED : threshold.targets;
     return (
-      this.countEngines(part, now) >= (wasAnswered ? MIN_ENGINES_IF_ANSWERED : MIN_ENGINES) &&
-      new Set(crashes.map(({ request }) => request)).size >= MIN_REQUESTS &&
-      countMoments(crashes) >= MIN_MOMENTS
+      targetsOf(crashes).size >= minTargets &&
+      new Set(crashes.map(({ request }) => request)).size >= threshold.requests &&
+      countMoments(crashes) >= threshold.moments
     );
   }
 
-  private _recentOf(part: string, now: number): readonly CrashRecord[] {
-    return (this._crashes.get(part) ?? []).filter(({ at }) => now - at < WINDOW_MS);
+  /** Whether another request was on all targets that crashed, and may as well be the cause. */
+  public isAmbiguous(cause: string, now: number): boolean {
+    const crashes = this._recentOf(cause, now);
+    const targets = targetsOf(crashes);
+    const requests = new Set(crashes.map(({ request }) => request));
+    const others = [...this._crashes.keys()].filter(isFingerprint);
+    return others.some((other) => {
+      const otherCrashes = this._recentOf(other, now);
+      if (otherCrashes.some(({ request }) => requests.has(request))) {
+        return false;
+      }
+      const otherTargets = targetsOf(otherCrashes);
+      const isCovered = [...targets].every((target) => otherTargets.has(target));
+      const maxTargets = THRESHOLDS[CauseKind.Request].targets + MARGIN_IF_AMBIGUOUS;
+      return isCovered && (otherTargets.size > targets.size || targets.size < maxTargets);
+    });
   }
+
+  private _drop(isDropped: (crash: CrashRecord) => boolean): boolean {
+    let hasDropped = false;
+    for (const [cause, crashes] of this._crashes.entries()) {
+      const kept = crashes.filter((crash) => !isDropped(crash));
+      if (kept.length < crashes.length) {
+        this._crashes.set(cause, kept);
+        hasDropped = true;
+      }
+    }
+    return hasDropped;
+  }
+
+  private _recentOf(cause: string, now: number): readonly CrashRecord[] {
+    return (this._crashes.get(cause) ?? []).filter(({ at }) => now - at < WINDOW_MS);
+  }
+}
+
+function targetsOf(crashes: readonly CrashRecord[]): ReadonlySet<string> {
+  return new Set(crashes.map(({ target }) => target));
 }
 
 /** Number of crashes of which each follows the one before after `MOMENT_MS` at least. */
--- a/packages/gateway/src/common/quarantine/PartQuarantine.test.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.test.ts
@@ -6,7 +6,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
 import type { QuarantineRegistry, StoredQuarantine } from '../services/Services.js';
-import { PartQuarantine } from './PartQuarantine.js';
+import { CrashQuarantine } from './CrashQuarantine.js';
 import { QuarantineReports } from './QuarantineReports.js';
 
 const PART = 'p';
@@ -15,7 +15,7 @@
 /** Two intervals, as the first node in rank may be the one that has no record. */
 const ANNOUNCED_MS = 2_100;
 
-describe('PartQuarantine', () => {
+describe('CrashQuarantine', () => {
   const members = [memberOf('n0', '127.0.0.1:1'), memberOf('n1', '127.0.0.1:2')];
   let clock: ManualClock;
   let network: MemoryNetwork;
@@ -23,12 +23,12 @@
   let isStoreDown: boolean;
   let reports: QuarantineReports[];
   let memberships: FixedMembership[];
-  let first: PartQuarantine;
-  let second: PartQuarantine;
+  let first: CrashQuarantine;
+  let second: CrashQuarantine;
 
   const registry: QuarantineRegistry = {
-    store: (quarantine) => call(() => stored.set(quarantine.part, quarantine)),
-    remove: (part) => call(() => stored.delete(part)),
+    store: (quarantine) => call(() => stored.set(quarantine.cause, quarantine)),
+    remove: (cause) => call(() => stored.delete(cause)),
     list: async () => (await call(() => undefined)).map(() => [...stored.values()]),
   };
 
@@ -41,13 +41,13 @@
     return Promise.resolve(Result.ok(undefined));
   }
 
-  function start(index: number): PartQuarantine {
+  function start(index: number): CrashQuarantine {
     const [self] = members.slice(index);
     if (self === undefined) {
       throw new Error(`no member ${index}`);
     }
     const log = new DecisionLog(clock, self.name, () => true);
-    const quarantine = new PartQuarantine({ clock, log, metrics: new Metrics() });
+    const quarantine = new CrashQuarantine({ clock, log, metrics: new Metrics() });
     const transport = network.join(self.peerAddress);
     const membership = new FixedMembership(self, members);
     memberships[index] = membership;
@@ -82,12 +82,12 @@
   async function crash(count: number): Promise<void> {
     for (let index = 0; index < count; index++) {
       const node = index % 2 === 0 ? first : second;
-      node.recordCrash({ engine: `e${index}`, request: `r${index}`, parts: ['common', PART] });
+      node.recordCrash({ target: `e${index}`, request: `r${index}`, causes: ['common', PART] });
       await clock.advance(200);
     }
   }
 
-  function isBlocked(node: PartQuarantine, part = PART): boolean {
+  function isBlocked(node: CrashQuarantine, part = PART): boolean {
     return node.findBlocked(['other', part]) !== undefined;
   }
 
@@ -173,7 +173,7 @@
       memberships[1]?.applyUpdate({ ...lost, status: MemberStatus.Dead });
     }
     for (let index = 0; index < 4; index++) {
-      first.recordCrash({ engine: `e${index}`, request: `r${index}`, parts: [PART] });
+      first.recordCrash({ target: `e${index}`, request: `r${index}`, causes: [PART] });
       await clock.advance(200);
     }
     await clock.advance(ANNOUNCED_MS);
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -1,6 +1,7 @@
 /**
  * Shares crashes, answers and quarantines among all nodes, and stores quarantines on the
- * platform, since the nodes have no disk and may all restart at once. One node announces each
+ * platform, since the nodes have no disk and may all restart at once. In messages, causes are called
+ * parts and targets engines, as in releases that counted crashes by the parts of prompts only. One node announces each
  * quarantine every second, for nodes that restarted or missed the report; the next one in rank takes
  * over when it is silent. A node that lost most of the others reads the stored quarantines.
  */
@@ -14,36 +15,45 @@
 } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { QuarantineRegistry } from '../services/Services.js';
-import { MIN_ENGINES_IF_ANSWERED, type PromptCrash } from './CrashEvidence.js';
-import type { AnsweredPart, PartQuarantine, QuarantinedPart } from './PartQuarantine.js';
+import { MIN_TARGETS_IF_ANSWERED, type TargetCrash } from './CrashEvidence.js';
+import type {
+  AnsweredCause,
+  CrashQuarantine,
+  LiveTarget,
+  QuarantinedCause,
+} from './CrashQuarantine.js';
 
 const CRASH_METHOD = 'part.crash';
 const ANSWER_METHOD = 'part.answered';
 const BLOCKED_METHOD = 'part.blocked';
+const LIFE_METHOD = 'target.alive';
 
 const ANNOUNCEMENT_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
 const RETRY_MS = 700;
+/** Datagrams get lost; receivers count a crash once. */
+const REPEATED_REPORT_DELAY_MS = 100;
 const STORE_INTERVAL_MS = 10_000;
 
-const parseCrash = notificationParser(CRASH_METHOD, parsePromptCrash);
-const parseAnswered = notificationParser(ANSWER_METHOD, parseAnsweredPart);
-const parseBlocked = notificationParser(BLOCKED_METHOD, parseQuarantinedPart);
+const parseCrash = notificationParser(CRASH_METHOD, parseTargetCrash);
+const parseLife = notificationParser(LIFE_METHOD, parseLiveTarget);
+const parseAnswered = notificationParser(ANSWER_METHOD, parseAnsweredCause);
+const parseBlocked = notificationParser(BLOCKED_METHOD, parseQuarantinedCause);
 
 export interface QuarantineReportsOptions {
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly broadcast: ZoneBroadcast;
   readonly membership: Membership;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly registry: QuarantineRegistry;
 }
 
 /** Connects the quarantine of this node with those of the others and with the stored one. */
 export class QuarantineReports extends DisposableOwner {
-  /** By part: when this node last stored its quarantine. */
+  /** By cause: when this node last stored its quarantine. */
   private readonly _storedAt = new Map<string, number>();
-  /** By part: when another node last announced its quarantine. */
+  /** By cause: when another node last announced its quarantine. */
   private readonly _announcedAt = new Map<string, number>();
   /** The most nodes that were live at the same time. */
   private _maxLive = 1;
@@ -53,12 +63,18 @@
     const { broadcast, quarantine } = _options;
     this.register(
       quarantine.onCrash((crash) => {
-        broadcast.send(encodeNotification(CRASH_METHOD, crash));
+        this._reportCrash(crash);
+      }),
+    );
+    this.register(
+      quarantine.onLife((live) => {
+        broadcast.send(encodeNotification(LIFE_METHOD, live));
       }),
     );
     this.register(
       quarantine.onAnswer((answered) => {
-        broadcast.send(encodeNotification(ANSWER_METHOD, answered));
+        const { ageMs, cause } = answered;
+        broadcast.send(encodeNotification(ANSWER_METHOD, { ageMs, part: cause }));
       }),
     );
     this.register(
@@ -68,8 +84,8 @@
       }),
     );
     this.register(
-      quarantine.onCleared((part) => {
-        void this._removeStored(part);
+      quarantine.onCleared((cause) => {
+        void this._removeStored(cause);
       }),
     );
     this.register(
@@ -95,26 +111,44 @@
     }
     const answered = parseAnswered(payload);
     if (answered !== undefined) {
-      quarantine.recordReport(answered.part);
+      quarantine.recordReport(answered.cause);
       quarantine.applyAnswer(answered);
       return;
     }
+    const live = parseLife(payload);
+    if (live !== undefined) {
+      quarantine.applyLife(live);
+      return;
+    }
     const blocked = parseBlocked(payload);
     if (blocked !== undefined) {
-      this._announcedAt.set(blocked.part, clock.now());
+      this._announcedAt.set(blocked.cause, clock.now());
       quarantine.applyBlocked(blocked);
     }
   }
 
-  private _announce(blocked: QuarantinedPart): void {
-    this._options.broadcast.send(encodeNotification(BLOCKED_METHOD, blocked));
+  private _reportCrash({ causes, request, target }: TargetCrash): void {
+    const { broadcast, clock } = this._options;
+    const report = { engine: target, request, parts: causes };
+    const payload = encodeNotification(CRASH_METHOD, report);
+    broadcast.send(payload);
+    clock.schedule(REPEATED_REPORT_DELAY_MS, () => {
+      if (!this.isDisposed) {
+        broadcast.send(payload);
+      }
+    });
+  }
+
+  private _announce({ cause, remainingMs, targets }: QuarantinedCause): void {
+    const announcement = { part: cause, remainingMs, engines: targets };
+    this._options.broadcast.send(encodeNotification(BLOCKED_METHOD, announcement));
   }
 
   private async _repeatAnnouncements(): Promise<void> {
     const { clock, quarantine } = this._options;
     while (!this.disposalSignal.aborted) {
       await clock.sleep(ANNOUNCEMENT_INTERVAL_MS, this.disposalSignal);
-      for (const blocked of quarantine.blocked.filter(({ part }) => this._isAnnouncer(part))) {
+      for (const blocked of quarantine.blocked.filter(({ cause }) => this._isAnnouncer(cause))) {
         this._announce(blocked);
         void this._store(blocked);
       }
@@ -131,12 +165,12 @@
     return this._maxLive > 1 && live * 2 <= this._maxLive;
   }
 
-  /** Whether no node that ranks before this one for the part announces it. */
-  private _isAnnouncer(part: string): boolean {
+  /** Whether no node that ranks before this one for the cause announces it. */
+  private _isAnnouncer(cause: string): boolean {
     const { clock, membership } = this._options;
     const names = membership.live.map(({ name }) => name);
-    const rank = rankByRendezvous(part, names).indexOf(membership.self.name);
-    const silentMs = clock.now() - (this._announcedAt.get(part) ?? Number.NEGATIVE_INFINITY);
+    const rank = rankByRendezvous(cause, names).indexOf(membership.self.name);
+    const silentMs = clock.now() - (this._announcedAt.get(cause) ?? Number.NEGATIVE_INFINITY);
     return silentMs > rank * ANNOUNCEMENT_INTERVAL_MS;
   }
 
@@ -151,38 +185,38 @@
     const { clock, log, quarantine, registry } = this._options;
     const listed = await registry.list(CALL_TIMEOUT_MS);
     if (listed.isErr) {
-      log.write('quarantine.unread', { cause: listed.error.message });
+      log.write('quarantine.unread', { error: listed.error.message });
       return false;
     }
-    for (const { expiresAt, part } of listed.value) {
+    for (const { cause, expiresAt } of listed.value) {
       const remainingMs = expiresAt - clock.wallTime();
-      quarantine.applyBlocked({ part, remainingMs, engines: MIN_ENGINES_IF_ANSWERED });
+      quarantine.applyBlocked({ cause, remainingMs, targets: MIN_TARGETS_IF_ANSWERED });
     }
     return true;
   }
 
   /** Stores a quarantine again after a while, as the store may go back to an older copy. */
-  private async _store({ part, remainingMs }: QuarantinedPart): Promise<void> {
+  private async _store({ cause, remainingMs }: QuarantinedCause): Promise<void> {
     const { clock, log, registry } = this._options;
     const now = clock.now();
-    if (now - (this._storedAt.get(part) ?? Number.NEGATIVE_INFINITY) < STORE_INTERVAL_MS) {
+    if (now - (this._storedAt.get(cause) ?? Number.NEGATIVE_INFINITY) < STORE_INTERVAL_MS) {
       return;
     }
-    this._storedAt.set(part, now);
+    this._storedAt.set(cause, now);
     const expiresAt = clock.wallTime() + remainingMs;
-    const stored = await registry.store({ part, expiresAt }, CALL_TIMEOUT_MS);
+    const stored = await registry.store({ cause, expiresAt }, CALL_TIMEOUT_MS);
     if (stored.isErr) {
-      this._storedAt.delete(part);
-      log.write('quarantine.unstored', { part, cause: stored.error.message });
+      this._storedAt.delete(cause);
+      log.write('quarantine.unstored', { cause, error: stored.error.message });
     }
   }
 
-  private async _removeStored(part: string): Promise<void> {
+  private async _removeStored(cause: string): Promise<void> {
     const { log, registry } = this._options;
-    this._storedAt.delete(part);
-    const removed = await registry.remove(part, CALL_TIMEOUT_MS);
+    this._storedAt.delete(cause);
+    const removed = await registry.remove(cause, CALL_TIMEOUT_MS);
     if (removed.isErr) {
-      log.write('quarantine.unremoved', { part, cause: removed.error.message });
+      log.write('quarantine.unremoved', { cause, error: removed.error.message });
     }
   }
 }
@@ -190,31 +224,39 @@
 type Params = Readonly<Record<string, unknown>>;
 
 /** Validates a received crash; returns `undefined` when it is malformed. */
-function parsePromptCrash(params: unknown): PromptCrash | undefined {
+function parseTargetCrash(params: unknown): TargetCrash | undefined {
   const { engine, parts, request } = (params ?? {}) as Params;
   return typeof engine === 'string' &&
     typeof request === 'string' &&
     Array.isArray(parts) &&
     parts.every((each) => typeof each === 'string')
-    ? { engine, request, parts }
+    ? { target: engine, request, causes: parts }
+    : undefined;
+}
+
+/** Validates a received life sign; returns `undefined` when it is malformed. */
+function parseLiveTarget(params: unknown): LiveTarget | undefined {
+  const { sentAgoMs, target } = (params ?? {}) as Params;
+  return typeof target === 'string' && typeof sentAgoMs === 'number' && sentAgoMs >= 0
+    ? { target, sentAgoMs }
     : undefined;
 }
 
 /** Validates a received answer; returns `undefined` when it is malformed. */
-function parseAnsweredPart(params: unknown): AnsweredPart | undefined {
+function parseAnsweredCause(params: unknown): AnsweredCause | undefined {
   const { ageMs, part } = (params ?? {}) as Params;
   return typeof part === 'string' && typeof ageMs === 'number' && ageMs >= 0
-    ? { part, ageMs }
+    ? { cause: part, ageMs }
     : undefined;
 }
 
 /** Validates a received quarantine; returns `undefined` when it is malformed. */
-function parseQuarantinedPart(params: unknown): QuarantinedPart | undefined {
+function parseQuarantinedCause(params: unknown): QuarantinedCause | undefined {
   const { engines, part, remainingMs } = (params ?? {}) as Params;
   return typeof part === 'string' &&
     typeof engines === 'number' &&
     typeof remainingMs === 'number' &&
     remainingMs > 0
-    ? { part, engines, remainingMs }
+    ? { cause: part, targets: engines, remainingMs }
     : undefined;
 }
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -59,17 +59,18 @@
   list(timeoutMs: number): Promise<Result<readonly string[], ServiceError>>;
 }
 
-/** A quarantined part of prompts as it is stored. */
+/** A quarantine as it is stored. */
 export interface StoredQuarantine {
-  readonly part: string;
+  /** A part of prompts, or the fingerprint of a request. */
+  readonly cause: string;
   /** End of the quarantine, in ms since the Unix epoch. */
   readonly expiresAt: number;
 }
 
-/** Registry of quarantined parts on the platform, which outlasts a restart of all nodes. */
+/** Registry of quarantines on the platform, which outlasts a restart of all nodes. */
 export interface QuarantineRegistry {
   store(quarantine: StoredQuarantine, timeoutMs: number): Promise<Result<void, ServiceError>>;
-  remove(part: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
+  remove(cause: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
   /** All that were stored and not removed, including expired ones. */
   list(timeoutMs: number): Promise<Result<readonly StoredQuarantine[], ServiceError>>;
 }
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -19,6 +19,7 @@
   type ForwardingDependencies,
   isOverdue,
   isQuarantined,
+  possibleCausesOf,
   prepareExchange,
   recordCrash,
   RequestOutcome,
@@ -196,7 +197,7 @@
       health.recordConnectionFailure(target.id);
     }
     if (!isFailure && !head.isNotRun) {
-      this._dependencies.quarantine.recordAnswer(this._request.caller.sharedParts);
+      this._dependencies.quarantine.recordAnswer(possibleCausesOf(this._request));
       return this._forwardAnswer(outcome.answer, RequestOutcome.Answered);
     }
     this._cause = `status ${head.status}`;
--- a/packages/gateway/src/node/CrashingPart.test.ts
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -61,11 +61,11 @@
     stored = new Map();
     registry = {
       store: (quarantine) => {
-        stored.set(quarantine.part, quarantine);
+        stored.set(quarantine.cause, quarantine);
         return Promise.resolve(Result.ok(undefined));
       },
-      remove: (part) => {
-        stored.delete(part);
+      remove: (cause) => {
+        stored.delete(cause);
         return Promise.resolve(Result.ok(undefined));
       },
       list: () => Promise.resolve(Result.ok([...stored.values()])),
@@ -107,8 +107,10 @@
     if (node === undefined || engine === undefined) {
       throw new Error('the test has no node or no engine');
     }
+    const id = `r${++requestCount}`;
     const request = simulatedRequest(clock, CallKind.Stream, caller, {
-      id: `r${++requestCount}`,
+      id,
+      body: Buffer.from(id),
       maxAttempts: 2,
       sharedParts: parts,
       signal: new AbortController().signal,
@@ -143,7 +145,7 @@
 
   function blockedParts(): Set<string> {
     const blocked = nodes.flatMap(({ dependencies }) => dependencies.quarantine.blocked);
-    return new Set(blocked.map(({ part }) => part));
+    return new Set(blocked.map(({ cause }) => cause));
   }
 
   /** Share of the sound prompts from a time on that were answered by their first engine. */
--- a/packages/gateway/src/node/CrashingRequest.test.ts
+++ b/packages/gateway/src/node/CrashingRequest.test.ts
@@ -59,11 +59,11 @@
 
   const registry: QuarantineRegistry = {
     store: (quarantine) => {
-      stored.set(quarantine.part, quarantine);
+      stored.set(quarantine.cause, quarantine);
       return Promise.resolve(Result.ok(undefined));
     },
-    remove: (part) => {
-      stored.delete(part);
+    remove: (cause) => {
+      stored.delete(cause);
       return Promise.resolve(Result.ok(undefined));
     },
     list: () => Promise.resolve(Result.ok([...stored.values()])),
@@ -181,7 +181,7 @@
 
   function countBlocked(): number {
     const blocked = nodes.flatMap(({ dependencies }) => dependencies.quarantine.blocked);
-    return new Set(blocked.map(({ part }) => part)).size;
+    return new Set(blocked.map(({ cause }) => cause)).size;
   }
 
   describe('stops reaching targets', () => {
@@ -269,6 +269,20 @@
           });
         },
       ],
+      [
+        'one target flaps',
+        2_600,
+        (): void => {
+          targets.crash([...targetIds].at(-1) ?? '');
+        },
+      ],
+      [
+        'targets are stopped in turn',
+        1_200,
+        (): void => {
+          targets.crash([...targetIds][0] ?? '');
+        },
+      ],
       [
         'targets reset connections, but go on',
         150,
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -17,7 +17,7 @@
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import type { TargetPauses } from '../common/placement/TargetPauses.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
-import type { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
+import type { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import type { AnswerBuffers } from './AnswerBuffers.js';
@@ -36,7 +36,7 @@
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
   readonly engineReservations: EngineReservations;
@@ -117,24 +117,31 @@
   return dependencies.clock.now() + TIMER_TOLERANCE_MS >= request.deadlineAt;
 }
 
-/**
- * Records that a target ended the connection under a request, as a crash that a part of its prompt
- * may have caused.
- */
+/** Records that a target ended the connection under a request, as a crash that it may have caused. */
 export function recordCrash(
   { quarantine }: ForwardingDependencies,
-  { caller, id }: ForwardedRequest,
+  request: ForwardedRequest,
   target: TargetEntry,
 ): void {
-  const engine = `${target.id} ${target.startedAt ?? ''}`;
-  quarantine.recordCrash({ engine, request: id, parts: caller.sharedParts });
+  const causes = possibleCausesOf(request);
+  quarantine.recordCrash({ target: instanceOf(target), request: request.id, causes });
+}
+
+/** What crashes under a request may be attributed to, the most specific at the end. */
+export function possibleCausesOf({ caller, fingerprints }: ForwardedRequest): readonly string[] {
+  return [...caller.sharedParts, ...fingerprints];
+}
+
+/** Identifies one instance of a target; a restart under the same id is another one. */
+function instanceOf({ id, startedAt }: TargetEntry): string {
+  return `${id} ${startedAt ?? ''}`;
 }
 
 /** A node that can't reach three targets is probably isolated; its caller should use another. */
 const MAX_UNREACHED_TARGETS = 3;
 
 /**
- * Decides whether the next attempt of a request may be sent. None may if a part of its prompt is
+ * Decides whether the next attempt of a request may be sent. None may if the request is
  * quarantined. Attempts after the first one that reached a target are retries and spend the retry
  * budget.
  *
@@ -169,14 +176,14 @@
   return false;
 }
 
-/** Whether a part of the prompt is quarantined, so that no target may get the request. */
+/** Whether a part of the prompt or the request is quarantined, so that no target may get it. */
 export function isQuarantined(
   { log, quarantine }: ForwardingDependencies,
-  { caller, id }: ForwardedRequest,
+  request: ForwardedRequest,
 ): boolean {
-  const blocked = quarantine.findBlocked(caller.sharedParts);
+  const blocked = quarantine.findBlocked(possibleCausesOf(request));
   if (blocked !== undefined) {
-    log.write('request.quarantined', { request: id, part: blocked.part });
+    log.write('request.quarantined', { request: request.id, cause: blocked.cause });
   }
   return blocked !== undefined;
 }
@@ -194,7 +201,8 @@
   target: TargetEntry,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
-  const { clock, dialect, pauses, rateLimits, targets, upstream } = dependencies;
+  const { clock, dialect, pauses, quarantine, rateLimits, targets, upstream } = dependencies;
+  const sentAt = clock.now();
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
     remainingMs: deadlineAt - clock.now(),
@@ -214,6 +222,7 @@
       if (isMisdirected) {
         return;
       }
+      quarantine.recordLife(instanceOf(target), sentAt);
       rateLimits.recordStatement({ target: target.id, requestsPerSecond });
       if (pauseMs !== undefined) {
         pauses.record(target.id, pauseMs);
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -23,7 +23,7 @@
 import { RateLimits } from '../common/placement/RateLimits.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
-import { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
+import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
 import type { Dialect, EngineReservations, RecordDecoder } from '../common/services/Services.js';
 import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import { ConfigurationState } from '../common/state/ConfigurationState.js';
@@ -226,7 +226,7 @@
     this.dependencies = {
       ...common,
       metrics,
-      quarantine: new PartQuarantine({ clock, log, metrics }),
+      quarantine: new CrashQuarantine({ clock, log, metrics }),
       log,
       dialect: testDialect,
       configuration: new ConfigurationState(this._configurationRecords, decoder, log),
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -34,7 +34,7 @@
 import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
-import { PartQuarantine } from '../common/quarantine/PartQuarantine.js';
+import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
 import { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
 import type {
   Dialect,
@@ -230,7 +230,7 @@
     const rateLimits = this.register(new RateLimits({ ...this._options, countNodes }));
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
-    const quarantine = this.register(new PartQuarantine(this._options));
+    const quarantine = this.register(new CrashQuarantine(this._options));
     this._quarantineReports = this.register(
       new QuarantineReports({
         ...this._options,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -17,6 +17,7 @@
   type ForwardingDependencies,
   isOverdue,
   isQuarantined,
+  possibleCausesOf,
   prepareExchange,
   recordCrash,
   RequestOutcome,
@@ -240,7 +241,7 @@
     if (outcome.end === StreamEnd.Complete) {
       health.recordAnswer(target.id, false);
       if (outcome.firstEventAt !== undefined) {
-        this._dependencies.quarantine.recordAnswer(this._request.caller.sharedParts);
+        this._dependencies.quarantine.recordAnswer(possibleCausesOf(this._request));
       }
       this._request.response.end();
       return this._report(RequestOutcome.Answered);
--- a/packages/gateway/src/node/UnservedAnswer.ts
+++ b/packages/gateway/src/node/UnservedAnswer.ts
@@ -3,10 +3,12 @@
  * only if that is certain, since callers rely on it when they repeat non-idempotent requests.
  */
 import { didNotRun, type Execution } from '../common/Execution.js';
-import { GatewayStatus } from './CallerResponse.js';
+import { CauseKind, kindOfCause } from '../common/quarantine/CrashEvidence.js';
+import { type GatewayAnswer, GatewayStatus } from './CallerResponse.js';
 import {
   type ForwardedRequest,
   type ForwardingDependencies,
+  possibleCausesOf,
   RequestOutcome,
 } from './ForwardedRequest.js';
 
@@ -23,18 +25,32 @@
   readonly mayHaveRunRemedy: string;
 }
 
+/** What the caller of a quarantined request is told, by what is blocked. */
+const QUARANTINE_ANSWERS: Readonly<
+  Record<CauseKind, (cause: string) => Pick<GatewayAnswer, 'kind' | 'remedy'>>
+> = {
+  [CauseKind.Part]: (part) => ({
+    kind: 'part-quarantined',
+    remedy: `engines crash under part ${part} of the prompt; send it without that part`,
+  }),
+  [CauseKind.Request]: () => ({
+    kind: 'request-quarantined',
+    remedy: 'targets crash when they run this request; change its path or body',
+  }),
+};
+
 /** Answers the caller and returns the outcome. */
 export function answerUnserved(
   { quarantine }: ForwardingDependencies,
-  { caller, response }: ForwardedRequest,
+  request: ForwardedRequest,
   { execution, hasTimedOut, retryAfterMs, mayHaveRunRemedy, notRunRemedy }: UnservedRequest,
 ): RequestOutcome {
-  const blocked = quarantine.findBlocked(caller.sharedParts);
+  const { response } = request;
+  const blocked = quarantine.findBlocked(possibleCausesOf(request));
   if (didNotRun(execution) && blocked !== undefined) {
     response.sendGatewayAnswer({
       status: GatewayStatus.Refused,
-      kind: 'part-quarantined',
-      remedy: `engines crash under part ${blocked.part} of the prompt; send it without that part`,
+      ...QUARANTINE_ANSWERS[kindOfCause(blocked.cause)](blocked.cause),
       retryAfterMs: blocked.remainingMs,
     });
     return RequestOutcome.Refused;
