Open new connections to a target after an answer did not arrive in time

Change: an exchange that ends because nothing arrived in time renews the pool of its target; requests in flight keep their connections. SilentTarget.test failed before: after one request had timed out on a silent connection, the next one timed out on another.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -12,7 +12,7 @@
   matchesAttempt,
 } from './ExchangeOptions.js';
 import { RelayLinkError } from './paths/RelayedSocket.js';
-import type { Exchange } from './Upstream.js';
+import { AbortReason, type Exchange } from './Upstream.js';
 
 /** The outcome of an exchange: a complete answer, or the cause of its absence. */
 export type BufferedOutcome =
@@ -54,7 +54,7 @@
       finish({ answer: undefined, execution, cause, isCutOff, isTimeout });
     };
     const abort = (cause: string, isTimeout = false): void => {
-      exchange.abort();
+      exchange.abort(isTimeout ? AbortReason.Silence : AbortReason.Unneeded);
       fail(cause, { isTimeout });
     };
     const onAbort = (): void => {
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -15,7 +15,7 @@
   matchesAttempt,
 } from './ExchangeOptions.js';
 import { RelayLinkError } from './paths/RelayedSocket.js';
-import type { Exchange } from './Upstream.js';
+import { AbortReason, type Exchange } from './Upstream.js';
 
 const FIRST_NON_SUCCESS_STATUS = 300;
 /** Bodies of failures are short; a larger one is treated as broken. */
@@ -36,6 +36,11 @@
   Cancelled = 'unwanted',
 }
 
+/** Why the exchange is aborted, by how it ends; by default, its answer is not needed any more. */
+const ABORT_REASONS: Readonly<Partial<Record<StreamEnd, AbortReason>>> = {
+  [StreamEnd.Silent]: AbortReason.Silence,
+};
+
 /** The outcome of an exchange. */
 export interface StreamOutcome {
   readonly end: StreamEnd;
@@ -216,7 +221,7 @@
   }
 
   private _abort(end: StreamEnd, cause: string): void {
-    this._exchange?.abort();
+    this._exchange?.abort(ABORT_REASONS[end]);
     this._finish(end, cause);
   }
 
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -36,10 +36,21 @@
   onError(cause: Error): void;
 }
 
+/** Why an exchange is aborted. */
+export enum AbortReason {
+  /** The answer is not needed any more, or is malformed. */
+  Unneeded = 'unneeded',
+  /** Nothing arrived in time. */
+  Silence = 'silence',
+}
+
 /** A request in flight. */
 export interface Exchange {
-  /** Closes the connection, so that the target stops its work. */
-  abort(): void;
+  /**
+   * Closes the connection, so that the target stops its work. After a silence, further requests to
+   * the target use new connections, since all open ones may be silent.
+   */
+  abort(reason?: AbortReason): void;
   pause(): void;
   resume(): void;
 }
@@ -89,7 +100,13 @@
     request: UpstreamRequest,
     observer: ExchangeObserver,
   ): Exchange {
-    const exchange = new PoolExchange(observer, () => this._options.watch(target.address));
+    const exchange = new PoolExchange(
+      observer,
+      () => this._options.watch(target.address),
+      () => {
+        this.renewConnections(target.address);
+      },
+    );
     try {
       this._pool(target, connections).dispatch(
         {
@@ -173,10 +190,14 @@
   constructor(
     private readonly _observer: ExchangeObserver,
     private readonly _watch: () => WatchedExchange,
+    private readonly _onSilence: () => void,
   ) {}
 
-  public abort(): void {
+  public abort(reason = AbortReason.Unneeded): void {
     this._finish();
+    if (reason === AbortReason.Silence) {
+      this._onSilence();
+    }
     this._controller?.abort(new Error('the exchange was aborted'));
   }
 
