Let single requests through a quarantine, and end it if one is answered

Three targets had ended under it within 0.5 s at a node that had started 2 s before, and the nodes of the earlier release don't report what they answer. Cause: what is blocked never runs, so nothing could end a wrong quarantine for ten minutes. Change: after 1, 10 and 40 s one node, the first in rank, lets one request with a blocked fingerprint through, as long as each of them crashes its target; the number is announced, so there are three at most. An answer ends the quarantine everywhere. CrashQuarantine.test: ends at all nodes by an answer, three at most in two minutes with both nodes sending all the time.

--- a/packages/gateway/src/common/quarantine/CrashQuarantine.test.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.test.ts
@@ -189,6 +189,51 @@
     expect(stored.get(PART)?.expiresAt).toBeGreaterThan(clock.wallTime());
   });
 
+  describe('of a request', () => {
+    const REQUEST = 'request:r';
+    const nodes = (): readonly CrashQuarantine[] => [first, second];
+    const areBlocked = (): readonly boolean[] => nodes().map((node) => isBlocked(node, REQUEST));
+
+    beforeEach(async () => {
+      for (let index = 0; index < 3; index++) {
+        const crash = { target: `e${index}`, request: `r${index}`, causes: [REQUEST] };
+        (index % 2 === 0 ? first : second).recordCrash(crash);
+        await clock.advance(200);
+      }
+      await clock.advance(200);
+    });
+
+    it('is blocked at all nodes by three targets', () => {
+      expect(areBlocked()).toEqual([true, true]);
+    });
+
+    it('ends everywhere when the one that is let through is answered', async () => {
+      await clock.advance(ANNOUNCED_MS);
+      const open = nodes().filter((node) => !isBlocked(node, REQUEST));
+      expect(open).toHaveLength(1);
+      open[0]?.takeTrials([REQUEST]);
+      expect(areBlocked()).toEqual([true, true]);
+      open[0]?.recordAnswer([REQUEST]);
+      await clock.advance(10);
+      expect(areBlocked()).toEqual([false, false]);
+    });
+
+    it('lets three through at most, all nodes together', async () => {
+      let trials = 0;
+      for (const node of nodes()) {
+        node.onTrial(() => trials++);
+      }
+      for (let second = 0; second < 120; second++) {
+        await clock.advance(1_000);
+        for (const node of nodes()) {
+          node.takeTrials([REQUEST]);
+        }
+      }
+      expect(trials).toBe(3);
+      expect(areBlocked()).toEqual([true, true]);
+    });
+  });
+
   it.each([
     'F{"method":"part.crash","params":{"engine":"e","request":"r"}}',
     'F{"method":"part.crash","params":{"engine":"e","request":"r","parts":[1]}}',
--- a/packages/gateway/src/common/quarantine/CrashQuarantine.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.ts
@@ -38,6 +38,14 @@
   [CauseKind.Part]: 0,
   [CauseKind.Request]: 300,
 };
+/**
+ * Times from the start of a quarantine after which one request is let through, as long as each of
+ * them crashes its target. A wrong quarantine of a request that comes often so ends soon.
+ */
+const TRIAL_DELAYS_MS: Readonly<Record<CauseKind, readonly number[]>> = {
+  [CauseKind.Part]: [],
+  [CauseKind.Request]: [1_000, 10_000, 40_000],
+};
 
 export interface CrashQuarantineOptions {
   readonly clock: Clock;
@@ -52,12 +60,17 @@
   readonly remainingMs: number;
   /** Number of targets that crashed before the cause was blocked. */
   readonly targets: number;
+  /** Number of requests with the cause that were let through since. */
+  readonly trials: number;
 }
 
 interface BlockedCause {
   readonly at: number;
   readonly until: number;
   readonly targets: number;
+  trials: number;
+  /** Whether the next request with the cause may pass at this node. */
+  isTrialOffered: boolean;
 }
 
 /** The last answer to a request with a cause. */
@@ -95,6 +108,9 @@
   private readonly _onBlocked = this.register(new Emitter<QuarantinedCause>());
   /** Fires when this node decides that a cause is blocked. */
   public readonly onBlocked = this._onBlocked.event;
+  private readonly _onTrial = this.register(new Emitter<QuarantinedCause>());
+  /** Fires when this node lets a request with a blocked cause through. */
+  public readonly onTrial = this._onTrial.event;
   private readonly _onCleared = this.register(new Emitter<string>());
   /** Fires when a blocked cause is not blocked any more because a request with it was answered. */
   public readonly onCleared = this._onCleared.event;
@@ -117,16 +133,48 @@
   public get blocked(): readonly QuarantinedCause[] {
     const now = this._options.clock.now();
     return [...this._blocked]
-      .map(([cause, { targets, until }]) => ({ cause, targets, remainingMs: until - now }))
+      .map(([cause, { targets, trials, until }]) => ({
+        cause,
+        targets,
+        trials,
+        remainingMs: until - now,
+      }))
       .filter(({ remainingMs }) => remainingMs > 0);
   }
 
-  /** Returns the first of the causes that is blocked, if any. */
+  /** Returns the first of the causes that is blocked and has no trial to be taken, if any. */
   public findBlocked(causes: readonly string[]): QuarantinedCause | undefined {
     if (this._blocked.size === 0) {
       return undefined;
     }
-    return this.blocked.find(({ cause }) => causes.includes(cause));
+    return this.blocked.find(({ cause }) => causes.includes(cause) && !this._isTrialOffered(cause));
+  }
+
+  /** Lets the next request with a blocked cause through if that is due; for one node only. */
+  public offerTrial(cause: string): void {
+    const blocked = this._blocked.get(cause);
+    const delayMs = TRIAL_DELAYS_MS[kindOfCause(cause)][blocked?.trials ?? 0];
+    const now = this._options.clock.now();
+    if (blocked !== undefined && delayMs !== undefined && now - blocked.at >= delayMs) {
+      blocked.isTrialOffered = true;
+    }
+  }
+
+  /** Takes the trials that are offered for the causes of a request that is about to be sent. */
+  public takeTrials(causes: readonly string[]): void {
+    if (this._blocked.size === 0) {
+      return;
+    }
+    for (const quarantined of this.blocked.filter(({ cause }) => causes.includes(cause))) {
+      const blocked = this._blocked.get(quarantined.cause);
+      if (blocked?.isTrialOffered === true) {
+        blocked.isTrialOffered = false;
+        blocked.trials++;
+        const { trials } = blocked;
+        this._options.log.write('quarantine.trial', { cause: quarantined.cause, trials });
+        this._onTrial.fire({ ...quarantined, trials });
+      }
+    }
   }
 
   /** Records a crash that this node saw. */
@@ -214,6 +262,11 @@
       this._reportAnswer(cause);
       return;
     }
+    const blocked = this._blocked.get(cause);
+    if (blocked !== undefined && quarantined.trials > blocked.trials) {
+      blocked.trials = quarantined.trials;
+      blocked.isTrialOffered = false;
+    }
     if (!this._isBlocked(cause) && remainingMs > 0) {
       this._block(quarantined, 'reported');
     }
@@ -229,6 +282,10 @@
     return answeredAt !== undefined && this._options.clock.now() - answeredAt < ANSWER_MEMORY_MS;
   }
 
+  private _isTrialOffered(cause: string): boolean {
+    return this._blocked.get(cause)?.isTrialOffered === true;
+  }
+
   private _countBlocked(kind: CauseKind): number {
     return this.blocked.filter(({ cause }) => kindOfCause(cause) === kind).length;
   }
@@ -260,13 +317,13 @@
       return;
     }
     const targets = this._evidence.countTargets(cause, this._options.clock.now());
-    const quarantined = { cause, targets, remainingMs: QUARANTINE_MS };
+    const quarantined = { cause, targets, trials: 0, remainingMs: QUARANTINE_MS };
     this._block(quarantined, 'decided');
     this._evidence.explain(cause);
     this._onBlocked.fire(quarantined);
   }
 
-  private _block({ targets, cause, remainingMs }: QuarantinedCause, source: string): void {
+  private _block({ cause, remainingMs, targets, trials }: QuarantinedCause, source: string): void {
     const now = this._options.clock.now();
     for (const [each, { until }] of this._blocked) {
       if (until <= now) {
@@ -274,7 +331,7 @@
       }
     }
     const until = now + Math.min(remainingMs, QUARANTINE_MS);
-    this._blocked.set(cause, { at: now, until, targets });
+    this._blocked.set(cause, { at: now, until, targets, trials, isTrialOffered: false });
     this._options.log.write('quarantine.started', {
       cause,
       source,
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -83,6 +83,11 @@
         void this._store(blocked);
       }),
     );
+    this.register(
+      quarantine.onTrial((blocked) => {
+        this._announce(blocked);
+      }),
+    );
     this.register(
       quarantine.onCleared((cause) => {
         void this._removeStored(cause);
@@ -139,8 +144,8 @@
     });
   }
 
-  private _announce({ cause, remainingMs, targets }: QuarantinedCause): void {
-    const announcement = { part: cause, remainingMs, engines: targets };
+  private _announce({ cause, remainingMs, targets, trials }: QuarantinedCause): void {
+    const announcement = { part: cause, remainingMs, engines: targets, trials };
     this._options.broadcast.send(encodeNotification(BLOCKED_METHOD, announcement));
   }
 
@@ -151,6 +156,9 @@
       for (const blocked of quarantine.blocked.filter(({ cause }) => this._isAnnouncer(cause))) {
         this._announce(blocked);
         void this._store(blocked);
+        if (this._rankOf(blocked.cause) === 0) {
+          quarantine.offerTrial(blocked.cause);
+        }
       }
       if (this._isIsolated()) {
         await this._read();
@@ -167,13 +175,19 @@
 
   /** Whether no node that ranks before this one for the cause announces it. */
   private _isAnnouncer(cause: string): boolean {
-    const { clock, membership } = this._options;
-    const names = membership.live.map(({ name }) => name);
-    const rank = rankByRendezvous(cause, names).indexOf(membership.self.name);
+    const { clock } = this._options;
+    const rank = this._rankOf(cause);
     const silentMs = clock.now() - (this._announcedAt.get(cause) ?? Number.NEGATIVE_INFINITY);
     return silentMs > rank * ANNOUNCEMENT_INTERVAL_MS;
   }
 
+  /** Rank of this node among the live ones for a cause; 0 is the first. */
+  private _rankOf(cause: string): number {
+    const { live, self } = this._options.membership;
+    const names = live.map(({ name }) => name);
+    return rankByRendezvous(cause, names).indexOf(self.name);
+  }
+
   private async _load(): Promise<void> {
     while (!this.disposalSignal.aborted && !(await this._read())) {
       await this._options.clock.sleep(RETRY_MS, this.disposalSignal);
@@ -190,7 +204,12 @@
     }
     for (const { cause, expiresAt } of listed.value) {
       const remainingMs = expiresAt - clock.wallTime();
-      quarantine.applyBlocked({ cause, remainingMs, targets: MIN_TARGETS_IF_ANSWERED });
+      quarantine.applyBlocked({
+        cause,
+        remainingMs,
+        targets: MIN_TARGETS_IF_ANSWERED,
+        trials: 0,
+      });
     }
     return true;
   }
@@ -252,11 +271,13 @@
 
 /** Validates a received quarantine; returns `undefined` when it is malformed. */
 function parseQuarantinedCause(params: unknown): QuarantinedCause | undefined {
-  const { engines, part, remainingMs } = (params ?? {}) as Params;
-  return typeof part === 'string' &&
+  // Nodes of earlier releases let no request through, and don't state a number.
+  const { engines, part, remainingMs, trials = 0 } = (params ?? {}) as Params;
+  return typeof trials === 'number' &&
+    typeof part === 'string' &&
     typeof engines === 'number' &&
     typeof remainingMs === 'number' &&
     remainingMs > 0
-    ? { cause: part, targets: engines, remainingMs }
+    ? { cause: part, targets: engines, remainingMs, trials }
     : undefined;
 }
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -154,7 +154,7 @@
   selected: number,
   delivered: number,
 ): boolean {
-  const { budget, log, metrics } = dependencies;
+  const { budget, log, metrics, quarantine } = dependencies;
   const { id, service } = request;
   if (isQuarantined(dependencies, request)) {
     return false;
@@ -164,12 +164,14 @@
     return false;
   }
   if (delivered === 0) {
+    quarantine.takeTrials(possibleCausesOf(request));
     return true;
   }
   const isGranted = budget.trySpend(service.name);
   const outcome = isGranted ? 'granted' : 'refused';
   metrics.increment('tanager_retries_total', { outcome, service: service.name });
   if (isGranted) {
+    quarantine.takeTrials(possibleCausesOf(request));
     return true;
   }
   log.write('request.no-budget', { request: id, service: service.name });
