Give blocked causes a module, and withdraw trials from nodes that fall in rank

A trial that was offered at a node is withdrawn when another one is first in rank, and a node that read a quarantine from the store makes no first trial. Evidence is only searched for an answer within a second of a crash.

--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -4,3 +4,4 @@
 export * from './common/MemoryNetwork.js';
 export * from './node/FaultProxy.js';
 export * from './node/Loopback.js';
+export * from './node/SlowClock.js';
--- a/packages/fakes/src/node/SilentLink.test.ts
+++ b/packages/fakes/src/node/SilentLink.test.ts
@@ -1,9 +1,10 @@
 /** Requests to a peer whose link went silent, between real sockets. */
-import { type Disposable, ErrorKind, SystemClock } from '@tanagerdyke/kernel';
+import { ErrorKind } from '@tanagerdyke/kernel';
 import { Delivery, type LinkSilence, SocketTransport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { FaultProxy } from './FaultProxy.js';
+import { SlowClock } from './SlowClock.js';
 
 /** Time passes this much more slowly, so that no time limit depends on the machine's speed. */
 const SLOWDOWN = 4;
@@ -11,18 +12,8 @@
 const METHOD = 'test.echo';
 const HOST = '127.0.0.1';
 
-class SlowClock extends SystemClock {
-  public override now(): number {
-    return super.now() / SLOWDOWN;
-  }
-
-  public override schedule(delayMs: number, callback: () => void): Disposable {
-    return super.schedule(delayMs * SLOWDOWN, callback);
-  }
-}
-
 describe('SocketTransport on a link that went silent', () => {
-  const clock = new SlowClock();
+  const clock = new SlowClock(SLOWDOWN);
   let caller: SocketTransport;
   let peer: SocketTransport;
   let proxy: FaultProxy;
--- a/packages/gateway/src/common/quarantine/CrashEvidence.ts
+++ b/packages/gateway/src/common/quarantine/CrashEvidence.ts
@@ -67,10 +67,12 @@
   private readonly _crashes = new LRUCache<string, readonly CrashRecord[]>({ max: MAX_CAUSES });
 
   /** Targets whose crashes are attributed to a cause, and so don't count against other ones. */
+  private _lastCrashAt = Number.NEGATIVE_INFINITY;
   private readonly _explained = new LRUCache<string, true>({ max: MAX_EXPLAINED_TARGETS });
 
   /** Adds a crash; a report of it that arrives again counts once. */
   public add({ request, target }: TargetCrash, cause: string, at: number): void {
+    this._lastCrashAt = at;
     const recent = this._recentOf(cause, at).slice(-MAX_CRASHES_PER_CAUSE);
     const isKnown = recent.some((each) => each.target === target && each.request === request);
     if (!isKnown && !this._explained.has(target)) {
@@ -106,6 +108,9 @@
    * Returns whether there were any.
    */
   public refute(target: string, sentAt: number): boolean {
+    if (sentAt - this._lastCrashAt >= MIN_RESTART_MS) {
+      return false;
+    }
     return this._drop(
       (crash) => crash.target === target && crash.at < sentAt && sentAt - crash.at < MIN_RESTART_MS,
     );
--- a/packages/gateway/src/common/quarantine/CrashQuarantine.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.ts
@@ -15,6 +15,7 @@
 } from '@tanagerdyke/kernel';
 import { LRUCache } from 'lru-cache';
 import type { DecisionLog } from '../DecisionLog.js';
+import { BlockedCauses, QUARANTINE_MS, type QuarantinedCause } from './BlockedCauses.js';
 import {
   CauseKind,
   CrashEvidence,
@@ -23,8 +24,6 @@
   type TargetCrash,
 } from './CrashEvidence.js';
 
-/** What makes targets crash is not tried again for this long. */
-const QUARANTINE_MS = 600_000;
 /** An answer speaks for its causes this long. */
 const ANSWER_MEMORY_MS = 60_000;
 /** Answers with the same cause are not reported more often. */
@@ -38,41 +37,12 @@
   [CauseKind.Part]: 0,
   [CauseKind.Request]: 300,
 };
-/**
- * Times from the start of a quarantine after which one request is let through, as long as each of
- * them crashes its target. A wrong quarantine of a request that comes often so ends soon.
- */
-const TRIAL_DELAYS_MS: Readonly<Record<CauseKind, readonly number[]>> = {
-  [CauseKind.Part]: [],
-  [CauseKind.Request]: [1_000, 10_000, 40_000],
-};
-
 export interface CrashQuarantineOptions {
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
 }
 
-/** A cause that is blocked. */
-export interface QuarantinedCause {
-  /** A part of prompts, or the fingerprint of a request. */
-  readonly cause: string;
-  readonly remainingMs: number;
-  /** Number of targets that crashed before the cause was blocked. */
-  readonly targets: number;
-  /** Number of requests with the cause that were let through since. */
-  readonly trials: number;
-}
-
-interface BlockedCause {
-  readonly at: number;
-  readonly until: number;
-  readonly targets: number;
-  trials: number;
-  /** Whether the next request with the cause may pass at this node. */
-  isTrialOffered: boolean;
-}
-
 /** The last answer to a request with a cause. */
 export interface AnsweredCause {
   readonly cause: string;
@@ -90,7 +60,7 @@
 /** Decides which causes are blocked. */
 export class CrashQuarantine extends DisposableOwner {
   private readonly _evidence = new CrashEvidence();
-  private readonly _blocked = new Map<string, BlockedCause>();
+  private readonly _blocked: BlockedCauses;
   private readonly _answeredAt = new LRUCache<string, number>({ max: MAX_CAUSES });
   /** By cause: when an answer was last reported, by this node or another one. */
   private readonly _reportedAt = new LRUCache<string, number>({ max: MAX_CAUSES });
@@ -117,7 +87,8 @@
 
   constructor(private readonly _options: CrashQuarantineOptions) {
     super();
-    const { metrics } = _options;
+    const { clock, metrics } = _options;
+    this._blocked = new BlockedCauses(clock);
     metrics.gauge('tanager_parts_quarantined', () => this._countBlocked(CauseKind.Part));
     metrics.gauge('tanager_requests_quarantined', () => this._countBlocked(CauseKind.Request));
     this.register(
@@ -131,49 +102,25 @@
 
   /** The causes that are blocked now. */
   public get blocked(): readonly QuarantinedCause[] {
-    const now = this._options.clock.now();
-    return [...this._blocked]
-      .map(([cause, { targets, trials, until }]) => ({
-        cause,
-        targets,
-        trials,
-        remainingMs: until - now,
-      }))
-      .filter(({ remainingMs }) => remainingMs > 0);
+    return this._blocked.all;
   }
 
   /** Returns the first of the causes that is blocked and has no trial to be taken, if any. */
   public findBlocked(causes: readonly string[]): QuarantinedCause | undefined {
-    if (this._blocked.size === 0) {
-      return undefined;
-    }
-    return this.blocked.find(({ cause }) => causes.includes(cause) && !this._isTrialOffered(cause));
+    return this._blocked.findBlocking(causes);
   }
 
-  /** Lets the next request with a blocked cause through if that is due; for one node only. */
-  public offerTrial(cause: string): void {
-    const blocked = this._blocked.get(cause);
-    const delayMs = TRIAL_DELAYS_MS[kindOfCause(cause)][blocked?.trials ?? 0];
-    const now = this._options.clock.now();
-    if (blocked !== undefined && delayMs !== undefined && now - blocked.at >= delayMs) {
-      blocked.isTrialOffered = true;
-    }
+  /** Offers a trial if one is due; for the one node that makes them. */
+  public updateTrial(cause: string, isTrialNode: boolean): void {
+    this._blocked.updateTrial(cause, isTrialNode);
   }
 
   /** Takes the trials that are offered for the causes of a request that is about to be sent. */
   public takeTrials(causes: readonly string[]): void {
-    if (this._blocked.size === 0) {
-      return;
-    }
-    for (const quarantined of this.blocked.filter(({ cause }) => causes.includes(cause))) {
-      const blocked = this._blocked.get(quarantined.cause);
-      if (blocked?.isTrialOffered === true) {
-        blocked.isTrialOffered = false;
-        blocked.trials++;
-        const { trials } = blocked;
-        this._options.log.write('quarantine.trial', { cause: quarantined.cause, trials });
-        this._onTrial.fire({ ...quarantined, trials });
-      }
+    for (const quarantined of this._blocked.takeTrials(causes)) {
+      const { cause, trials } = quarantined;
+      this._options.log.write('quarantine.trial', { cause, trials });
+      this._onTrial.fire(quarantined);
     }
   }
 
@@ -213,7 +160,7 @@
   /** Applies a crash that any node saw. */
   public applyCrash(crash: TargetCrash): void {
     const now = this._options.clock.now();
-    if (crash.causes.some((cause) => this._isBlocked(cause))) {
+    if (crash.causes.some((cause) => this._blocked.has(cause))) {
       this._evidence.explainTargets([crash.target]);
       return;
     }
@@ -237,14 +184,14 @@
     const answeredAt = Math.max(this._answeredAt.get(cause) ?? 0, now - ageMs);
     this._answeredAt.set(cause, answeredAt);
     const hadCrashes = this._evidence.clear(cause, answeredAt);
-    const blocked = this._blocked.get(cause);
+    const blocked = this._blocked.find(cause);
     const isRefuted =
       blocked !== undefined &&
       (answeredAt > blocked.at || blocked.targets < MIN_TARGETS_IF_ANSWERED);
     if (!isRefuted) {
       return hadCrashes;
     }
-    this._blocked.delete(cause);
+    this._blocked.remove(cause);
     this._options.log.write('quarantine.cleared', { cause });
     this._onCleared.fire(cause);
     return true;
@@ -262,30 +209,17 @@
       this._reportAnswer(cause);
       return;
     }
-    const blocked = this._blocked.get(cause);
-    if (blocked !== undefined && quarantined.trials > blocked.trials) {
-      blocked.trials = quarantined.trials;
-      blocked.isTrialOffered = false;
-    }
-    if (!this._isBlocked(cause) && remainingMs > 0) {
+    this._blocked.countTrials(cause, quarantined.trials);
+    if (!this._blocked.has(cause) && remainingMs > 0) {
       this._block(quarantined, 'reported');
     }
   }
 
-  private _isBlocked(cause: string): boolean {
-    const now = this._options.clock.now();
-    return (this._blocked.get(cause)?.until ?? now) > now;
-  }
-
   private _wasAnswered(cause: string): boolean {
     const answeredAt = this._answeredAt.get(cause);
     return answeredAt !== undefined && this._options.clock.now() - answeredAt < ANSWER_MEMORY_MS;
   }
 
-  private _isTrialOffered(cause: string): boolean {
-    return this._blocked.get(cause)?.isTrialOffered === true;
-  }
-
   private _countBlocked(kind: CauseKind): number {
     return this.blocked.filter(({ cause }) => kindOfCause(cause) === kind).length;
   }
@@ -306,7 +240,7 @@
   private _isConclusive(cause: string): boolean {
     const now = this._options.clock.now();
     return (
-      !this._isBlocked(cause) &&
+      !this._blocked.has(cause) &&
       this._evidence.isConclusive(cause, now, this._wasAnswered(cause)) &&
       (kindOfCause(cause) === CauseKind.Part || !this._evidence.isAmbiguous(cause, now))
     );
@@ -323,21 +257,10 @@
     this._onBlocked.fire(quarantined);
   }
 
-  private _block({ cause, remainingMs, targets, trials }: QuarantinedCause, source: string): void {
-    const now = this._options.clock.now();
-    for (const [each, { until }] of this._blocked) {
-      if (until <= now) {
-        this._blocked.delete(each);
-      }
-    }
-    const until = now + Math.min(remainingMs, QUARANTINE_MS);
-    this._blocked.set(cause, { at: now, until, targets, trials, isTrialOffered: false });
-    this._options.log.write('quarantine.started', {
-      cause,
-      source,
-      targets,
-      forMs: Math.round(until - now),
-    });
+  private _block(quarantined: QuarantinedCause, source: string): void {
+    const forMs = Math.round(this._blocked.add(quarantined));
+    const { cause, targets } = quarantined;
+    this._options.log.write('quarantine.started', { cause, source, targets, forMs });
   }
 
   /** Reports the last answer with a cause, unless there is none or one was just reported. */
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -16,12 +16,8 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { QuarantineRegistry } from '../services/Services.js';
 import { MIN_TARGETS_IF_ANSWERED, type TargetCrash } from './CrashEvidence.js';
-import type {
-  AnsweredCause,
-  CrashQuarantine,
-  LiveTarget,
-  QuarantinedCause,
-} from './CrashQuarantine.js';
+import type { QuarantinedCause } from './BlockedCauses.js';
+import type { AnsweredCause, CrashQuarantine, LiveTarget } from './CrashQuarantine.js';
 
 const CRASH_METHOD = 'part.crash';
 const ANSWER_METHOD = 'part.answered';
@@ -31,6 +27,8 @@
 const ANNOUNCEMENT_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
 const RETRY_MS = 700;
+/** The store does not hold their number; the first one was made when the quarantine began. */
+const TRIALS_OF_STORED = 1;
 /** Datagrams get lost; receivers count a crash once. */
 const REPEATED_REPORT_DELAY_MS = 100;
 const STORE_INTERVAL_MS = 10_000;
@@ -156,9 +154,9 @@
       for (const blocked of quarantine.blocked.filter(({ cause }) => this._isAnnouncer(cause))) {
         this._announce(blocked);
         void this._store(blocked);
-        if (this._rankOf(blocked.cause) === 0) {
-          quarantine.offerTrial(blocked.cause);
-        }
+      }
+      for (const { cause } of quarantine.blocked) {
+        quarantine.updateTrial(cause, this._rankOf(cause) === 0);
       }
       if (this._isIsolated()) {
         await this._read();
@@ -208,7 +206,7 @@
         cause,
         remainingMs,
         targets: MIN_TARGETS_IF_ANSWERED,
-        trials: 0,
+        trials: TRIALS_OF_STORED,
       });
     }
     return true;
--- a/packages/gateway/src/node/SilentLinks.test.ts
+++ b/packages/gateway/src/node/SilentLinks.test.ts
@@ -1,7 +1,7 @@
 /** Nodes whose connections to each other go silent for good, between real sockets. */
 import { createSocket } from 'node:dgram';
-import { FaultProxy, FixedMembership, memberOf } from '@tanagerdyke/fakes';
-import { type Disposable, Metrics, SeededRandom, SystemClock } from '@tanagerdyke/kernel';
+import { FaultProxy, FixedMembership, memberOf, SlowClock } from '@tanagerdyke/fakes';
+import { type Disposable, Metrics, SeededRandom } from '@tanagerdyke/kernel';
 import {
   type DatagramHandler,
   type Member,
@@ -22,16 +22,6 @@
 const POLL_MS = 20;
 const HOST = '127.0.0.1';
 
-class SlowClock extends SystemClock {
-  public override now(): number {
-    return super.now() / SLOWDOWN;
-  }
-
-  public override schedule(delayMs: number, callback: () => void): Disposable {
-    return super.schedule(delayMs * SLOWDOWN, callback);
-  }
-}
-
 /** A transport that peers reach through a proxy, with datagrams that may be lost. */
 class ProxiedTransport implements Transport {
   constructor(
@@ -70,7 +60,7 @@
 }
 
 describe('nodes whose connections to each other went silent', () => {
-  const clock = new SlowClock();
+  const clock = new SlowClock(SLOWDOWN);
   const owned: Disposable[] = [];
   let proxies: FaultProxy[] = [];
   let tables: KeyedTable[] = [];
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -1,7 +1,13 @@
 /** Requests over connections through another node, between real sockets. */
 import { createServer, type Server, type Socket } from 'node:net';
-import { closeServer, FixedMembership, listenOnLoopback, memberOf } from '@tanagerdyke/fakes';
-import { type Disposable, Metrics, SeededRandom, SystemClock } from '@tanagerdyke/kernel';
+import {
+  closeServer,
+  FixedMembership,
+  listenOnLoopback,
+  memberOf,
+  SlowClock,
+} from '@tanagerdyke/fakes';
+import { Metrics, SeededRandom } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../../common/DecisionLog.js';
@@ -26,18 +32,8 @@
 /** Time passes this much more slowly, so that no time limit depends on the machine's speed. */
 const SLOWDOWN = 8;
 
-class SlowClock extends SystemClock {
-  public override now(): number {
-    return super.now() / SLOWDOWN;
-  }
-
-  public override schedule(delayMs: number, callback: () => void): Disposable {
-    return super.schedule(delayMs * SLOWDOWN, callback);
-  }
-}
-
 describe('a connection through another node', () => {
-  const clock = new SlowClock();
+  const clock = new SlowClock(SLOWDOWN);
   let targetServer: Server;
   let target: TargetEntry;
   let relay: RelayServer;
