--- a/packages/gateway/src/common/quarantine/CrashQuarantine.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.ts
@@ -3,7 +3,7 @@
  * with certain content. Each node collects the crashes that all nodes see, and the nodes that have
  * answered requests with the same cause report that, so that a cause which is common among sound
  * requests is not blocked. A quarantine ends after its time, or as soon as a request with the cause
- * that was already running is answered.
+ * that was already running, or that was let through as a trial, is answered.
  */
 import {
   type Clock,
@@ -30,13 +30,14 @@
 const ANSWER_REPORT_INTERVAL_MS = 500;
 const MAX_CAUSES = 5_000;
 /**
- * Time from the crashes to the decision. For parts, more crashes are needed. Meanwhile the crashes of
- * the other requests of the targets are reported, and targets that did not crash answer.
+ * Time from the last crash to the decision. Meanwhile crashes under the other requests of the targets
+ * are reported, and targets that did not crash answer. Parts need more crashes instead.
  */
 const DECISION_DELAY_MS: Readonly<Record<CauseKind, number>> = {
   [CauseKind.Part]: 0,
   [CauseKind.Request]: 300,
 };
+
 export interface CrashQuarantineOptions {
   readonly clock: Clock;
   readonly log: DecisionLog;
--- a/packages/gateway/src/node/UnservedAnswer.ts
+++ b/packages/gateway/src/node/UnservedAnswer.ts
@@ -25,7 +25,7 @@
   readonly mayHaveRunRemedy: string;
 }
 
-/** What the caller of a quarantined request is told, by what is blocked. */
+/** The answer to a quarantined request, by what is blocked. */
 const QUARANTINE_ANSWERS: Readonly<
   Record<CauseKind, (cause: string) => Pick<GatewayAnswer, 'kind' | 'remedy'>>
 > = {
