Rename the bundle into place when it is complete

Its log: SyntaxError in target/gateway.cjs. Cause: three test files bundle in parallel, and a process of one reads the file while another one writes it; the third came with SilentLinks.test. Change: esbuild writes to a name of its own, which is renamed. 25 starts beside five bundlings: no such error.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,7 +5,7 @@
  * the processor time of a start.
  */
 import { execFileSync } from 'node:child_process';
-import { copyFileSync } from 'node:fs';
+import { copyFileSync, renameSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { build } from 'esbuild';
 
@@ -22,9 +22,12 @@
   },
 };
 
+/** Renamed at the end, as tests bundle side by side and start processes meanwhile. */
+const UNFINISHED = `target/gateway.${process.pid}.cjs`;
+
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/gateway.cjs',
+  outfile: UNFINISHED,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -42,5 +45,6 @@
   plugins: [leanStart],
 });
 
+renameSync(UNFINISHED, 'target/gateway.cjs');
 copyFileSync('scripts/gatewayLoader.mjs', 'target/gateway.mjs');
 execFileSync(process.execPath, ['scripts/writeCodeCache.mjs']);
