Log relayed connections at the relaying node, and how long calls wait to be sent

With relay.opened and waitedMs of request.attempt-failed, a request that another node sent and one that was decided before a pause can be told apart.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -15,17 +15,21 @@
 import { AbortReason, type Exchange } from './Upstream.js';
 
 /** The outcome of an exchange: a complete answer, or the cause of its absence. */
-export type BufferedOutcome =
-  | { readonly answer: BufferedAnswer; readonly execution: Execution }
+export type BufferedOutcome = {
+  readonly execution: Execution;
+  /** Time until the first byte was sent; `undefined` if none was. */
+  readonly waitedMs: number | undefined;
+} & (
+  | { readonly answer: BufferedAnswer }
   | {
       readonly answer: undefined;
-      readonly execution: Execution;
       readonly cause: string;
       /** Whether the target ended the connection before its answer was complete. */
       readonly isCutOff: boolean;
       /** Whether the time limit passed, which need not be the target's fault. */
       readonly isTimeout: boolean;
-    };
+    }
+);
 
 /** Options of an exchange with a buffered answer. */
 export interface BufferedExchangeOptions extends ExchangeOptions {
@@ -39,7 +43,9 @@
   const { attemptId, clock, connections, dialect, onAnswerHead, request } = options;
   const { signal, target, timeoutAt, upstream } = options;
   return new Promise((resolve) => {
+    const startedAt = clock.now();
     let execution = Execution.NotSent;
+    let waitedMs: number | undefined;
     let answer: TargetAnswer | undefined;
     let headers: RawHeaders = [];
     const buffer = options.answerBuffers.open();
@@ -51,7 +57,7 @@
       resolve(outcome);
     };
     const fail = (cause: string, { isCutOff = false, isTimeout = false } = {}): void => {
-      finish({ answer: undefined, execution, cause, isCutOff, isTimeout });
+      finish({ answer: undefined, execution, cause, isCutOff, isTimeout, waitedMs });
     };
     const abort = (cause: string, isTimeout = false): void => {
       exchange.abort(isTimeout ? AbortReason.Silence : AbortReason.Unneeded);
@@ -71,6 +77,7 @@
     const exchange: Exchange = upstream.send(target, connections, request, {
       onSendStart: () => {
         execution = Execution.MayHaveRun;
+        waitedMs = clock.now() - startedAt;
       },
       onHead: (status, raw) => {
         headers = raw;
@@ -92,7 +99,8 @@
           return;
         }
         execution = answer.isNotRun ? Execution.NotRun : Execution.Ran;
-        finish({ answer: { head: answer, headers, body: Buffer.concat(chunks) }, execution });
+        const complete = { head: answer, headers, body: Buffer.concat(chunks) };
+        finish({ answer: complete, execution, waitedMs });
       },
       onError: (error) => {
         fail(error.message, { isCutOff: !(error instanceof RelayLinkError) });
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -219,6 +219,7 @@
       execution: outcome.execution,
       cause: this._cause,
       suspectMs,
+      waitedMs: outcome.waitedMs === undefined ? undefined : Math.round(outcome.waitedMs),
       attempts: this._attempts,
       fingerprint: this._request.fingerprints[0],
     });
--- a/packages/gateway/src/node/paths/RelayServer.ts
+++ b/packages/gateway/src/node/paths/RelayServer.ts
@@ -112,6 +112,7 @@
       return;
     }
     this._options.metrics.increment('tanager_relays_total', { outcome: 'opened' });
+    this._options.log.write('relay.opened', { address, from: socket.remoteAddress });
     socket.write(`${RELAY_OPENED}\n`);
     relay(socket, target);
   }
