Let targets of the soak see which node sends, and tests cut a node's own links

A target knows the machine that sends a request, which is the relaying one for a relayed connection. The check of pauses used the node that the caller asked, so it could not see a pause that the relaying node did not keep. Nodes connect from their own addresses now, and the proxies pass these on.

Fixtures: reservations of a test, prompts of any length, nodes without own links.

--- a/packages/fakes/src/node/FaultProxy.ts
+++ b/packages/fakes/src/node/FaultProxy.ts
@@ -68,7 +68,9 @@
       caller.resetAndDestroy();
       return;
     }
-    const target = connect(this._targetPort, '127.0.0.1');
+    // From the address of the caller, so that the target can tell its callers apart.
+    const { remoteAddress: localAddress } = caller;
+    const target = connect({ host: '127.0.0.1', port: this._targetPort, localAddress });
     const connection = { sockets: [caller, target], isSilent: false };
     this._connections.add(connection);
     for (const socket of connection.sockets) {
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -172,6 +172,8 @@
   readonly onLine?: (line: string) => void;
   /** Size of the retry budget, which is not replenished. */
   readonly budgetAllowance?: number;
+  /** Refuses every reservation by default. */
+  readonly engineReservations?: EngineReservations;
 }
 
 /** Dependencies of the forwarders on one node, `n`; tests add targets and the configuration. */
@@ -181,7 +183,13 @@
   private readonly _targetRecords = new KeyedTable('targets');
   private readonly _entries = new Map<string, TargetEntry>();
 
-  constructor({ budgetAllowance = 100, clock, onLine, upstream }: ForwardingFixtureOptions) {
+  constructor({
+    budgetAllowance = 100,
+    clock,
+    engineReservations = noReservations,
+    onLine,
+    upstream,
+  }: ForwardingFixtureOptions) {
     const random = new SeededRandom(1);
     const log = new DecisionLog(clock, 'n', (line) => {
       onLine?.(line);
@@ -240,7 +248,7 @@
         client: noClient,
         onPlaced: () => undefined,
       }),
-      engineReservations: noReservations,
+      engineReservations,
       budget: new SharedRetryBudget(
         clock,
         { ratio: 0, windowMs: 10_000, allowance: budgetAllowance },
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -16,6 +16,7 @@
   readonly id?: string;
   readonly maxAttempts: number;
   readonly sharedParts?: readonly string[];
+  readonly promptTokens?: number;
   readonly body?: Buffer;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
@@ -26,8 +27,10 @@
   clock: Clock,
   kind: CallKind,
   caller: SimulatedCaller,
-  { body = BODY, id = 'r1', maxAttempts, sharedParts = [], signal }: SimulatedRequestOptions,
+  options: SimulatedRequestOptions,
 ): ForwardedRequest {
+  const { body = BODY, id = 'r1', maxAttempts, promptTokens = 1_000 } = options;
+  const { sharedParts = [], signal } = options;
   const route = configuration.routes.find((each) => each.kind === kind);
   const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
   if (route === undefined || service === undefined) {
@@ -43,7 +46,7 @@
       host: 'test',
       remainingMs: DEADLINE_MS,
       key: 'k',
-      promptTokens: 1_000,
+      promptTokens,
       outputTokens: 100,
       lastEventId: undefined,
       sharedParts,
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -13,7 +13,7 @@
 import { Upstream } from '../Upstream.js';
 import { RelayServer } from './RelayServer.js';
 import { SilenceMonitor } from './SilenceMonitor.js';
-import { TargetConnector } from './TargetConnector.js';
+import { TargetConnector, type TargetConnectorOptions } from './TargetConnector.js';
 
 export interface TargetConnectionsOptions {
   readonly clock: Clock;
@@ -25,6 +25,8 @@
   /** `IP:port` at which this node relays connections; all nodes use the same port. */
   readonly relayAddress: string;
   readonly isDraining: () => boolean;
+  /** Opens a connection on the own link. */
+  readonly openOwnLink?: TargetConnectorOptions['openOwnLink'];
 }
 
 /** Creates and connects the parts that open connections to targets. */
