--- a/packages/gateway/src/node/PausedTarget.test.ts
+++ b/packages/gateway/src/node/PausedTarget.test.ts
@@ -1,7 +1,9 @@
 /** Plays targets that refuse a request and ask for a pause, behind the real forwarders. */
-import { ManualClock } from '@tanagerdyke/kernel';
+import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { CallKind } from '../common/Messages.js';
+import type { EngineReservations } from '../common/services/Services.js';
 import { forwardCall } from './CallForwarder.js';
 import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
@@ -15,6 +17,8 @@
 /** Time from the first refusal after which the pause is checked. */
 const NOTICE_MS = 500;
 const MAX_IN_PAUSE = 2;
+/** Time for calls that wait for a target, and for prompts that wait for capacity. */
+const TARGET_WAIT_MS = 800;
 
 const SERVICES: Record<CallKind, string> = {
   [CallKind.Idempotent]: 'app',
@@ -30,23 +34,30 @@
   let clock: ManualClock;
   let pausing: Set<string>;
   let arrivals: { readonly id: string; readonly at: number }[];
+  /** Headers by which a refusal is known to be that of the request, and not run. */
+  let identity: readonly string[];
   let callers: SimulatedCaller[];
   let node: ForwardingFixture;
 
   const sender: RequestSender = {
     send: ({ id }, _connections, _request, observer) => {
       arrivals.push({ id, at: clock.now() });
+      let isAborted = false;
       clock.schedule(ANSWER_MS, () => {
         const isPausing = pausing.has(id);
         observer.onSendStart();
         observer.onHead(isPausing ? 503 : 200, [
-          ...['Attempt', 'a1'],
-          ...(isPausing ? ['Not-Run', '1', 'Pause', String(PAUSE_MS)] : []),
+          ...(isPausing ? [...identity, 'Pause', String(PAUSE_MS)] : ['Attempt', 'a1']),
         ]);
-        observer.onData(Buffer.from('id: 1\ndata: x\n\n'));
-        observer.onEnd();
+        if (!isAborted) {
+          observer.onData(Buffer.from('id: 1\ndata: x\n\n'));
+          observer.onEnd();
+        }
       });
-      return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+      const abort = (): void => {
+        isAborted = true;
+      };
+      return { abort, pause: () => undefined, resume: () => undefined };
     },
   };
 
@@ -54,17 +65,23 @@
     clock = new ManualClock();
     pausing = new Set();
     arrivals = [];
+    identity = ['Attempt', 'a1', 'Not-Run', '1'];
     callers = [];
     node = new ForwardingFixture({ clock, upstream: sender });
   });
 
-  async function send(kind: CallKind, durationMs: number): Promise<TimedReport[]> {
+  async function send(
+    kind: CallKind,
+    durationMs: number,
+    { promptTokens = 1_000, settleMs = TARGET_WAIT_MS } = {},
+  ): Promise<TimedReport[]> {
     const reports: Promise<TimedReport>[] = [];
     for (let passedMs = 0; passedMs < durationMs; passedMs += REQUEST_INTERVAL_MS) {
       const caller = new SimulatedCaller();
       callers.push(caller);
       const request = simulatedRequest(clock, kind, caller, {
         maxAttempts: 2,
+        promptTokens,
         signal: new AbortController().signal,
       });
       const { engine } = request.service;
@@ -76,8 +93,7 @@
       reports.push(forwarded.then((report) => ({ ...report, tookMs: clock.now() - startedAt })));
       await clock.advance(REQUEST_INTERVAL_MS);
     }
-    // The longest wait for a target, before the next pause ends.
-    await clock.advance(NOTICE_MS);
+    await clock.advance(settleMs);
     return Promise.all(reports);
   }
 
@@ -118,6 +134,14 @@
       );
     });
 
+    it('in a refusal without the id of the request gets at most two during it', async () => {
+      identity = [];
+      pausing.add('t0');
+      node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
+      await send(kind, PAUSE_MS, { settleMs: PAUSE_MS });
+      expect(countArrivals('t0', NOTICE_MS, PAUSE_MS)).toBeLessThanOrEqual(MAX_IN_PAUSE);
+    });
+
     it('as the only one makes a refusal at once, which says when it ends', async () => {
       pausing.add('t0');
       node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
@@ -132,4 +156,31 @@
       expect(retryAfterMs).toBeLessThanOrEqual(PAUSE_MS);
     });
   });
+
+  describe('in the refusal of a reservation', () => {
+    /** More than one engine holds. */
+    const PROMPT_TOKENS = 150_000;
+
+    it('gets at most two requests and reservations during it', async () => {
+      const engineReservations: EngineReservations = {
+        reserve: ({ id }) => {
+          arrivals.push({ id, at: clock.now() });
+          const details = { remedy: 'none', retryAfterMs: PAUSE_MS };
+          return Promise.resolve(
+            id === 't0'
+              ? Result.err(new ServiceError(ErrorKind.TargetFailed, 'paused', details))
+              : Result.ok(undefined),
+          );
+        },
+        release: () => Promise.resolve(Result.ok(undefined)),
+      };
+      node = new ForwardingFixture({ clock, upstream: sender, engineReservations });
+      for (const id of ['t0', 't1', 't2']) {
+        node.addTarget(targetEntry(id, 'engine', `${id}:80`));
+      }
+      await send(CallKind.Stream, PAUSE_MS, { promptTokens: PROMPT_TOKENS });
+      expect(arrivals.some(({ id }) => id === 't0')).toBe(true);
+      expect(countArrivals('t0', NOTICE_MS, PAUSE_MS)).toBeLessThanOrEqual(MAX_IN_PAUSE);
+    });
+  });
 });
