Check right before the first byte of a request whether its target may get it

What targets saw: requests in a pause they had asked for. Of the five ways found, this is that of requests that wait: for a connection in the pool of the target, or for capacity in the queue of prompts.

Cause: a target was chosen with its pause, rate, leaving and quarantines in view, and nothing was looked at again when the bytes were sent, seconds later.

Change: Upstream asks the exchange right before the first byte, on the path of every call and stream, first attempts, retries and resumed streams alike. A request that is withheld is not sent, keeps its connection open for others, and is given another target or an honest refusal; it counts as no attempt and says nothing of the target's health.

--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -72,6 +72,8 @@
 export interface PlacedPrompt extends PromptPlacement {
   /** Name of the node that decided. */
   readonly decidedBy: string;
+  /** Identifies the prompt among the requests that count for the rates of its engines. */
+  readonly rateKey: string;
   /** Records that the first event was received. */
   markGenerating(): void;
   end(): void;
@@ -282,6 +284,7 @@
     return {
       ...placement,
       decidedBy,
+      rateKey: requestKey(request),
       markGenerating: () => {
         if (!activeRequest.isGenerating && !isEnded) {
           activeRequest = toGenerating(activeRequest);
--- a/packages/gateway/src/common/placement/RateLimits.ts
+++ b/packages/gateway/src/common/placement/RateLimits.ts
@@ -170,6 +170,17 @@
     return isAdmitted;
   }
 
+  /**
+   * Whether a request that was admitted before may be sent now. It is admitted again for targets that
+   * have stated a limit since.
+   */
+  public confirm(targets: readonly string[], request: string): boolean {
+    const uncounted = targets.filter(
+      (target) => this._limited.get(target)?.counted.has(request) === false,
+    );
+    return uncounted.length === 0 || this.admit(uncounted, request);
+  }
+
   /** Counts a request of any node, once by its id. */
   public countRequest({ request, target }: SentRequest): void {
     const limited = this._limited.get(target);
--- /dev/null
+++ b/packages/gateway/src/common/placement/SendCheck.ts
@@ -0,0 +1,90 @@
+/**
+ * Decides, right before the first byte of a request is sent, whether its target may still get it.
+ * Load pattern: requests wait for a connection, or prompts for capacity, and meanwhile the target
+ * states that it takes no more. Whatever was decided when the target was chosen is out of date then.
+ */
+import type { TargetEntry } from '../Messages.js';
+import type { CrashQuarantine } from '../quarantine/CrashQuarantine.js';
+import type { TargetTable } from '../state/TargetTable.js';
+import type { RateLimits } from './RateLimits.js';
+import type { TargetHealth } from './TargetHealth.js';
+import type { TargetPauses } from './TargetPauses.js';
+
+/** Why a request is not sent to the target that was chosen for it. */
+export enum SendObstacle {
+  /** The target drains, is leaving or is gone. */
+  NotAccepting = 'not-accepting',
+  Paused = 'paused',
+  /** The request was quarantined since its target was chosen. */
+  Quarantined = 'quarantined',
+  /** The target became suspect since it was chosen. */
+  Suspect = 'suspect',
+  RateLimited = 'rate-limited',
+}
+
+/** A request with the target that was chosen for it. */
+export interface ChosenTarget {
+  readonly target: TargetEntry;
+  /** Targets whose request rates the request counts for. */
+  readonly countedTargets: readonly string[];
+  /** Identifies the request among those that count for these rates. */
+  readonly rateKey: string;
+  /** What crashes under the request may be attributed to. */
+  readonly causes: readonly string[];
+}
+
+/** The state on which the decision depends. */
+export interface SendCheckServices {
+  readonly targets: TargetTable;
+  readonly pauses: TargetPauses;
+  readonly quarantine: CrashQuarantine;
+  readonly health: TargetHealth;
+  readonly rateLimits: RateLimits;
+}
+
+/** What was known, and accepted, when the target was chosen. */
+interface KnownAtChoice {
+  readonly wasBlocked: boolean;
+  readonly wasSuspect: boolean;
+}
+
+type ObstacleCheck = (
+  services: SendCheckServices,
+  chosen: ChosenTarget,
+  known: KnownAtChoice,
+) => boolean;
+
+/** In this order; the last one counts the request if it is new to the rates. */
+const OBSTACLE_CHECKS: Readonly<Record<SendObstacle, ObstacleCheck>> = {
+  [SendObstacle.NotAccepting]: ({ targets }, { target }) => !targets.acceptsRequests(target.id),
+  [SendObstacle.Paused]: ({ pauses }, { target }) => pauses.isPaused(target.id),
+  // A request that was let through a quarantine was blocked when it was chosen.
+  [SendObstacle.Quarantined]: ({ quarantine }, { causes }, { wasBlocked }) =>
+    !wasBlocked && quarantine.hasBlocked(causes),
+  [SendObstacle.Suspect]: ({ health }, { target }, { wasSuspect }) =>
+    !wasSuspect && health.isSuspect(target.id),
+  [SendObstacle.RateLimited]: ({ rateLimits }, { countedTargets, rateKey }) =>
+    !rateLimits.confirm(countedTargets, rateKey),
+};
+
+/** Checks one request; created when its target is chosen. */
+export class SendCheck {
+  private readonly _known: KnownAtChoice;
+
+  constructor(
+    private readonly _services: SendCheckServices,
+    private readonly _chosen: ChosenTarget,
+  ) {
+    this._known = {
+      wasBlocked: _services.quarantine.hasBlocked(_chosen.causes),
+      wasSuspect: _services.health.isSuspect(_chosen.target.id),
+    };
+  }
+
+  /** Returns why the request must not be sent now; `undefined` if it may be. */
+  public findObstacle(): SendObstacle | undefined {
+    return Object.values(SendObstacle).find((obstacle) =>
+      OBSTACLE_CHECKS[obstacle](this._services, this._chosen, this._known),
+    );
+  }
+}
--- a/packages/gateway/src/common/quarantine/CrashQuarantine.ts
+++ b/packages/gateway/src/common/quarantine/CrashQuarantine.ts
@@ -111,6 +111,11 @@
     return this._blocked.findBlocking(causes);
   }
 
+  /** Whether any of the causes is blocked, with or without a trial to be taken. */
+  public hasBlocked(causes: readonly string[]): boolean {
+    return causes.some((cause) => this._blocked.has(cause));
+  }
+
   /** Offers a trial if one is due; for the one node that makes them. */
   public updateTrial(cause: string, isTrialNode: boolean): void {
     this._blocked.updateTrial(cause, isTrialNode);
--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -4,6 +4,7 @@
  */
 import { Execution } from '../common/Execution.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { AnswerBuffers } from './AnswerBuffers.js';
 import {
   type BufferedAnswer,
@@ -12,7 +13,17 @@
   matchesAttempt,
 } from './ExchangeOptions.js';
 import { RelayLinkError } from './paths/RelayedSocket.js';
-import { AbortReason, type Exchange } from './Upstream.js';
+import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
+
+/** Why an exchange has no complete answer. */
+interface ExchangeFailure {
+  /** Whether the target ended the connection before its answer was complete. */
+  readonly isCutOff: boolean;
+  /** Whether the time limit passed, which need not be the target's fault. */
+  readonly isTimeout: boolean;
+  /** Why this node did not send the request; `undefined` if the target or its link failed. */
+  readonly obstacle: SendObstacle | undefined;
+}
 
 /** The outcome of an exchange: a complete answer, or the cause of its absence. */
 export type BufferedOutcome = {
@@ -21,14 +32,7 @@
   readonly waitedMs: number | undefined;
 } & (
   | { readonly answer: BufferedAnswer }
-  | {
-      readonly answer: undefined;
-      readonly cause: string;
-      /** Whether the target ended the connection before its answer was complete. */
-      readonly isCutOff: boolean;
-      /** Whether the time limit passed, which need not be the target's fault. */
-      readonly isTimeout: boolean;
-    }
+  | (ExchangeFailure & { readonly answer: undefined; readonly cause: string })
 );
 
 /** Options of an exchange with a buffered answer. */
@@ -56,8 +60,9 @@
       signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
-    const fail = (cause: string, { isCutOff = false, isTimeout = false } = {}): void => {
-      finish({ answer: undefined, execution, cause, isCutOff, isTimeout, waitedMs });
+    const fail = (cause: string, failure: Partial<ExchangeFailure> = {}): void => {
+      const defaults = { isCutOff: false, isTimeout: false, obstacle: undefined };
+      finish({ answer: undefined, execution, cause, waitedMs, ...defaults, ...failure });
     };
     const abort = (cause: string, isTimeout = false): void => {
       exchange.abort(isTimeout ? AbortReason.Silence : AbortReason.Unneeded);
@@ -75,6 +80,7 @@
     }
     signal.addEventListener('abort', onAbort, { once: true });
     const exchange: Exchange = upstream.send(target, connections, request, {
+      findObstacle: options.findObstacle,
       onSendStart: () => {
         execution = Execution.MayHaveRun;
         waitedMs = clock.now() - startedAt;
@@ -103,7 +109,9 @@
         finish({ answer: complete, execution, waitedMs });
       },
       onError: (error) => {
-        fail(error.message, { isCutOff: !(error instanceof RelayLinkError) });
+        const obstacle = error instanceof WithheldRequest ? error.obstacle : undefined;
+        const isCutOff = obstacle === undefined && !(error instanceof RelayLinkError);
+        fail(error.message, { isCutOff, obstacle });
       },
     });
   });
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -10,6 +10,7 @@
   isRepeatable,
 } from '../common/Execution.js';
 import type { TargetEntry } from '../common/Messages.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
 import { type BufferedOutcome, exchangeBuffered } from './BufferedExchange.js';
 import type { BufferedAnswer } from './ExchangeOptions.js';
@@ -19,9 +20,11 @@
   type ForwardingDependencies,
   isOverdue,
   isQuarantined,
+  MAX_WITHHELD,
   possibleCausesOf,
   prepareExchange,
   recordCrash,
+  recordWithheld,
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
@@ -46,6 +49,9 @@
   private _cause: string | undefined;
   private _failure: BufferedAnswer | undefined;
   private _hasTimedOut = false;
+  private _withheld = 0;
+  /** Identifies the current attempt among the requests that count for the rate of its target. */
+  private _rateKey = '';
   private _retryAfterMs = NO_TARGET_RETRY_AFTER_MS;
   private readonly _triedTargets: string[] = [];
 
@@ -56,7 +62,7 @@
 
   public async run(): Promise<RequestReport> {
     const { route, signal } = this._request;
-    while (this._attempts < route.maxAttempts && !signal.aborted) {
+    while (this._attempts < route.maxAttempts && this._withheld < MAX_WITHHELD && !signal.aborted) {
       const target = isQuarantined(this._dependencies, this._request)
         ? undefined
         : await this._awaitTarget();
@@ -69,6 +75,10 @@
       this._triedTargets.push(target.id);
       const sentAt = this._dependencies.clock.now();
       const outcome = await this._sendToTarget(target);
+      if (outcome.answer === undefined && outcome.obstacle !== undefined) {
+        this._recordWithheld(target, outcome.obstacle);
+        continue;
+      }
       this._execution = combineExecutions(this._execution, outcome.execution);
       if (outcome.execution !== Execution.NotSent) {
         this._attempts++;
@@ -109,7 +119,8 @@
       }));
     const target = placeCall(candidates, availabilityZone);
     if (target !== undefined) {
-      rateLimits.admit([target.id], random.identifier());
+      this._rateKey = random.identifier();
+      rateLimits.admit([target.id], this._rateKey);
     }
     return target;
   }
@@ -151,10 +162,11 @@
     const { caller, deadlineAt, route } = this._request;
     const isLastAttempt = this._attempts + 1 >= route.maxAttempts || !isRepeatable(route);
     const attemptTimeoutAt = clock.now() + ATTEMPT_TIMEOUT_FACTOR * route.latencyTargetMs;
+    const chosen = { target, countedTargets: [target.id], rateKey: this._rateKey };
     health.recordStart(target.id);
     try {
       return await exchangeBuffered({
-        ...prepareExchange(this._dependencies, this._request, target, {
+        ...prepareExchange(this._dependencies, this._request, chosen, {
           lastEventId: caller.lastEventId,
         }),
         answerBuffers: this._dependencies.answerBuffers,
@@ -165,6 +177,14 @@
     }
   }
 
+  /** Records an attempt of which nothing was sent, so that another target may be tried. */
+  private _recordWithheld({ id }: TargetEntry, obstacle: SendObstacle): void {
+    this._withheld++;
+    this._triedTargets.pop();
+    this._cause = `${id} may not get the request: ${obstacle}`;
+    recordWithheld(this._dependencies, this._request, id, obstacle);
+  }
+
   /** Ends the request with the outcome, or returns undefined if another target may be tried. */
   private _handleOutcome(
     target: TargetEntry,
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -1,6 +1,7 @@
 /** Options and checks that buffered and streamed exchanges with a target have in common. */
 import type { Clock } from '@tanagerdyke/kernel';
 import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { Dialect } from '../common/services/Services.js';
 import type { RequestSender, UpstreamRequest } from './Upstream.js';
 
@@ -16,6 +17,8 @@
   /** Number of connections that this node may open to the target. */
   readonly connections: number;
   readonly request: UpstreamRequest;
+  /** Returns why the request must not be sent; called right before its first byte is. */
+  readonly findObstacle: () => SendObstacle | undefined;
   /** Called with the status and headers of each answer to this request. */
   readonly onAnswerHead: (answer: TargetAnswer) => void;
   /** The caller's id of the request; undefined if it sent none. */
--- a/packages/gateway/src/node/Exchanges.test.ts
+++ b/packages/gateway/src/node/Exchanges.test.ts
@@ -33,6 +33,7 @@
     target,
     connections: 1,
     request: { method: 'POST', path: '/', headers: [], body: Buffer.alloc(0) },
+    findObstacle: () => undefined,
     onAnswerHead: () => undefined,
     attemptId: 'a1',
     timeoutAt: clock.now() + TIME_LIMIT_MS,
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -14,6 +14,7 @@
   TargetService,
 } from '../common/Messages.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
+import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import type { TargetPauses } from '../common/placement/TargetPauses.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
@@ -137,6 +138,20 @@
   return `${id} ${startedAt ?? ''}`;
 }
 
+/** Times that a request may be withheld from its target before it is refused. */
+export const MAX_WITHHELD = 5;
+
+/** Records that a request was not sent to the target that was chosen for it. */
+export function recordWithheld(
+  { log, metrics }: ForwardingDependencies,
+  { id }: ForwardedRequest,
+  target: string,
+  obstacle: string,
+): void {
+  metrics.increment('tanager_requests_withheld_total', { obstacle });
+  log.write('request.withheld', { request: id, target, obstacle });
+}
+
 /** A node that can't reach three targets is probably isolated; its caller should use another. */
 const MAX_UNREACHED_TARGETS = 3;
 
@@ -199,10 +214,13 @@
 /** Builds the options of an exchange: the request with headers for this target, and its limits. */
 export function prepareExchange(
   dependencies: ForwardingDependencies,
-  { body, caller, deadlineAt, headers, method, path, service, signal, workspace }: ForwardedRequest,
-  target: TargetEntry,
+  request: ForwardedRequest,
+  { countedTargets, rateKey, target }: Omit<ChosenTarget, 'causes'>,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
+  const { body, caller, deadlineAt, headers, method, path, service, signal, workspace } = request;
+  const causes = possibleCausesOf(request);
+  const check = new SendCheck(dependencies, { target, countedTargets, rateKey, causes });
   const { clock, dialect, pauses, quarantine, rateLimits, targets, upstream } = dependencies;
   const sentAt = clock.now();
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
@@ -220,6 +238,7 @@
     target,
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
+    findObstacle: () => check.findObstacle(),
     onAnswerHead: ({ isLeaving, isMisdirected, pauseMs, requestsPerSecond }) => {
       if (isMisdirected) {
         return;
--- a/packages/gateway/src/node/SilentTarget.test.ts
+++ b/packages/gateway/src/node/SilentTarget.test.ts
@@ -47,6 +47,7 @@
       target: targetEntry('t', 'app', address),
       connections: CONNECTIONS,
       request: { method: 'POST', path: '/', headers: [], body: Buffer.alloc(0) },
+      findObstacle: () => undefined,
       onAnswerHead: () => undefined,
       attemptId: undefined,
       signal: new AbortController().signal,
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -7,6 +7,7 @@
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { CallerResponse } from './CallerResponse.js';
 import {
   type BufferedAnswer,
@@ -15,7 +16,7 @@
   matchesAttempt,
 } from './ExchangeOptions.js';
 import { RelayLinkError } from './paths/RelayedSocket.js';
-import { AbortReason, type Exchange } from './Upstream.js';
+import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
 
 const FIRST_NON_SUCCESS_STATUS = 300;
 /** Bodies of failures are short; a larger one is treated as broken. */
@@ -32,6 +33,8 @@
   Broken = 'broken',
   /** No event arrived in time. */
   Silent = 'silent',
+  /** Nothing was sent, since the target may not get the request any more. */
+  Withheld = 'withheld',
   /** The deadline passed or the caller disconnected. */
   Cancelled = 'unwanted',
 }
@@ -48,6 +51,8 @@
   readonly cause: string;
   /** Whether the target ended the connection before its answer was complete. */
   readonly isCutOff: boolean;
+  /** Why this node did not send the request, if `end` is `Withheld`. */
+  readonly obstacle: SendObstacle | undefined;
   /** The failure that the target answered with, if `end` is `Failure`. */
   readonly failure: BufferedAnswer | undefined;
   /** Time on the clock; undefined if no event arrived. */
@@ -84,6 +89,7 @@
   private _lastEventAt: number | undefined;
   private _longestPauseMs = 0;
   private _isCutOff = false;
+  private _obstacle: SendObstacle | undefined;
   private _exchange: Exchange | undefined;
   private _eventTimer: Disposable | undefined;
   private _deadlineTimer: Disposable | undefined;
@@ -108,6 +114,7 @@
       this._restartEventTimer(this._options.firstEventTimeoutMs);
       signal.addEventListener('abort', this._onAbort, { once: true });
       this._exchange = upstream.send(target, connections, request, {
+        findObstacle: this._options.findObstacle,
         onSendStart: () => {
           this._execution = Execution.MayHaveRun;
         },
@@ -121,8 +128,10 @@
           this._handleEnd();
         },
         onError: (cause) => {
-          this._isCutOff = !(cause instanceof RelayLinkError);
-          this._finish(StreamEnd.Broken, cause.message);
+          this._obstacle = cause instanceof WithheldRequest ? cause.obstacle : undefined;
+          const isWithheld = this._obstacle !== undefined;
+          this._isCutOff = !isWithheld && !(cause instanceof RelayLinkError);
+          this._finish(isWithheld ? StreamEnd.Withheld : StreamEnd.Broken, cause.message);
         },
       });
     });
@@ -234,6 +243,7 @@
       cause,
       execution: this._execution,
       isCutOff: this._isCutOff,
+      obstacle: this._obstacle,
       failure: end === StreamEnd.Failure ? this._failureAnswer() : undefined,
       firstEventAt: this._firstEventAt,
       longestPauseMs: this._longestPauseMs,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -8,6 +8,7 @@
 import { canRetryElsewhere, combineExecutions, Execution } from '../common/Execution.js';
 import type { EngineProfile } from '../common/Messages.js';
 import { RefusedPrompt } from '../common/placement/PlacementDecision.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import type { BufferedAnswer } from './ExchangeOptions.js';
@@ -17,9 +18,11 @@
   type ForwardingDependencies,
   isOverdue,
   isQuarantined,
+  MAX_WITHHELD,
   possibleCausesOf,
   prepareExchange,
   recordCrash,
+  recordWithheld,
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
@@ -52,6 +55,7 @@
   private _execution = Execution.NotSent;
   private _attempts = 0;
   private _excusedRefusals = 0;
+  private _withheld = 0;
   private _cause: string | undefined;
   private _failure: BufferedAnswer | undefined;
   private readonly _excludedEngines = new Set<string>();
@@ -73,7 +77,7 @@
 
   public async run(): Promise<RequestReport> {
     const { route, signal } = this._request;
-    while (this._attempts < route.maxAttempts && !signal.aborted) {
+    while (this._attempts < route.maxAttempts && this._withheld < MAX_WITHHELD && !signal.aborted) {
       if (isQuarantined(this._dependencies, this._request)) {
         break;
       }
@@ -98,6 +102,10 @@
       if (outcome === undefined) {
         continue;
       }
+      if (outcome.obstacle !== undefined) {
+        this._recordWithheld(placed, outcome.obstacle);
+        continue;
+      }
       this._execution = combineExecutions(this._execution, outcome.execution);
       this._countAttempt(outcome);
       const report = this._handleOutcome(placed, outcome);
@@ -123,6 +131,14 @@
     }
   }
 
+  /** Records an attempt of which nothing was sent, so that another placement is made. */
+  private _recordWithheld({ targets: [primary] }: PlacedPrompt, obstacle: SendObstacle): void {
+    this._withheld++;
+    this._triedPlacements.pop();
+    this._cause = `${primary.id} may not get the prompt: ${obstacle}`;
+    recordWithheld(this._dependencies, this._request, primary.id, obstacle);
+  }
+
   /**
    * Counts an attempt that reached an engine. Refusals without execution are excused up to a limit
    * in two cases: if the answer has begun, since it is lost when it can't be resumed, and if the
@@ -213,7 +229,9 @@
     const readers = reservation === undefined ? others : placed.targets;
     this._triedPlacements.push(placed.targets.map(({ id }) => id).join('+'));
     this._sentAt = this._dependencies.clock.now();
-    const exchange = prepareExchange(this._dependencies, this._request, target, {
+    const countedTargets = placed.targets.map(({ id }) => id);
+    const chosen = { target, countedTargets, rateKey: placed.rateKey };
+    const exchange = prepareExchange(this._dependencies, this._request, chosen, {
       lastEventId: this._splitter.lastEventId,
       enginePriority: enginePriority(route),
       readers: readers.map(({ address }) => ({ address, reservation })),
--- a/packages/gateway/src/node/Upstream.test.ts
+++ b/packages/gateway/src/node/Upstream.test.ts
@@ -61,6 +61,7 @@
     const request = { method: 'POST', path: '/', headers: [], body: Buffer.alloc(bodyBytes) };
     return new Promise((resolve) => {
       upstream.send(target, 4, request, {
+        findObstacle: () => undefined,
         onSendStart: () => {
           transcript.isSent = true;
         },
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -1,11 +1,13 @@
 /**
  * Connections to targets, with undici: one pool for each instance of a target, one request at a
  * time on a connection. An exchange reports when its request starts to be sent, since from then on
- * it may have run. Retries are the forwarders' task.
+ * it may have run. Right before that, it asks whether the request may still be sent, as it may have
+ * waited for a connection. Retries are the forwarders' task.
  */
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
+import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { WatchedExchange } from './paths/SilenceMonitor.js';
 
 /** Applies to targets that don't announce how long they keep an idle connection. */
@@ -27,6 +29,8 @@
  * called last. None is called after an abort.
  */
 export interface ExchangeObserver {
+  /** Returns why the request must not be sent; the exchange ends with a `WithheldRequest` then. */
+  findObstacle(): SendObstacle | undefined;
   /** The first byte of the request is about to be sent. */
   onSendStart(): void;
   /** The status and headers of the final answer arrived. */
@@ -36,6 +40,13 @@
   onError(cause: Error): void;
 }
 
+/** Ends an exchange of which no byte was sent, since its target may not get it any more. */
+export class WithheldRequest extends Error {
+  constructor(public readonly obstacle: SendObstacle) {
+    super(`not sent: ${obstacle}`);
+  }
+}
+
 /** Why an exchange is aborted. */
 export enum AbortReason {
   /** The answer is not needed any more, or is malformed. */
@@ -216,6 +227,11 @@
       controller.abort(new Error('the exchange was aborted'));
       return;
     }
+    const obstacle = this._observer.findObstacle();
+    if (obstacle !== undefined) {
+      // Thrown, not aborted, so that undici keeps the connection.
+      throw new WithheldRequest(obstacle);
+    }
     this._watched = this._watch();
     this._observer.onSendStart();
   }
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -135,6 +135,7 @@
         4,
         { method: 'POST', path: '/x', headers: ['Own', 'v'], body: BODY },
         {
+          findObstacle: () => undefined,
           onSendStart: () => {
             state.isSent = true;
           },
