Keep the pauses that targets ask a relaying node for

What targets saw: a target asked a node for a pause and got more of its requests, since they were requests of other nodes whose connections it relays.

Cause: a target sees the relaying node as the sender. That node passed bytes on, read no answer and knew of no pause; the node behind recorded the pause as its own.

Change: the relaying node reads the heads of the answers that it passes on, so that what a target states (pause, leaving, rate) holds for it as well. During a pause it relays no new connections to the target, and retires the open ones by a frame: the request in flight goes on, further ones get another connection or another target. Nodes of earlier releases neither get the frame nor have to know it.

--- a/packages/gateway/src/common/placement/TargetPauses.ts
+++ b/packages/gateway/src/common/placement/TargetPauses.ts
@@ -1,9 +1,10 @@
 /**
- * Keeps the pauses that targets ask this node for when they refuse a request. Load pattern: a target
- * at its limit refuses request after request, and each node sends the next one at once. A paused
- * target gets no request of this node until the pause ends.
+ * Keeps the pauses that targets ask this node for when they refuse a request, be it of this node or
+ * of one whose connection it relays. Load pattern: a target at its limit refuses request after
+ * request, and each node sends the next one at once. A paused target gets no request from this node
+ * until the pause ends.
  */
-import type { Clock, Metrics } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, Emitter, type Metrics } from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
 
 /** Longer pauses are shortened, so that a wrong value does not exclude a target for good. */
@@ -16,10 +17,14 @@
 }
 
 /** Holds the end of each pause. */
-export class TargetPauses {
+export class TargetPauses extends DisposableOwner {
   private readonly _endsAt = new Map<string, number>();
+  private readonly _onPause = this.register(new Emitter<string>());
+  /** Fires with the id of a target that asks for a pause. */
+  public readonly onPause = this._onPause.event;
 
   constructor(private readonly _options: TargetPausesOptions) {
+    super();
     _options.metrics.gauge('tanager_targets_paused', () => this.pausedIds.length);
   }
 
@@ -41,6 +46,7 @@
     if (endsAt > (this._endsAt.get(id) ?? 0)) {
       this._endsAt.set(id, endsAt);
       log.write('target.paused', { target: id, pauseMs });
+      this._onPause.fire(id);
     }
   }
 
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -16,6 +16,7 @@
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
+import { recordStatements } from '../common/placement/TargetStatements.js';
 import type { TargetPauses } from '../common/placement/TargetPauses.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
@@ -221,7 +222,7 @@
   const { body, caller, deadlineAt, headers, method, path, service, signal, workspace } = request;
   const causes = possibleCausesOf(request);
   const check = new SendCheck(dependencies, { target, countedTargets, rateKey, causes });
-  const { clock, dialect, pauses, quarantine, rateLimits, targets, upstream } = dependencies;
+  const { clock, dialect, quarantine, upstream } = dependencies;
   const sentAt = clock.now();
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
     targetId: target.id,
@@ -239,18 +240,11 @@
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
     findObstacle: () => check.findObstacle(),
-    onAnswerHead: ({ isLeaving, isMisdirected, pauseMs, requestsPerSecond }) => {
-      if (isMisdirected) {
-        return;
-      }
-      quarantine.recordLife(instanceOf(target), sentAt);
-      rateLimits.recordStatement({ target: target.id, requestsPerSecond });
-      if (pauseMs !== undefined) {
-        pauses.record(target.id, pauseMs);
-      }
-      if (isLeaving) {
-        targets.recordLeaving(target);
+    onAnswerHead: (answer) => {
+      if (!answer.isMisdirected) {
+        quarantine.recordLife(instanceOf(target), sentAt);
       }
+      recordStatements(dependencies, target, answer);
     },
     attemptId: caller.attemptId,
     signal,
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -85,6 +85,8 @@
   private _quarantineReports: QuarantineReports | undefined;
   private readonly _front: GatewayFront;
   private readonly _answerBuffers = new AnswerBuffers();
+  private readonly _pauses: TargetPauses;
+  private readonly _rateLimits: RateLimits;
   private readonly _connections: TargetConnections;
   private readonly _controlServer: ControlServer;
   private _startedAt = Number.POSITIVE_INFINITY;
@@ -105,11 +107,18 @@
         this._publishReadiness();
       }),
     );
+    this._pauses = this.register(new TargetPauses(_options));
+    const countNodes = (): NodeCounts => {
+      return { live: membership.live.length, max: this._countNodesForShares() };
+    };
+    this._rateLimits = this.register(new RateLimits({ ..._options, countNodes }));
     this._connections = this.register(
       new TargetConnections({
         ..._options,
         membership,
         targets: this._platform.targets,
+        pauses: this._pauses,
+        rateLimits: this._rateLimits,
         relayAddress: settings.listen.relay,
         isDraining: () => this._isDraining,
       }),
@@ -224,10 +233,7 @@
     );
     this.register(new FailureReports({ broadcast, health, node }));
     this.register(new LeavingReports({ broadcast, targets }));
-    const countNodes = (): NodeCounts => {
-      return { live: this._membership.live.length, max: this._countNodesForShares() };
-    };
-    const rateLimits = this.register(new RateLimits({ ...this._options, countNodes }));
+    const { _pauses: pauses, _rateLimits: rateLimits } = this;
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     const quarantine = this.register(new CrashQuarantine(this._options));
@@ -258,7 +264,6 @@
         }
       }),
     );
-    const pauses = new TargetPauses(this._options);
     const common = {
       ...{ clock, random, targets, health, pauses },
       ...{ rateLimits, availabilityZone, liveNodes },
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -5,9 +5,11 @@
  * waited for a connection. Retries are the forwarders' task.
  */
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
-import { type buildConnector, type Dispatcher, Pool } from 'undici';
+import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { createTargetClient, type TargetConnection, type TargetDispatch } from './TargetClient.js';
+import { RelayedSocket } from './paths/RelayedSocket.js';
 import type { WatchedExchange } from './paths/SilenceMonitor.js';
 
 /** Applies to targets that don't announce how long they keep an idle connection. */
@@ -15,6 +17,8 @@
 /** An idle connection is closed this long before its target would close it. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MIN_CONNECTIONS = 4;
+/** Times that a request is given another connection since the one that it got was retired. */
+const MAX_REASSIGNMENTS = 2;
 
 /** A request as it is sent to a target. */
 export interface UpstreamRequest {
@@ -47,6 +51,9 @@
   }
 }
 
+/** Ends a dispatch of which no byte was sent, since its connection was retired meanwhile. */
+class RetiredConnection extends Error {}
+
 /** Why an exchange is aborted. */
 export enum AbortReason {
   /** The answer is not needed any more, or is malformed. */
@@ -111,30 +118,16 @@
     request: UpstreamRequest,
     observer: ExchangeObserver,
   ): Exchange {
-    const exchange = new PoolExchange(
-      observer,
-      () => this._options.watch(target.address),
-      () => {
+    const exchange = new PoolExchange(observer, {
+      watch: () => this._options.watch(target.address),
+      renewConnections: () => {
         this.renewConnections(target.address);
       },
-    );
-    try {
-      this._pool(target, connections).dispatch(
-        {
-          method: request.method,
-          path: request.path,
-          headers: request.headers,
-          body: request.body.length === 0 ? null : request.body,
-        },
-        exchange,
-      );
-    } catch (error) {
-      // undici throws if it can't serialise the request; nothing has been sent in that case.
-      exchange.onResponseError(
-        undefined,
-        error instanceof Error ? error : new Error(String(error)),
-      );
-    }
+      dispatch: () => {
+        this._dispatch(target, connections, request, exchange);
+      },
+    });
+    this._dispatch(target, connections, request, exchange);
     return exchange;
   }
 
@@ -160,6 +153,30 @@
     }
   }
 
+  private _dispatch(
+    target: TargetEntry,
+    connections: number,
+    { body, headers, method, path }: UpstreamRequest,
+    exchange: PoolExchange,
+  ): void {
+    const dispatch: TargetDispatch = {
+      method,
+      path,
+      headers,
+      body: body.length === 0 ? null : body,
+      exchange,
+    };
+    try {
+      this._pool(target, connections).dispatch(dispatch, exchange);
+    } catch (error) {
+      // undici throws if it can't serialise the request; nothing has been sent in that case.
+      exchange.onResponseError(
+        undefined,
+        error instanceof Error ? error : new Error(String(error)),
+      );
+    }
+  }
+
   private _close(key: string): void {
     const target = this._pools.get(key);
     this._pools.delete(key);
@@ -175,7 +192,8 @@
       pool = new Pool(`http://${target.address}`, {
         connections: Math.max(MIN_CONNECTIONS, connections),
         pipelining: 1,
-        connect: this._options.connect,
+        factory: (origin, options: Client.Options) =>
+          createTargetClient(origin, { ...options, connect: this._options.connect }),
         keepAliveTimeout: KEEP_ALIVE_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         headersTimeout: 0,
@@ -192,22 +210,36 @@
   return `${id}@${address}@${startedAt ?? ''}`;
 }
 
+/** What an exchange needs of the pools. */
+interface ExchangePools {
+  readonly watch: () => WatchedExchange;
+  /** Opens new connections for further requests to the target. */
+  readonly renewConnections: () => void;
+  /** Dispatches the request of the exchange. */
+  readonly dispatch: () => void;
+}
+
 /** Adapts undici's callbacks to an observer; at most one of `onEnd` and `onError` is called. */
 class PoolExchange implements Exchange, Dispatcher.DispatchHandler {
   private _controller: Dispatcher.DispatchController | undefined;
   private _isFinished = false;
   private _watched: WatchedExchange | undefined;
+  private _reassignments = 0;
+  private _connection: () => TargetConnection | undefined = () => undefined;
 
   constructor(
     private readonly _observer: ExchangeObserver,
-    private readonly _watch: () => WatchedExchange,
-    private readonly _onSilence: () => void,
+    private readonly _pools: ExchangePools,
   ) {}
 
+  public assign(connection: () => TargetConnection | undefined): void {
+    this._connection = connection;
+  }
+
   public abort(reason = AbortReason.Unneeded): void {
     this._finish();
     if (reason === AbortReason.Silence) {
-      this._onSilence();
+      this._pools.renewConnections();
     }
     this._controller?.abort(new Error('the exchange was aborted'));
   }
@@ -227,12 +259,16 @@
       controller.abort(new Error('the exchange was aborted'));
       return;
     }
+    // Errors are thrown, since undici closes the connection after an abort.
+    const connection: unknown = this._connection();
+    if (connection instanceof RelayedSocket && connection.isRetired) {
+      throw new RetiredConnection(`${connection.relay} retired the connection to the target`);
+    }
     const obstacle = this._observer.findObstacle();
     if (obstacle !== undefined) {
-      // Thrown, not aborted, so that undici keeps the connection.
       throw new WithheldRequest(obstacle);
     }
-    this._watched = this._watch();
+    this._watched = this._pools.watch();
     this._observer.onSendStart();
   }
 
@@ -266,10 +302,17 @@
     _controller: Dispatcher.DispatchController | undefined,
     error: Error,
   ): void {
-    if (!this._isFinished) {
-      this._finish();
-      this._observer.onError(error);
+    if (this._isFinished) {
+      return;
+    }
+    if (error instanceof RetiredConnection && this._reassignments < MAX_REASSIGNMENTS) {
+      this._reassignments++;
+      this._pools.renewConnections();
+      this._pools.dispatch();
+      return;
     }
+    this._finish();
+    this._observer.onError(error);
   }
 
   private _finish(): void {
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -1,5 +1,5 @@
 /** Requests over connections through another node, between real sockets. */
-import { createServer, type Server, type Socket } from 'node:net';
+import { connect, createServer, type Server, type Socket } from 'node:net';
 import {
   closeServer,
   FixedMembership,
@@ -9,13 +9,14 @@
 } from '@tanagerdyke/fakes';
 import { Metrics, SeededRandom } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { DecisionLog } from '../../common/DecisionLog.js';
 import type { TargetEntry } from '../../common/Messages.js';
 import { RelayChoice } from '../../common/paths/RelayChoice.js';
 import { TargetPaths } from '../../common/paths/TargetPaths.js';
 import { type Exchange, Upstream } from '../Upstream.js';
 import { openSocket } from './OpenSocket.js';
+import { encodeRetirement } from './RelayFrames.js';
 import { RelayLinkError } from './RelayedSocket.js';
 import { RelayServer } from './RelayServer.js';
 import { TargetConnector } from './TargetConnector.js';
@@ -49,6 +50,11 @@
   let isOwnLinkCut: boolean;
   let isTarget: boolean;
   let isDraining: boolean;
+  let isPaused: boolean;
+  let relayAddress: string;
+  let usedRelayAddress: string;
+  /** Status of each answer that the relaying node passed on. */
+  let heads: number[];
 
   beforeEach(async () => {
     lines = [];
@@ -58,6 +64,8 @@
     isOwnLinkCut = true;
     isTarget = true;
     isDraining = false;
+    isPaused = false;
+    heads = [];
     targetServer = createServer((socket) => {
       let text = '';
       socket.on('error', () => undefined);
@@ -88,10 +96,15 @@
       ...services,
       paths: relayPaths,
       isTarget: () => isTarget,
+      isPaused: () => isPaused,
+      onAnswerHead: (_address, { status }) => {
+        heads.push(status);
+      },
       isDraining: () => isDraining,
     });
     const probe = createServer();
-    const relayAddress = `127.0.0.1:${await listenOnLoopback(probe)}`;
+    relayAddress = `127.0.0.1:${await listenOnLoopback(probe)}`;
+    usedRelayAddress = relayAddress;
     await closeServer(probe);
     await relay.listen(relayAddress);
     const members = ['n', 'helper'].map((name) => {
@@ -106,7 +119,7 @@
       membership,
       paths,
       choice: new RelayChoice({ clock, random: new SeededRandom(1), membership }),
-      relayAddressOf: () => relayAddress,
+      relayAddressOf: () => usedRelayAddress,
       zoneOf: () => undefined,
       openOwnLink: async (ownClock, request) => {
         if (!isOwnLinkCut) {
@@ -242,6 +255,95 @@
     expect(requests).toHaveLength(1);
   });
 
+  describe('when the other node retires it', () => {
+    function countOpened(): number {
+      const opened = lines.filter((line) => line.includes('target.relayed'));
+      return opened.filter((line) => line.includes(target.address)).length;
+    }
+
+    it('is not used for the next request', async () => {
+      answer = wholeAnswer;
+      await send();
+      relay.retire(target.address);
+      await clock.sleep(50);
+      expect(await send()).toMatchObject({ status: 200, error: undefined });
+      expect(countOpened()).toBe(2);
+    });
+
+    it('goes on with the request in flight', async () => {
+      answer = (socket) => {
+        relay.retire(target.address);
+        clock.schedule(50, () => {
+          wholeAnswer(socket);
+        });
+      };
+      expect(await send()).toMatchObject({ status: 200, body: 'ok', error: undefined });
+    });
+
+    it('gives the requests that wait for it another connection', async () => {
+      answer = (socket) => {
+        relay.retire(target.address);
+        clock.schedule(50, () => {
+          wholeAnswer(socket);
+        });
+      };
+      const outcomes = await Promise.all(Array.from({ length: 9 }, () => send()));
+      expect(outcomes.map(({ status }) => status)).toEqual(outcomes.map(() => 200));
+      expect(countOpened()).toBe(9);
+    });
+  });
+
+  it('shows the status of each answer to the other node', async () => {
+    answer = wholeAnswer;
+    await send();
+    await send();
+    expect(heads).toEqual([200, 200]);
+  });
+
+  describe('between this and an earlier release', () => {
+    it('is opened by a relaying node that knows no retirement', async () => {
+      const earlier = createServer((socket) => {
+        socket.once('data', (line) => {
+          if (line.toString().startsWith('RELAY/2')) {
+            socket.end('malformed\n');
+            return;
+          }
+          const [host, port] = relayAddress.split(':');
+          const onward = connect(Number(port), host);
+          onward.write(line);
+          socket.pipe(onward).pipe(socket);
+        });
+      });
+      const port = await listenOnLoopback(earlier);
+      usedRelayAddress = `127.0.0.1:${port}`;
+      answer = wholeAnswer;
+      expect(await send()).toMatchObject({ status: 200, body: 'ok', error: undefined });
+      upstream.renewConnections();
+      expect(await send()).toMatchObject({ status: 200 });
+      expect(lines.filter((line) => line.includes('"result":"malformed"'))).toHaveLength(1);
+      upstream.dispose();
+      connector.dispose();
+      await closeServer(earlier);
+    });
+
+    it('is not retired for a node that does not accept it', async () => {
+      const [host, port] = relayAddress.split(':');
+      const socket = connect(Number(port), host);
+      const received: Buffer[] = [];
+      socket.on('data', (chunk) => received.push(chunk));
+      socket.write(`RELAY ${target.address}\n`);
+      await new Promise((resolve) => socket.once('data', resolve));
+      relay.retire(target.address);
+      answer = wholeAnswer;
+      socket.write('GET / HTTP/1.1\r\n\r\n');
+      await vi.waitFor(() => {
+        expect(Buffer.concat(received).toString()).toContain('ok');
+      });
+      expect(Buffer.concat(received).includes(encodeRetirement())).toBe(false);
+      socket.destroy();
+    });
+  });
+
   describe('is refused, and the request is not sent,', () => {
     async function expectRefusal(refusal: string): Promise<void> {
       answer = wholeAnswer;
@@ -256,6 +358,11 @@
       await expectRefusal('no-target');
     });
 
+    it('when the target asked the other node for a pause', async () => {
+      isPaused = true;
+      await expectRefusal('paused');
+    });
+
     it('when the other node drains', async () => {
       isDraining = true;
       await expectRefusal('draining');
--- a/packages/gateway/src/node/paths/RelayFrames.test.ts
+++ b/packages/gateway/src/node/paths/RelayFrames.test.ts
@@ -4,6 +4,7 @@
   encodeEnd,
   encodeFrame,
   encodeRelayRequest,
+  encodeRetirement,
   FrameDecoder,
   parseRelayRequest,
   TargetEnd,
@@ -39,6 +40,22 @@
       fc.assert(property, { seed: SEED });
     });
 
+    it('returns the bytes around the frame that retires the connection', () => {
+      const decoder = new FrameDecoder();
+      const sent = Buffer.concat([
+        encodeFrame(Buffer.from('a')),
+        encodeRetirement(),
+        encodeFrame(Buffer.from('b')),
+      ]);
+      expect(decoder.push(sent.subarray(0, 5)).isRetired).toBe(false);
+      const { chunks, end, isRetired } = decoder.push(sent.subarray(5));
+      expect({ text: Buffer.concat(chunks).toString(), end, isRetired }).toEqual({
+        text: 'b',
+        end: undefined,
+        isRetired: true,
+      });
+    });
+
     it('rejects a length that no frame has', () => {
       const { isMalformed } = new FrameDecoder().push(Buffer.from([0x7f, 0, 0, 0, 1]));
       expect(isMalformed).toBe(true);
@@ -46,15 +63,28 @@
   });
 
   describe('parseRelayRequest', () => {
-    it('returns the address of a request', () => {
-      expect(parseRelayRequest(encodeRelayRequest('10.0.0.1:80').trimEnd())).toBe('10.0.0.1:80');
+    it.each([true, false])('returns a request that accepts retirement: %s', (acceptsRetirement) => {
+      const request = { address: '10.0.0.1:80', acceptsRetirement };
+      expect(parseRelayRequest(encodeRelayRequest(request).trimEnd())).toEqual(request);
     });
 
-    it.each(['', 'RELAY ', 'RELAY host:80', 'GET / HTTP/1.1', 'RELAY 10.0.0.1:80 x'])(
-      'returns undefined for %j',
-      (line) => {
-        expect(parseRelayRequest(line)).toBeUndefined();
-      },
-    );
+    it('returns a request of an earlier release', () => {
+      expect(parseRelayRequest('RELAY 10.0.0.1:80')).toEqual({
+        address: '10.0.0.1:80',
+        acceptsRetirement: false,
+      });
+    });
+
+    it.each([
+      '',
+      'RELAY ',
+      'RELAY/2 ',
+      'RELAY/3 10.0.0.1:80',
+      'RELAY host:80',
+      'GET / HTTP/1.1',
+      'RELAY 10.0.0.1:80 x',
+    ])('returns undefined for %j', (line) => {
+      expect(parseRelayRequest(line)).toBeUndefined();
+    });
   });
 });
--- a/packages/gateway/src/node/paths/RelayServer.ts
+++ b/packages/gateway/src/node/paths/RelayServer.ts
@@ -2,7 +2,9 @@
  * Relays connections of other nodes to targets that this node reaches. It passes bytes on unchanged
  * in both directions, and each end of the connection to the other side as it was: closed in order,
  * or reset. It connects to targets that accept requests only, on its own link only, and refuses at
- * once when it can't.
+ * once when it can't. A target sees this node as the sender. What the target states in its answers
+ * therefore holds for this node, too, and when it asks this node for a pause, connections of other
+ * nodes to it are retired.
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import {
@@ -18,11 +20,13 @@
 import {
   encodeEnd,
   encodeFrame,
+  encodeRetirement,
   MAX_LINE_BYTES,
   parseRelayRequest,
   RELAY_OPENED,
   TargetEnd,
 } from './RelayFrames.js';
+import { type AnswerHead, RelayedAnswerReader } from './RelayedAnswerReader.js';
 
 /** Relayed connections at the same time; more would take descriptors from the node's own callers. */
 const MAX_RELAYED = 400;
@@ -41,6 +45,8 @@
   CutOff = 'cut-off',
   /** No target that accepts requests has the address. */
   NoTarget = 'no-target',
+  /** The target asked this node for a pause. */
+  Paused = 'paused',
   /** This node does not reach the target either. */
   Unreachable = 'unreachable',
 }
@@ -52,6 +58,10 @@
   readonly paths: TargetPaths;
   /** Whether a target with the address accepts requests. */
   readonly isTarget: (address: string) => boolean;
+  /** Whether the target with the address asked this node for a pause. */
+  readonly isPaused: (address: string) => boolean;
+  /** Called with the head of each answer to another node. */
+  readonly onAnswerHead: (address: string, head: AnswerHead) => void;
   readonly isDraining: () => boolean;
 }
 
@@ -59,6 +69,8 @@
 export class RelayServer extends DisposableOwner {
   private readonly _server: Server;
   private readonly _sockets = new Set<Socket>();
+  /** By address of a target: connections to it that can be retired. */
+  private readonly _retirable = new Map<string, Set<Socket>>();
   private _relayed = 0;
 
   constructor(private readonly _options: RelayServerOptions) {
@@ -80,6 +92,19 @@
     return this._relayed;
   }
 
+  /** Tells the other nodes to send no further requests to a target on their connections. */
+  public retire(address: string): void {
+    const sockets = this._retirable.get(address);
+    if (sockets === undefined) {
+      return;
+    }
+    this._retirable.delete(address);
+    this._options.log.write('relay.retired', { address, connections: sockets.size });
+    for (const socket of sockets) {
+      socket.write(encodeRetirement());
+    }
+  }
+
   /** Listens on `IP:port`. Rejects if the address is in use. */
   public listen(address: string): Promise<void> {
     const [host, port] = address.split(':');
@@ -97,28 +122,47 @@
     socket.on('close', () => this._sockets.delete(socket));
     socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy());
     const line = await readLine(socket, MAX_LINE_BYTES);
-    const address = line.isOk ? parseRelayRequest(line.value) : undefined;
+    const request = line.isOk ? parseRelayRequest(line.value) : undefined;
+    const address = request?.address;
     const refusal = this._findRefusal(address);
-    if (address === undefined || refusal !== undefined) {
+    if (request === undefined || address === undefined || refusal !== undefined) {
       this._refuse(socket, refusal ?? RelayRefusal.Malformed, address);
       return;
     }
     this._relayed++;
     socket.on('close', () => this._relayed--);
     const target = await this._connect(address);
-    if (target === undefined || socket.destroyed) {
+    const lateRefusal =
+      target === undefined ? RelayRefusal.Unreachable : this._findRefusal(address);
+    if (target === undefined || lateRefusal !== undefined || socket.destroyed) {
       target?.destroy();
-      this._refuse(socket, RelayRefusal.Unreachable, address);
+      this._refuse(socket, lateRefusal ?? RelayRefusal.Unreachable, address);
       return;
     }
     this._options.metrics.increment('tanager_relays_total', { outcome: 'opened' });
     this._options.log.write('relay.opened', { address, from: socket.remoteAddress });
     socket.write(`${RELAY_OPENED}\n`);
-    relay(socket, target);
+    if (request.acceptsRetirement) {
+      this._trackRetirable(socket, address);
+    }
+    relay(socket, target, (head) => {
+      this._options.onAnswerHead(address, head);
+    });
+  }
+
+  private _trackRetirable(socket: Socket, address: string): void {
+    const sockets = this._retirable.get(address) ?? new Set();
+    this._retirable.set(address, sockets.add(socket));
+    socket.on('close', () => {
+      sockets.delete(socket);
+      if (sockets.size === 0 && this._retirable.get(address) === sockets) {
+        this._retirable.delete(address);
+      }
+    });
   }
 
   private _findRefusal(address: string | undefined): RelayRefusal | undefined {
-    const { isDraining, isTarget, paths } = this._options;
+    const { isDraining, isPaused, isTarget, paths } = this._options;
     if (address === undefined) {
       return RelayRefusal.Malformed;
     }
@@ -131,7 +175,10 @@
     if (paths.isCutOff) {
       return RelayRefusal.CutOff;
     }
-    return isTarget(address) ? undefined : RelayRefusal.NoTarget;
+    if (!isTarget(address)) {
+      return RelayRefusal.NoTarget;
+    }
+    return isPaused(address) ? RelayRefusal.Paused : undefined;
   }
 
   private _refuse(socket: Socket, refusal: RelayRefusal, address: string | undefined): void {
@@ -154,10 +201,18 @@
 }
 
 /** Passes bytes and the end of the connection on in both directions. */
-function relay(caller: Socket, target: Socket): void {
+function relay(caller: Socket, target: Socket, onAnswerHead: (head: AnswerHead) => void): void {
+  const answers = new RelayedAnswerReader();
   detectResets(target);
+  caller.on('data', () => {
+    answers.expectAnswer();
+  });
   caller.pipe(target);
   target.on('data', (chunk: Buffer) => {
+    const head = answers.push(chunk);
+    if (head !== undefined) {
+      onAnswerHead(head);
+    }
     if (!caller.write(encodeFrame(chunk))) {
       target.pause();
     }
--- a/packages/gateway/src/node/paths/RelayedSocket.ts
+++ b/packages/gateway/src/node/paths/RelayedSocket.ts
@@ -1,6 +1,7 @@
 /**
  * A connection to a target through another node, with the interface of a socket. It ends in order
- * only if the target closed its connection so; every other end is an error.
+ * only if the target closed its connection so; every other end is an error. The other node may retire
+ * it: no request must be sent on it from then on.
  */
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
@@ -13,6 +14,9 @@
 export class RelayedSocket extends Duplex {
   private readonly _decoder = new FrameDecoder();
   private _isEnded = false;
+  private _isRetired = false;
+  /** Called once when the connection is retired. */
+  public onRetired: () => void = () => undefined;
 
   constructor(
     private readonly _socket: Socket,
@@ -33,6 +37,11 @@
     });
   }
 
+  /** Whether no further request may be sent on the connection. */
+  public get isRetired(): boolean {
+    return this._isRetired;
+  }
+
   public ref(): void {
     this._socket.ref();
   }
@@ -64,7 +73,11 @@
   }
 
   private _receive(received: Buffer): void {
-    const { chunks, end, isMalformed } = this._decoder.push(received);
+    const { chunks, end, isMalformed, isRetired } = this._decoder.push(received);
+    if (isRetired && !this._isRetired) {
+      this._isRetired = true;
+      this.onRetired();
+    }
     let mayContinue = true;
     for (const chunk of chunks) {
       mayContinue = this.push(chunk) && mayContinue;
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -9,8 +9,13 @@
 import type { DecisionLog } from '../../common/DecisionLog.js';
 import { RelayChoice } from '../../common/paths/RelayChoice.js';
 import { TargetPaths } from '../../common/paths/TargetPaths.js';
+import type { RateLimits } from '../../common/placement/RateLimits.js';
+import type { TargetPauses } from '../../common/placement/TargetPauses.js';
+import { recordStatements } from '../../common/placement/TargetStatements.js';
+import type { Dialect } from '../../common/services/Services.js';
 import type { TargetTable } from '../../common/state/TargetTable.js';
 import { Upstream } from '../Upstream.js';
+import type { AnswerHead } from './RelayedAnswerReader.js';
 import { RelayServer } from './RelayServer.js';
 import { SilenceMonitor } from './SilenceMonitor.js';
 import { TargetConnector, type TargetConnectorOptions } from './TargetConnector.js';
@@ -22,6 +27,9 @@
   readonly metrics: Metrics;
   readonly membership: Membership;
   readonly targets: TargetTable;
+  readonly pauses: TargetPauses;
+  readonly rateLimits: RateLimits;
+  readonly dialect: Pick<Dialect, 'parseTargetAnswer'>;
   /** `IP:port` at which this node relays connections; all nodes use the same port. */
   readonly relayAddress: string;
   readonly isDraining: () => boolean;
@@ -38,7 +46,7 @@
 
   constructor(private readonly _options: TargetConnectionsOptions) {
     super();
-    const { clock, isDraining, targets } = _options;
+    const { clock, isDraining, pauses, targets } = _options;
     const paths = this.register(new TargetPaths(_options));
     this._paths = paths;
     this._connector = this.register(this._createConnector());
@@ -64,14 +72,22 @@
           const target = targets.findByAddress(address);
           return target !== undefined && targets.acceptsRequests(target.id);
         },
+        isPaused: (address) => {
+          const target = targets.findByAddress(address);
+          return target !== undefined && pauses.isPaused(target.id);
+        },
+        onAnswerHead: (address, head) => {
+          this._recordRelayedAnswer(address, head);
+        },
         isDraining,
       }),
     );
+    this._retireRelayed();
     const renew = (address?: string): void => {
       this.upstream.renewConnections(address);
     };
     this.register(paths.onChange(renew));
-    this.register(this._connector.onRelayLeaving(renew));
+    this.register(this._connector.onRelayEnding(renew));
     this.register(
       paths.onCutOff(() => {
         renew();
@@ -99,6 +115,39 @@
     return this._relayServer.listen(this._options.relayAddress);
   }
 
+  /** A target sees this node as the sender of what it relays, so its statements hold for this node. */
+  private _recordRelayedAnswer(address: string, { headers, status }: AnswerHead): void {
+    const target = this._options.targets.findByAddress(address);
+    if (target !== undefined) {
+      const answer = this._options.dialect.parseTargetAnswer(status, headers);
+      recordStatements(this._options, target, answer);
+    }
+  }
+
+  /** Retires connections of other nodes to targets that take no more requests of this node. */
+  private _retireRelayed(): void {
+    const { pauses, targets } = this._options;
+    const retire = (id: string): void => {
+      const target = targets.find(id);
+      if (target !== undefined) {
+        this._relayServer.retire(target.address);
+      }
+    };
+    this.register(pauses.onPause(retire));
+    this.register(
+      targets.onLeaving(({ id }) => {
+        retire(id);
+      }),
+    );
+    this.register(
+      targets.onChange(({ address, isDraining }) => {
+        if (isDraining) {
+          this._relayServer.retire(address);
+        }
+      }),
+    );
+  }
+
   private _createConnector(): TargetConnector {
     const { relayAddress, targets } = this._options;
     const [, relayPort = ''] = relayAddress.split(':');
--- a/packages/gateway/src/node/paths/TargetConnector.ts
+++ b/packages/gateway/src/node/paths/TargetConnector.ts
@@ -36,6 +36,12 @@
 const MAX_UNREACHABLE = 2;
 
 const UNREACHABLE: string = RelayRefusal.Unreachable;
+const MALFORMED: string = RelayRefusal.Malformed;
+/** Refusals for which the node may still relay connections to other targets. */
+const TARGET_REFUSALS: ReadonlySet<string> = new Set([
+  RelayRefusal.Unreachable,
+  RelayRefusal.Paused,
+]);
 
 type TargetSocket = Socket | RelayedSocket;
 
@@ -57,9 +63,14 @@
 /** Opens connections for the pools of all targets. */
 export class TargetConnector extends DisposableOwner {
   private readonly _relayed = new Map<RelayedSocket, string>();
-  private readonly _onRelayLeaving = this.register(new Emitter<string>());
-  /** Fires with the address of a target whose connections go through a node that is leaving. */
-  public readonly onRelayLeaving = this._onRelayLeaving.event;
+  /** Nodes of earlier releases, which do not retire connections, with their start times. */
+  private readonly _earlierRelays = new Set<string>();
+  private readonly _onRelayEnding = this.register(new Emitter<string>());
+  /**
+   * Fires with the address of a target to which a connection through another node should carry no
+   * further requests, since that node is leaving or retired it.
+   */
+  public readonly onRelayEnding = this._onRelayEnding.event;
 
   constructor(private readonly _options: TargetConnectorOptions) {
     super();
@@ -157,11 +168,10 @@
         return Result.ok(this._register(opened.value, address));
       }
       cause = opened.error;
-      const isTargetUnreachable = cause === UNREACHABLE;
-      unreachable += isTargetUnreachable ? 1 : 0;
+      unreachable += cause === UNREACHABLE ? 1 : 0;
       // After an abort, the failure is not that of the node.
       if (!isAborted(signal)) {
-        choice.recordFailure(member, isTargetUnreachable ? address : undefined);
+        choice.recordFailure(member, TARGET_REFUSALS.has(cause) ? address : undefined);
       }
     }
     return Result.err(cause);
@@ -187,7 +197,9 @@
     socket.on('error', () => undefined);
     const timer = clock.schedule(RELAY_TIMEOUT_MS - (clock.now() - startedAt), giveUp);
     signal.addEventListener('abort', giveUp, { once: true });
-    socket.write(encodeRelayRequest(address));
+    const release = `${member.name} ${member.startedAt}`;
+    const acceptsRetirement = !this._earlierRelays.has(release);
+    socket.write(encodeRelayRequest({ address, acceptsRetirement }));
     const line = await readLine(socket, MAX_LINE_BYTES);
     timer.dispose();
     signal.removeEventListener('abort', giveUp);
@@ -197,6 +209,10 @@
     log.write('target.relayed', { address, through: member.name, result, tookMs });
     if (!isOpened) {
       socket.destroy();
+      if (result === MALFORMED && acceptsRetirement) {
+        this._earlierRelays.add(release);
+        return this._openThrough(member, address, signal);
+      }
       return Result.err(result);
     }
     return Result.ok(new RelayedSocket(socket, member.name));
@@ -204,6 +220,9 @@
 
   private _register(socket: RelayedSocket, address: string): RelayedSocket {
     this._relayed.set(socket, address);
+    socket.onRetired = () => {
+      this._onRelayEnding.fire(address);
+    };
     socket.once('close', () => this._relayed.delete(socket));
     return socket;
   }
@@ -218,7 +237,7 @@
       if (isGone) {
         socket.destroy(new RelayLinkError(`${name}, which relayed the connection, is gone`));
       } else {
-        this._onRelayLeaving.fire(address);
+        this._onRelayEnding.fire(address);
       }
     }
   }
--- a/scripts/undiciClient.mjs
+++ b/scripts/undiciClient.mjs
@@ -5,6 +5,7 @@
 import api from 'undici/lib/api/index.js';
 import buildConnector from 'undici/lib/core/connect.js';
 import Agent from 'undici/lib/dispatcher/agent.js';
+import Client from 'undici/lib/dispatcher/client.js';
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
 
@@ -17,4 +18,4 @@
   return dispatcher.request({ ...options, origin, path: pathname + search });
 }
 
-export { Agent, buildConnector, Pool };
+export { Agent, buildConnector, Client, Pool };
