Read what a target states in an answer that can't be matched to its request

What targets saw: a refusal with a pause that bears no id of the request, nor that it was not run, had no effect: the node went on sending.

Cause: an answer that belongs to no request was dropped whole, with what the target states of itself. The caller must not get it, but the statements hold all the same.

Evidence: PausedTarget.test failed before in 3 cases, 30 to 32 requests in a pause where 2 are allowed.

Result: the 3 cases pass. What such an answer says of crashes is still not used.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -88,9 +88,7 @@
       onHead: (status, raw) => {
         headers = raw;
         answer = dialect.parseTargetAnswer(status, raw);
-        if (matchesAttempt(answer, attemptId)) {
-          onAnswerHead(answer);
-        }
+        onAnswerHead(answer, matchesAttempt(answer, attemptId));
       },
       onData: (chunk) => {
         if (buffer.add(chunk.length)) {
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -19,8 +19,11 @@
   readonly request: UpstreamRequest;
   /** Returns why the request must not be sent; called right before its first byte is. */
   readonly findObstacle: () => SendObstacle | undefined;
-  /** Called with the status and headers of each answer to this request. */
-  readonly onAnswerHead: (answer: TargetAnswer) => void;
+  /**
+   * Called with the status and headers of each answer. One that can't be matched to this request is
+   * of no use to the caller, but says of the target what any answer does.
+   */
+  readonly onAnswerHead: (answer: TargetAnswer, isMatched: boolean) => void;
   /** The caller's id of the request; undefined if it sent none. */
   readonly attemptId: string | undefined;
   /** Aborts when the caller disconnects. */
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -240,8 +240,8 @@
     connections: connectionLimit(dependencies, service),
     request: { method, path, headers: forwardedHeaders, body },
     findObstacle: () => check.findObstacle(),
-    onAnswerHead: (answer) => {
-      if (!answer.isMisdirected) {
+    onAnswerHead: (answer, isMatched) => {
+      if (isMatched && !answer.isMisdirected) {
         quarantine.recordLife(instanceOf(target), sentAt);
       }
       recordStatements(dependencies, target, answer);
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -144,11 +144,11 @@
   private _handleHead(status: number, headers: RawHeaders): void {
     this._headers = headers;
     this._answer = this._options.dialect.parseTargetAnswer(status, headers);
-    if (!matchesAttempt(this._answer, this._options.attemptId)) {
+    const isMatched = matchesAttempt(this._answer, this._options.attemptId);
+    this._options.onAnswerHead(this._answer, isMatched);
+    if (!isMatched) {
       this._abort(StreamEnd.Broken, 'the answer belongs to another request');
-      return;
     }
-    this._options.onAnswerHead(this._answer);
   }
 
   private _handleData(chunk: Buffer): void {
