Read pauses in the answers to reservations, and reserve on no paused engine

What targets saw: an engine that refused a reservation and asked for a pause got further reservations, one for each long prompt.

Cause: the adapter kept only the status of the answer, and a placement that had waited was reserved without another look at pauses and leaving engines.

Change: the refusal states the pause, which counts like one in any answer; a prompt reserves nothing if one of its engines takes no requests any more. Reservations of prompts that run are renewed and released as before.

--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -1,10 +1,11 @@
-import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { ErrorKind, ManualClock, Metrics, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
 import type { EngineReservation, EngineReservations } from '../services/Services.js';
 import { PromptReservations } from './PromptReservations.js';
+import { TargetPauses } from './TargetPauses.js';
 
 /** What happens to calls to the engines. */
 enum CallOutcome {
@@ -21,6 +22,7 @@
 /** Emulates engines that hold reservations until they are released or expire. */
 class EnginesStandIn implements EngineReservations {
   public callOutcome = CallOutcome.Answered;
+  public calls = 0;
   /** Expiry of each reservation by `target/id`. */
   private readonly _held = new Map<string, number>();
 
@@ -54,6 +56,7 @@
   }
 
   private async _call(timeoutMs: number, effect: () => void): Promise<Result<void, ServiceError>> {
+    this.calls++;
     if (this.callOutcome === CallOutcome.Answered) {
       effect();
       return Result.ok(undefined);
@@ -85,18 +88,21 @@
 describe('PromptReservations', () => {
   let clock: ManualClock;
   let engines: EnginesStandIn;
+  let leaving: Set<string>;
+  let pauses: TargetPauses;
+  const log = new DecisionLog(new ManualClock(), 'n', () => true);
+  const targets = { acceptsRequests: (id: string): boolean => !leaving.has(id) };
 
   beforeEach(() => {
     clock = new ManualClock();
     engines = new EnginesStandIn(clock);
+    leaving = new Set();
+    pauses = new TargetPauses({ clock, log, metrics: new Metrics() });
   });
 
   function create(tokens: number, ids = ['a', 'b', 'c']): PromptReservations {
-    const log = new DecisionLog(clock, 'n', () => true);
-    return new PromptReservations(
-      { clock, log, engineReservations: engines },
-      { id: 'r1', targets: ids.map(targetOf), tokens },
-    );
+    const services = { clock, log, targets, pauses, engineReservations: engines };
+    return new PromptReservations(services, { id: 'r1', targets: ids.map(targetOf), tokens });
   }
 
   it('keeps memory on every engine reserved while the prompt runs', async () => {
@@ -106,6 +112,27 @@
     expect(engines.held).toBe(3);
   });
 
+  describe('with an engine that takes no requests any more', () => {
+    it.each([
+      ['asked for a pause', () => { pauses.record('b', 1_000); }],
+      ['is leaving', () => leaving.add('b')],
+    ])('since it %s, calls none of them', async (_reason, change) => {
+      change();
+      const reservations = create(100);
+      expect((await reservations.acquire())?.id).toBe('b');
+      reservations.dispose();
+      await clock.advance(10);
+      expect(engines.calls).toBe(0);
+    });
+
+    it('keeps what it reserved before, as the prompt runs', async () => {
+      await create(100).acquire();
+      pauses.record('b', 30_000);
+      await clock.advance(20_000);
+      expect(engines.held).toBe(3);
+    });
+  });
+
   it('frees all memory when the prompt ends', async () => {
     const reservations = create(100);
     await reservations.acquire();
--- a/packages/gateway/src/common/placement/PromptReservations.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -7,6 +7,8 @@
 import { type Clock, DisposableOwner, ErrorKind, toDisposable } from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
+import type { TargetTable } from '../state/TargetTable.js';
+import type { TargetPauses } from './TargetPauses.js';
 import type { EngineReservations } from '../services/Services.js';
 
 /** Expiry of a reservation; a dead node's memory must be free again within four seconds. */
@@ -26,6 +28,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly engineReservations: EngineReservations;
+  readonly targets: Pick<TargetTable, 'acceptsRequests'>;
+  readonly pauses: TargetPauses;
 }
 
 /** The memory to reserve for a prompt. */
@@ -39,6 +43,7 @@
 
 /** Holds the reservations of one prompt until it is disposed. */
 export class PromptReservations extends DisposableOwner {
+  private _isAsked = false;
   /** Whether a call had no answer, so that it may still take effect. */
   private _hasUnconfirmedCall = false;
 
@@ -49,7 +54,9 @@
     super();
     this.register(
       toDisposable(() => {
-        void this._releaseAll();
+        if (this._isAsked) {
+          void this._releaseAll();
+        }
       }),
     );
   }
@@ -58,9 +65,17 @@
     return this._request.id;
   }
 
-  /** Reserves on all targets; returns the first one that failed to, or `undefined` if none did. */
+  /**
+   * Reserves on all targets; returns the first one that failed to, or `undefined` if none did. Asks
+   * none of them if one takes no requests any more.
+   */
   public async acquire(): Promise<TargetEntry | undefined> {
     const { targets } = this._request;
+    const unusable = targets.find(({ id }) => !this._isUsable(id));
+    if (unusable !== undefined) {
+      return unusable;
+    }
+    this._isAsked = true;
     const answers = await Promise.all(targets.map((target) => this._reserve(target)));
     const failed = targets.find((_target, index) => answers[index] === false);
     if (failed === undefined) {
@@ -69,6 +84,11 @@
     return failed;
   }
 
+  private _isUsable(id: string): boolean {
+    const { pauses, targets } = this._options;
+    return targets.acceptsRequests(id) && !pauses.isPaused(id);
+  }
+
   private async _keepRenewed(): Promise<void> {
     const { disposalSignal: signal } = this;
     for (;;) {
@@ -81,12 +101,15 @@
   }
 
   private async _reserve(target: TargetEntry): Promise<boolean> {
-    const { engineReservations, log } = this._options;
+    const { engineReservations, log, pauses } = this._options;
     const { id, tokens } = this._request;
     const reservation = { id, tokens, timeToLiveMs: RESERVATION_TTL_MS };
     const answer = await engineReservations.reserve(target, reservation, CALL_TIMEOUT_MS);
     if (answer.isErr) {
       this._hasUnconfirmedCall ||= answer.error.kind !== ErrorKind.Overloaded;
+      if (answer.error.retryAfterMs !== undefined) {
+        pauses.record(target.id, answer.error.retryAfterMs);
+      }
       log.write('reservation.failed', {
         id,
         target: target.id,
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -111,7 +111,7 @@
 export interface EngineReservations {
   /**
    * Creates or renews a reservation. Errors: `Overloaded` when the engine lacks capacity,
-   * `TargetFailed`.
+   * `TargetFailed`, with `retryAfterMs` if the engine asks for a pause.
    */
   reserve(
     target: TargetEntry,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -193,16 +193,13 @@
 
   /** Reserves memory for a shared prompt; excludes a full engine and returns undefined. */
   private async _reserve(placed: PlacedPrompt): Promise<ReservationHandle | undefined> {
-    const { clock, engineReservations, log, random } = this._dependencies;
+    const { log, random } = this._dependencies;
     if (placed.reservedTokens === 0) {
       return NO_RESERVATIONS;
     }
     const id = random.identifier();
     const { reservedTokens: tokens, targets } = placed;
-    const reservations = new PromptReservations(
-      { clock, log, engineReservations },
-      { id, targets, tokens },
-    );
+    const reservations = new PromptReservations(this._dependencies, { id, targets, tokens });
     const full = await reservations.acquire();
     log.write('reservation.asked', {
       request: this._request.id,
