Spread the return of callers that are refused since all targets are paused

What callers got: the same moment to return for all, the end of the pause, so that the target got all of them at once when it had just rested.

PausedTarget.test failed before in 3 cases (10 ms between the first and the last return, more than 200 wanted); they pass. None is asked back before the end.

--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -64,7 +64,7 @@
     publisher.start();
     this.prompts = new PromptScheduler({
       ...common,
-      pauses: new TargetPauses({ clock, log, metrics: new Metrics() }),
+      pauses: new TargetPauses({ clock, random, log, metrics: new Metrics() }),
       scheduler,
       publisher,
       cells,
--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, ManualClock, Metrics, ServiceError } from '@tanagerdyke/kernel';
+import { ErrorKind, ManualClock, Metrics, SeededRandom, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
@@ -97,7 +97,11 @@
     clock = new ManualClock();
     engines = new EnginesStandIn(clock);
     leaving = new Set();
-    pauses = new TargetPauses({ clock, log, metrics: new Metrics() });
+    pauses = new TargetPauses({
+      ...{ clock, log },
+      random: new SeededRandom(1),
+      metrics: new Metrics(),
+    });
   });
 
   function create(tokens: number, ids = ['a', 'b', 'c']): PromptReservations {
@@ -114,7 +118,12 @@
 
   describe('with an engine that takes no requests any more', () => {
     it.each([
-      ['asked for a pause', () => { pauses.record('b', 1_000); }],
+      [
+        'asked for a pause',
+        () => {
+          pauses.record('b', 1_000);
+        },
+      ],
       ['is leaving', () => leaving.add('b')],
     ])('since it %s, calls none of them', async (_reason, change) => {
       change();
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -140,9 +140,9 @@
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { availabilityZone, pauses, random, targets } = this._options;
     const engines = targets.acceptingTargets(prompt.service);
-    const pauseMs = pauses.remainingMs(engines.map(({ id }) => id));
-    if (pauseMs > 0) {
-      return new RefusedPrompt(PlacementRefusal.Paused, engines.length, pauseMs);
+    const retryAfterMs = pauses.retryAfterMs(engines.map(({ id }) => id));
+    if (retryAfterMs !== undefined) {
+      return new RefusedPrompt(PlacementRefusal.Paused, engines.length, retryAfterMs);
     }
     const cells = chooseCells(cellsOf(prompt.service, engines), availabilityZone, random);
     let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
--- a/packages/gateway/src/common/placement/TargetPauses.ts
+++ b/packages/gateway/src/common/placement/TargetPauses.ts
@@ -4,14 +4,23 @@
  * request, and each node sends the next one at once. A paused target gets no request from this node
  * until the pause ends.
  */
-import { type Clock, DisposableOwner, Emitter, type Metrics } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  Emitter,
+  type Metrics,
+  type RandomSource,
+} from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
 
 /** Longer pauses are shortened, so that a wrong value does not exclude a target for good. */
 const MAX_PAUSE_MS = 60_000;
+/** Callers that are refused since all targets are paused return spread over this time after it. */
+const RETURN_SPREAD_MS = 500;
 
 export interface TargetPausesOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
 }
@@ -54,10 +63,14 @@
     return this._options.clock.now() < (this._endsAt.get(id) ?? 0);
   }
 
-  /** Time until the first of the targets is no longer paused; 0 if one is not, or there is none. */
-  public remainingMs(ids: readonly string[]): number {
-    const now = this._options.clock.now();
+  /**
+   * Time after which a caller should retry since all targets are paused; `undefined` if one is not,
+   * or there is none. Differs between callers, which would all return when the pause ends.
+   */
+  public retryAfterMs(ids: readonly string[]): number | undefined {
+    const { clock, random } = this._options;
     const ends = ids.map((id) => this._endsAt.get(id) ?? 0);
-    return ends.length === 0 ? 0 : Math.max(0, Math.min(...ends) - now);
+    const remainingMs = ends.length === 0 ? 0 : Math.min(...ends) - clock.now();
+    return remainingMs > 0 ? remainingMs + random.next() * RETURN_SPREAD_MS : undefined;
   }
 }
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -149,12 +149,12 @@
   /** Whether all targets asked for a pause; sets the time to retry. */
   private _isPaused(): boolean {
     const ids = this._untriedTargets().map(({ id }) => id);
-    const remainingMs = this._dependencies.pauses.remainingMs(ids);
-    if (remainingMs > 0) {
+    const retryAfterMs = this._dependencies.pauses.retryAfterMs(ids);
+    if (retryAfterMs !== undefined) {
       this._cause = `${ids.length} targets are paused`;
-      this._retryAfterMs = remainingMs;
+      this._retryAfterMs = retryAfterMs;
     }
-    return remainingMs > 0;
+    return retryAfterMs !== undefined;
   }
 
   private async _sendToTarget(target: TargetEntry): Promise<BufferedOutcome> {
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -220,7 +220,7 @@
       metrics,
       countNodes: () => ({ live: 1, max: 1 }),
     });
-    const pauses = new TargetPauses({ clock, log, metrics });
+    const pauses = new TargetPauses({ clock, random, log, metrics });
     const common = {
       clock,
       random,
--- a/packages/gateway/src/node/PausedTarget.test.ts
+++ b/packages/gateway/src/node/PausedTarget.test.ts
@@ -142,6 +142,20 @@
       expect(countArrivals('t0', NOTICE_MS, PAUSE_MS)).toBeLessThanOrEqual(MAX_IN_PAUSE);
     });
 
+    it('as the only one lets callers return spread over time, none before its end', async () => {
+      pausing.add('t0');
+      node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
+      await send(kind, 200);
+      callers = [];
+      const sentAt = clock.now();
+      await send(kind, 500);
+      const returns = callers.map(
+        ({ headers }, index) => sentAt + index * REQUEST_INTERVAL_MS + retryAfterMsOf(headers),
+      );
+      expect(Math.min(...returns)).toBeGreaterThanOrEqual(PAUSE_MS);
+      expect(Math.max(...returns) - Math.min(...returns)).toBeGreaterThan(200);
+    });
+
     it('as the only one makes a refusal at once, which says when it ends', async () => {
       pausing.add('t0');
       node.addTarget(targetEntry('t0', SERVICES[kind], 't0:80'));
@@ -151,7 +165,7 @@
       expect(report?.ending).toBe(RequestOutcome.Refused);
       expect(report?.tookMs).toBeLessThan(ANSWER_MS);
       const headers = callers[0]?.headers ?? [];
-      const retryAfterMs = Number(headers[headers.indexOf('Retry-After') + 1]) * 1_000;
+      const retryAfterMs = retryAfterMsOf(headers);
       expect(retryAfterMs).toBeGreaterThan(PAUSE_MS - 2 * NOTICE_MS);
       expect(retryAfterMs).toBeLessThanOrEqual(PAUSE_MS);
     });
@@ -184,3 +198,7 @@
     });
   });
 });
+
+function retryAfterMsOf(headers: readonly string[]): number {
+  return Number(headers[headers.indexOf('Retry-After') + 1]) * 1_000;
+}
