Spend the retry budget once for a retry that is withheld

A retry that was withheld from its target spent the budget, and the next choice spent it again, so a call could be refused though nothing had been sent: with a budget of one retry it got 503 where a third target was free. The admission holds until something is sent. The case of PausedTarget.test failed before.

A relaying node checks again only the target after it connected, not its own limit, which counted the connection itself.

--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -50,6 +50,8 @@
   private _failure: BufferedAnswer | undefined;
   private _hasTimedOut = false;
   private _withheld = 0;
+  /** Whether an attempt was admitted of which nothing has been sent yet. */
+  private _isAdmitted = false;
   /** Identifies the current attempt among the requests that count for the rate of its target. */
   private _rateKey = '';
   private _retryAfterMs = NO_TARGET_RETRY_AFTER_MS;
@@ -66,10 +68,7 @@
       const target = isQuarantined(this._dependencies, this._request)
         ? undefined
         : await this._awaitTarget();
-      if (
-        target === undefined ||
-        !admitAttempt(this._dependencies, this._request, this._triedTargets.length, this._attempts)
-      ) {
+      if (target === undefined || !this._admitAttempt()) {
         break;
       }
       this._triedTargets.push(target.id);
@@ -79,6 +78,7 @@
         this._recordWithheld(target, outcome.obstacle);
         continue;
       }
+      this._isAdmitted = false;
       this._execution = combineExecutions(this._execution, outcome.execution);
       if (outcome.execution !== Execution.NotSent) {
         this._attempts++;
@@ -91,6 +91,13 @@
     return this._finishUnserved();
   }
 
+  /** Admits an attempt; one that was withheld need not be admitted again. */
+  private _admitAttempt(): boolean {
+    const selected = this._triedTargets.length;
+    this._isAdmitted ||= admitAttempt(this._dependencies, this._request, selected, this._attempts);
+    return this._isAdmitted;
+  }
+
   private async _awaitTarget(): Promise<TargetEntry | undefined> {
     const { clock } = this._dependencies;
     const { deadlineAt, signal } = this._request;
--- a/packages/gateway/src/node/PausedTarget.test.ts
+++ b/packages/gateway/src/node/PausedTarget.test.ts
@@ -9,7 +9,7 @@
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
 import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
 import { forwardStream } from './StreamForwarder.js';
-import type { RequestSender } from './Upstream.js';
+import { type RequestSender, WithheldRequest } from './Upstream.js';
 
 const ANSWER_MS = 15;
 const REQUEST_INTERVAL_MS = 50;
@@ -171,6 +171,36 @@
     });
   });
 
+  it('while a retry waits for it makes that retry spend the budget once', async () => {
+    const answering: RequestSender = {
+      send: ({ id }, _connections, _request, observer) => {
+        if (id === 't1') {
+          node.dependencies.pauses.record(id, PAUSE_MS);
+        }
+        const obstacle = observer.findObstacle();
+        clock.schedule(ANSWER_MS, () => {
+          if (obstacle !== undefined) {
+            observer.onError(new WithheldRequest(obstacle));
+            return;
+          }
+          observer.onSendStart();
+          observer.onHead(id === 't0' ? 503 : 200, [
+            ...['Attempt', 'a1'],
+            ...(id === 't0' ? ['Not-Run', '1'] : []),
+          ]);
+          observer.onEnd();
+        });
+        return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+      },
+    };
+    node = new ForwardingFixture({ clock, upstream: answering, budgetAllowance: 1.5 });
+    for (const id of ['t0', 't1', 't2']) {
+      node.addTarget(targetEntry(id, 'app', `${id}:80`));
+    }
+    const [report] = await send(CallKind.Idempotent, REQUEST_INTERVAL_MS);
+    expect(report).toMatchObject({ ending: RequestOutcome.Answered, targets: 't0 t2' });
+  });
+
   describe('in the refusal of a reservation', () => {
     /** More than one engine holds. */
     const PROMPT_TOKENS = 150_000;
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -56,6 +56,8 @@
   private _attempts = 0;
   private _excusedRefusals = 0;
   private _withheld = 0;
+  /** Whether an attempt was admitted of which nothing has been sent yet. */
+  private _isAdmitted = false;
   private _cause: string | undefined;
   private _failure: BufferedAnswer | undefined;
   private readonly _excludedEngines = new Set<string>();
@@ -86,14 +88,7 @@
         this._recordRefusal(placed);
         break;
       }
-      if (
-        !admitAttempt(
-          this._dependencies,
-          this._request,
-          this._triedPlacements.length,
-          this._deliveredAttempts,
-        )
-      ) {
+      if (!this._admitAttempt()) {
         placed.end();
         break;
       }
@@ -106,6 +101,7 @@
         this._recordWithheld(placed, outcome.obstacle);
         continue;
       }
+      this._isAdmitted = false;
       this._execution = combineExecutions(this._execution, outcome.execution);
       this._countAttempt(outcome);
       const report = this._handleOutcome(placed, outcome);
@@ -116,6 +112,14 @@
     return this._finishUnserved();
   }
 
+  /** Admits an attempt; one that was withheld, or lacked memory, need not be admitted again. */
+  private _admitAttempt(): boolean {
+    const selected = this._triedPlacements.length;
+    const delivered = this._deliveredAttempts;
+    this._isAdmitted ||= admitAttempt(this._dependencies, this._request, selected, delivered);
+    return this._isAdmitted;
+  }
+
   /**
    * Runs one attempt, then releases its reservations and removes it from the active requests.
    * Returns undefined if an engine had no memory for its part of the prompt.
--- a/packages/gateway/src/node/paths/RelayServer.ts
+++ b/packages/gateway/src/node/paths/RelayServer.ts
@@ -132,8 +132,7 @@
     this._relayed++;
     socket.on('close', () => this._relayed--);
     const target = await this._connect(address);
-    const lateRefusal =
-      target === undefined ? RelayRefusal.Unreachable : this._findRefusal(address);
+    const lateRefusal = this._findTargetRefusal(address);
     if (target === undefined || lateRefusal !== undefined || socket.destroyed) {
       target?.destroy();
       this._refuse(socket, lateRefusal ?? RelayRefusal.Unreachable, address);
@@ -162,7 +161,7 @@
   }
 
   private _findRefusal(address: string | undefined): RelayRefusal | undefined {
-    const { isDraining, isPaused, isTarget, paths } = this._options;
+    const { isDraining, paths } = this._options;
     if (address === undefined) {
       return RelayRefusal.Malformed;
     }
@@ -175,6 +174,11 @@
     if (paths.isCutOff) {
       return RelayRefusal.CutOff;
     }
+    return this._findTargetRefusal(address);
+  }
+
+  private _findTargetRefusal(address: string): RelayRefusal | undefined {
+    const { isPaused, isTarget } = this._options;
     if (!isTarget(address)) {
       return RelayRefusal.NoTarget;
     }
