Look at the target before the connection when a request is about to be sent

A request on a retired connection was given another connection even if its target may not get it any more, and waited for it. Names and comments as read anew.

--- a/packages/gateway/src/common/placement/SendCheck.ts
+++ b/packages/gateway/src/common/placement/SendCheck.ts
@@ -42,8 +42,8 @@
   readonly rateLimits: RateLimits;
 }
 
-/** What was known, and accepted, when the target was chosen. */
-interface KnownAtChoice {
+/** What was accepted when the target was chosen. */
+interface StateAtChoice {
   readonly wasBlocked: boolean;
   readonly wasSuspect: boolean;
 }
@@ -51,7 +51,7 @@
 type ObstacleCheck = (
   services: SendCheckServices,
   chosen: ChosenTarget,
-  known: KnownAtChoice,
+  atChoice: StateAtChoice,
 ) => boolean;
 
 /** In this order; the last one counts the request if it is new to the rates. */
@@ -69,13 +69,13 @@
 
 /** Checks one request; created when its target is chosen. */
 export class SendCheck {
-  private readonly _known: KnownAtChoice;
+  private readonly _atChoice: StateAtChoice;
 
   constructor(
     private readonly _services: SendCheckServices,
     private readonly _chosen: ChosenTarget,
   ) {
-    this._known = {
+    this._atChoice = {
       wasBlocked: _services.quarantine.hasBlocked(_chosen.causes),
       wasSuspect: _services.health.isSuspect(_chosen.target.id),
     };
@@ -84,7 +84,7 @@
   /** Returns why the request must not be sent now; `undefined` if it may be. */
   public findObstacle(): SendObstacle | undefined {
     return Object.values(SendObstacle).find((obstacle) =>
-      OBSTACLE_CHECKS[obstacle](this._services, this._chosen, this._known),
+      OBSTACLE_CHECKS[obstacle](this._services, this._chosen, this._atChoice),
     );
   }
 }
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -260,14 +260,14 @@
       return;
     }
     // Errors are thrown, since undici closes the connection after an abort.
-    const connection: unknown = this._connection();
-    if (connection instanceof RelayedSocket && connection.isRetired) {
-      throw new RetiredConnection(`${connection.relay} retired the connection to the target`);
-    }
     const obstacle = this._observer.findObstacle();
     if (obstacle !== undefined) {
       throw new WithheldRequest(obstacle);
     }
+    const connection: unknown = this._connection();
+    if (connection instanceof RelayedSocket && connection.isRetired) {
+      throw new RetiredConnection(`${connection.relay} retired the connection to the target`);
+    }
     this._watched = this._pools.watch();
     this._observer.onSendStart();
   }
--- a/packages/gateway/src/node/paths/RelayServer.ts
+++ b/packages/gateway/src/node/paths/RelayServer.ts
@@ -92,7 +92,7 @@
     return this._relayed;
   }
 
-  /** Tells the other nodes to send no further requests to a target on their connections. */
+  /** Retires the connections of other nodes to a target: they carry no further requests. */
   public retire(address: string): void {
     const sockets = this._retirable.get(address);
     if (sockets === undefined) {
--- a/packages/gateway/src/node/paths/RelayedPause.test.ts
+++ b/packages/gateway/src/node/paths/RelayedPause.test.ts
@@ -1,6 +1,6 @@
 /**
  * Targets that ask a node for a pause while it relays connections of other nodes to them, between real
- * sockets. A target knows only the node that relays.
+ * sockets. The target sees the node that relays as the sender.
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import {
--- a/packages/gateway/src/node/paths/TargetConnector.ts
+++ b/packages/gateway/src/node/paths/TargetConnector.ts
@@ -63,7 +63,7 @@
 /** Opens connections for the pools of all targets. */
 export class TargetConnector extends DisposableOwner {
   private readonly _relayed = new Map<RelayedSocket, string>();
-  /** Nodes of earlier releases, which do not retire connections, with their start times. */
+  /** Processes of earlier releases, which do not retire connections: node and start time. */
   private readonly _earlierRelays = new Set<string>();
   private readonly _onRelayEnding = this.register(new Emitter<string>());
   /**
@@ -197,8 +197,8 @@
     socket.on('error', () => undefined);
     const timer = clock.schedule(RELAY_TIMEOUT_MS - (clock.now() - startedAt), giveUp);
     signal.addEventListener('abort', giveUp, { once: true });
-    const release = `${member.name} ${member.startedAt}`;
-    const acceptsRetirement = !this._earlierRelays.has(release);
+    const relay = `${member.name} ${member.startedAt}`;
+    const acceptsRetirement = !this._earlierRelays.has(relay);
     socket.write(encodeRelayRequest({ address, acceptsRetirement }));
     const line = await readLine(socket, MAX_LINE_BYTES);
     timer.dispose();
@@ -210,7 +210,7 @@
     if (!isOpened) {
       socket.destroy();
       if (result === MALFORMED && acceptsRetirement) {
-        this._earlierRelays.add(release);
+        this._earlierRelays.add(relay);
         return this._openThrough(member, address, signal);
       }
       return Result.err(result);
