--- a/packages/gateway/src/node/WaitingRequests.test.ts
+++ b/packages/gateway/src/node/WaitingRequests.test.ts
@@ -13,6 +13,7 @@
 } from './ForwardingHarness.js';
 
 const SERVED = ' 200 ';
+const REFUSED = ' 503 ';
 /** Requests that the target may get after its first statement; the others have another target. */
 const MAX_AFTER_STATEMENT = 2;
 const REQUESTS = 60;
@@ -82,7 +83,12 @@
       ['that it is leaving', 'Leaving: 1'],
     ])('are not sent to a target that stated %s meanwhile', async (_statement, statement) => {
       const answers = await play(service, path, statement);
-      expect(answers.filter((each) => each.includes(SERVED)).length).toBeGreaterThan(0);
+      const served = answers.filter((each) => each.includes(SERVED));
+      const refused = answers.filter((each) => each.includes(REFUSED));
+      const run = harness.received.filter((each) => each.includes('Target: other'));
+      expect(served.length).toBeGreaterThan(0);
+      expect(served.length + refused.length).toBe(REQUESTS);
+      expect(run.length).toBe(served.length);
     });
   });
 });
