Give the links of the in-memory network a bandwidth

Transfers over one link take turns segment by segment; without a bandwidth nothing changes. A response is sent also when its requester has given up, as over a real link.

--- a/packages/fakes/src/common/MemoryNetwork.ts
+++ b/packages/fakes/src/common/MemoryNetwork.ts
@@ -1,6 +1,7 @@
 /**
- * In-memory network between the nodes of one process: requests and datagrams with delay, loss and
- * one-way partitions, and a count of the bytes that each node sends.
+ * In-memory network between the nodes of one process: requests and datagrams with delay, loss,
+ * one-way partitions and the bandwidth of each node's link, and a count of the bytes that each node
+ * sends.
  */
 import {
   type Clock,
@@ -12,6 +13,7 @@
 } from '@tanagerdyke/kernel';
 import type { DatagramHandler, RequestHandler, Transport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
+import { MemoryLink } from './MemoryLink.js';
 
 /** Connects the transports that join it, with the faults that the test sets. */
 export class MemoryNetwork {
@@ -27,9 +29,9 @@
     public readonly random: RandomSource,
   ) {}
 
-  /** Adds a node at `IP:port`. */
-  public join(address: string): MemoryTransport {
-    const transport = new MemoryTransport(this, address);
+  /** Adds a node at `IP:port`, with a link of unlimited bandwidth unless one is given. */
+  public join(address: string, link = new MemoryLink(this.clock)): MemoryTransport {
+    const transport = new MemoryTransport(this, address, link);
     this._nodes.set(address, transport);
     return transport;
   }
@@ -72,6 +74,7 @@
   constructor(
     private readonly _network: MemoryNetwork,
     public readonly address: string,
+    private readonly _link: MemoryLink,
   ) {}
 
   public async request(
@@ -80,26 +83,38 @@
     params: unknown,
     timeoutMs: number,
   ): Promise<Result<unknown, ServiceError>> {
-    const { clock, delayMs } = this._network;
     this.requestsSent++;
-    this.bytesSent += JSON.stringify({ method, params }).length;
-    await clock.sleep(delayMs);
+    const bytes = JSON.stringify({ method, params }).length;
+    this.bytesSent += bytes;
+    const exchange = this._exchange(address, method, copy(params), bytes);
+    return (await this._withTimeout(exchange, timeoutMs)) ?? Result.err(noResponse(address));
+  }
+
+  /** Never resolves without a response. */
+  private async _exchange(
+    address: string,
+    method: string,
+    params: unknown,
+    bytes: number,
+  ): Promise<Result<unknown, ServiceError>> {
+    const { delayMs } = this._network;
+    const link = this._network.find(address)?._link;
+    await (link === undefined ? undefined : this._link.send(link, bytes, delayMs));
     const peer = this._network.find(address);
     const handler = peer?._handlers.get(method);
     const isReachable = !this._network.isCut(this.address, address) && peer?.isFrozen === false;
     if (!isReachable || handler === undefined) {
-      await clock.sleep(timeoutMs);
-      return Result.err(noResponse(address));
+      return never();
     }
-    const response = await this._withTimeout(handler(copy(params)), timeoutMs);
-    if (response === undefined || this._network.isCut(address, this.address)) {
-      return Result.err(noResponse(address));
+    const response = await handler(params);
+    if (this._network.isCut(address, this.address)) {
+      return never();
     }
-    peer.bytesSent += JSON.stringify(
-      response.isOk ? (response.value ?? null) : response.error,
-    ).length;
-    await clock.sleep(delayMs);
-    return response.map(copy);
+    const body = JSON.stringify(response.isOk ? (response.value ?? null) : response.error);
+    peer.bytesSent += body.length;
+    // Also to a requester that has given up.
+    await peer._link.send(this._link, body.length, delayMs);
+    return response.map(() => JSON.parse(body) as unknown);
   }
 
   public handle(method: string, handler: RequestHandler): Disposable {
@@ -108,14 +123,18 @@
   }
 
   public sendDatagram(address: string, payload: string): void {
-    const { clock, delayMs, loss, random } = this._network;
+    const { delayMs, loss, random } = this._network;
     this.bytesSent += payload.length;
     const isLost = this._network.isCut(this.address, address) || random.next() < loss;
     if (isLost || this.isFrozen) {
       return;
     }
-    clock.schedule(delayMs, () => {
-      this._network.find(address)?._receive(payload);
+    const peer = this._network.find(address);
+    if (peer === undefined) {
+      return;
+    }
+    void this._link.send(peer._link, payload.length, delayMs).then(() => {
+      peer._receive(payload);
     });
   }
 
@@ -150,6 +169,10 @@
   }
 }
 
+function never(): Promise<never> {
+  return new Promise(() => undefined);
+}
+
 /** Copies a message by JSON, as a real link does. */
 function copy(value: unknown): unknown {
   return value === undefined ? null : (JSON.parse(JSON.stringify(value)) as unknown);
