--- a/packages/fakes/src/common/MemoryNetwork.ts
+++ b/packages/fakes/src/common/MemoryNetwork.ts
@@ -11,7 +11,7 @@
   ServiceError,
   toDisposable,
 } from '@tanagerdyke/kernel';
-import type { DatagramHandler, RequestHandler, Transport } from '@tanagerdyke/mesh';
+import type { DatagramHandler, LinkTraffic, RequestHandler, Transport } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import { MemoryLink } from './MemoryLink.js';
 
@@ -77,6 +77,10 @@
     private readonly _link: MemoryLink,
   ) {}
 
+  public get traffic(): LinkTraffic {
+    return this._link;
+  }
+
   public async request(
     address: string,
     method: string,
--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -50,6 +50,7 @@
           caughtUp.push(topic);
           return Promise.resolve(connected.has(index));
         },
+        timerDelayMs: () => 0,
         log: new DecisionLog(clock, self.name, () => true),
         metrics: new Metrics(),
       });
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -71,6 +71,8 @@
   readonly hadRecentOutage: () => boolean;
   /** Reads the missing records of a topic from the platform; returns whether it answered. */
   readonly catchUp: (topic: string) => Promise<boolean>;
+  /** Longest recent delay of a timer of this process, in ms. */
+  readonly timerDelayMs: () => number;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
 }
@@ -304,6 +306,10 @@
     const isTooLong =
       length > MAX_RESPONSE_BYTES && this._options.isConnected() && isPlatformLost !== true;
     const { end, hasSnapshot } = table;
+    this._options.log.write('records.sent', {
+      ...{ topic, after, end, bytes: isTooLong ? 0 : length, isTooLong },
+      linkBytesQueued: this._options.transport.traffic.queuedBytes,
+    });
     return Result.ok({
       epoch: table.epoch,
       end,
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -14,6 +14,7 @@
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTopic, RecordDecoder } from '../services/Services.js';
+import { TimerDelay } from '../TimerDelay.js';
 import { ConfigurationState } from './ConfigurationState.js';
 import { type EpochStart, KeyedTable, type RecordSuccession } from './KeyedTable.js';
 import { PeerRelay } from './PeerRelay.js';
@@ -53,6 +54,7 @@
   private readonly _targetRecords: KeyedTable;
   private readonly _followers: readonly TopicFollower[];
   private readonly _relay: PeerRelay;
+  private readonly _timerDelay: TimerDelay;
   private readonly _removalHolds = new Map<KeyedTable, Disposable>();
   private _restoredAt = Number.NEGATIVE_INFINITY;
   private readonly _onRestore = this.register(new Emitter<void>());
@@ -100,6 +102,7 @@
       this._follow(configurationTopic, configurationRecords),
       this._follow(targetTopic, this._targetRecords),
     ];
+    this._timerDelay = this.register(new TimerDelay(clock));
     this._relay = this.register(
       new PeerRelay({
         ..._options,
@@ -107,6 +110,7 @@
         isConnected: () => this._isConnected(),
         hadRecentOutage: () => this._hadRecentOutage(),
         catchUp: (topic) => this._catchUp(topic),
+        timerDelayMs: () => this._timerDelay.recentMs,
       }),
     );
   }
@@ -135,6 +139,11 @@
     return this._options.clock.now() - Math.max(lastResponseAt, this._relay.pollerConnectedAt);
   }
 
+  /** Longest recent delay of a timer of this process, in ms. */
+  public get timerDelayMs(): number {
+    return this._timerDelay.recentMs;
+  }
+
   public start(): void {
     for (const follower of this._followers) {
       follower.start();
--- a/packages/gateway/src/common/state/RecordFetcher.ts
+++ b/packages/gateway/src/common/state/RecordFetcher.ts
@@ -3,7 +3,7 @@
  * a change must be in force within seconds: without a response within a few round trips the next
  * source is asked as well, first the other peers that are ahead, then the platform.
  */
-import { type Clock, DisposableOwner, type Metrics } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type Fields, type Metrics } from '@tanagerdyke/kernel';
 import { Delivery, type Transport } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import { type KeyedTable, UNSTATED_EPOCH } from './KeyedTable.js';
@@ -32,6 +32,8 @@
   readonly transport: Transport;
   /** Reads the missing records of a topic from the platform; returns whether it answered. */
   readonly catchUp: (topic: string) => Promise<boolean>;
+  /** Longest recent delay of a timer of this process, in ms. */
+  readonly timerDelayMs: () => number;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
 }
@@ -143,6 +145,7 @@
     const { table } = state;
     const { epoch, name: topic } = table;
     const after = table.hasSnapshot ? table.end : 0;
+    const describeTransfer = this._startTransfer();
     const response = await transport.request(
       peer,
       RECORDS_METHOD,
@@ -155,9 +158,17 @@
     if (parsed?.success !== true) {
       const cause = response.isErr ? response.error.message : 'malformed response';
       const behindMs = this._behindMs(state);
-      log.write('records.unfetched', { topic, peer, after, cause, behindMs });
+      log.write('records.unfetched', {
+        topic,
+        peer,
+        after,
+        cause,
+        behindMs,
+        ...describeTransfer(),
+      });
       return;
     }
+    const transfer = describeTransfer();
     if (!parsed.data.isTooLong) {
       applyRecords(table, parsed.data);
     }
@@ -176,7 +187,11 @@
       })),
     );
     const behindMs = this._behindMs(state);
-    log.write('records.fetched', { topic, peer, after, epoch, end: parsed.data.end, behindMs });
+    log.write('records.fetched', {
+      ...{ topic, peer, after, epoch, end: parsed.data.end, behindMs },
+      ...{ bytes: encodedBytes(parsed.data), isTooLong: parsed.data.isTooLong },
+      ...transfer,
+    });
   }
 
   private async _catchUp(state: TopicState): Promise<void> {
@@ -189,6 +204,19 @@
     log.write('records.caught-up', { topic, after, end: state.table.end, isAnswered, behindMs });
   }
 
+  /** Returns what the links of this node carried since this call, for the log. */
+  private _startTransfer(): () => Fields {
+    const { clock, timerDelayMs, transport } = this._options;
+    const startedAt = clock.now();
+    const receivedBefore = transport.traffic.receivedBytes;
+    return () => ({
+      tookMs: Math.round(clock.now() - startedAt),
+      linkBytesReceived: transport.traffic.receivedBytes - receivedBefore,
+      linkBytesQueued: transport.traffic.queuedBytes,
+      timerDelayMs: timerDelayMs(),
+    });
+  }
+
   /** Limits the calls to the platform while peers remain ahead. */
   private _mayCatchUp({ caughtUpAt }: TopicState): boolean {
     return this._options.clock.now() - caughtUpAt >= CATCH_UP_INTERVAL_MS;
@@ -205,6 +233,11 @@
   }
 }
 
+/** Bytes of the values, as they were sent. */
+function encodedBytes({ records }: RecordsResponse): number {
+  return records.reduce((sum, [, , value]) => sum + (value?.length ?? 0), 0);
+}
+
 function applyRecords(
   table: KeyedTable,
   { end, epoch, isKnown, records: encoded }: RecordsResponse,
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -12,7 +12,7 @@
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
-import type { KeyedTopic } from '../services/Services.js';
+import type { KeyedRecord, KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 
@@ -46,6 +46,15 @@
   readonly isAppointedPoller: () => boolean;
 }
 
+/** Records that a call to the platform returned. */
+interface ReadSummary {
+  /** End offset of the table before. */
+  readonly after: number;
+  readonly end: number;
+  readonly records: readonly KeyedRecord[];
+  readonly startedAt: number;
+}
+
 /** Keeps a table up to date with a topic, and records when the platform responded or failed. */
 export class TopicFollower extends DisposableOwner {
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
@@ -110,11 +119,15 @@
 
   private async _loadSnapshot(): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
+    const { clock } = this._options;
+    const startedAt = clock.now();
     const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS);
     this._countCall('newest', snapshot.isOk);
     if (snapshot.isErr) {
       return snapshot.error;
     }
+    const { end, records } = snapshot.value;
+    this._logRead('newest', { after: table.end, end, records, startedAt });
     return table.applySnapshot(snapshot.value) ? undefined : restoredError(table.name);
   }
 
@@ -140,12 +153,14 @@
   private async _readRecords(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
     const { end: from, epoch: epochBefore } = table;
+    const startedAt = this._options.clock.now();
     const page = await topic.read(from, waitMs, timeoutMs);
     this._countCall('read', page.isOk);
     if (page.isErr) {
       return page.error;
     }
     const { end, epoch = epochBefore, records } = page.value;
+    this._logRead('read', { after: from, end, records, startedAt });
     if (epoch > table.epoch) {
       return restoredError(table.name);
     }
@@ -157,6 +172,25 @@
     return undefined;
   }
 
+  /** Logs a call that brought records. `tookMs` includes the wait for the first one. */
+  private _logRead(call: string, { after, end, records, startedAt }: ReadSummary): void {
+    const { clock, log, table } = this._options;
+    if (records.length > 0) {
+      const bytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+      const tookMs = Math.round(clock.now() - startedAt);
+      const topic = table.name;
+      log.write('platform.read', {
+        topic,
+        call,
+        after,
+        end,
+        records: records.length,
+        bytes,
+        tookMs,
+      });
+    }
+  }
+
   private _countCall(call: string, isAnswered: boolean): void {
     const outcome = isAnswered ? 'answered' : 'failed';
     this._options.metrics.increment('tanager_platform_calls_total', { call, outcome });
--- a/packages/gateway/src/node/SilentLinks.test.ts
+++ b/packages/gateway/src/node/SilentLinks.test.ts
@@ -4,6 +4,7 @@
 import { type Disposable, Metrics, SeededRandom } from '@tanagerdyke/kernel';
 import {
   type DatagramHandler,
+  type LinkTraffic,
   type Member,
   type RequestHandler,
   SocketTransport,
@@ -30,6 +31,10 @@
     private readonly _isLost: () => boolean,
   ) {}
 
+  public get traffic(): LinkTraffic {
+    return this._inner.traffic;
+  }
+
   public readonly request: Transport['request'] = (...parameters) =>
     this._inner.request(...parameters);
 
@@ -96,6 +101,7 @@
         isConnected: () => index === 0,
         hadRecentOutage: () => false,
         catchUp: () => Promise.resolve(false),
+        timerDelayMs: () => 0,
         log: new DecisionLog(clock, self.name, () => true),
         metrics: new Metrics(),
       });
--- a/packages/mesh/src/common/services/Services.ts
+++ b/packages/mesh/src/common/services/Services.ts
@@ -8,6 +8,14 @@
 
 export type DatagramHandler = (payload: string) => void;
 
+/** What the links of a node carry, in both directions and for all peers. */
+export interface LinkTraffic {
+  /** Bytes received so far. */
+  readonly receivedBytes: number;
+  /** Bytes that wait in the process to be sent. */
+  readonly queuedBytes: number;
+}
+
 /** How often the peer may handle a request. */
 export enum Delivery {
   AtMostOnce = 'at-most-once',
@@ -18,6 +26,7 @@
 /** Requests over persistent links, and datagrams that may be lost. Addresses are `IP:port`. */
 export interface Transport extends Disposable {
   readonly address: string;
+  readonly traffic: LinkTraffic;
   /**
    * Calls a peer, at most once unless stated otherwise. Errors: those of its handler, and
    * `LinkFailed` (the peer may have acted).
--- a/packages/mesh/src/node/PeerLink.ts
+++ b/packages/mesh/src/node/PeerLink.ts
@@ -15,6 +15,7 @@
 import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0';
 import { LinkProbe } from '../common/LinkProbe.js';
 import { readLines } from './LineReader.js';
+import type { SocketTraffic } from './SocketTraffic.js';
 import type { TrafficCounter } from './SocketTransport.js';
 
 /** Time after the time limit of the last request until an idle link is closed. */
@@ -36,6 +37,8 @@
   readonly silenceMs: number;
   /** Number of requests that wait for a response on it. */
   readonly pending: number;
+  /** Bytes of this link that wait in the process to be sent. */
+  readonly queuedBytes: number;
 }
 
 /** JSON-RPC client for one peer address, over one TCP connection. */
@@ -57,12 +60,14 @@
   constructor(
     private readonly _clock: Clock,
     private readonly _address: string,
-    private readonly _traffic: TrafficCounter,
+    private readonly _counter: TrafficCounter,
+    traffic: SocketTraffic,
     onClose: () => void,
   ) {
     super();
     const [host, port] = _address.split(':');
     this._socket = connect({ host, port: Number(port), noDelay: true });
+    traffic.add(this._socket);
     this._lastReceivedAt = _clock.now();
     this._client = new JSONRPCClient((request) => {
       this._write(JSON.stringify(request));
@@ -123,7 +128,7 @@
     if (this.isDisposed) {
       throw new Error(`connection to peer ${this._address} is closed`);
     }
-    this._traffic.count(Buffer.byteLength(line) + 1);
+    this._counter.count(Buffer.byteLength(line) + 1);
     this._socket.write(`${line}\n`);
   }
 
@@ -138,7 +143,12 @@
   private _handleSilence(): void {
     this._isSilent = true;
     const silenceMs = Math.round(this._clock.now() - this._lastReceivedAt);
-    this._onSilent.fire({ address: this._address, silenceMs, pending: this._pending });
+    this._onSilent.fire({
+      address: this._address,
+      silenceMs,
+      pending: this._pending,
+      queuedBytes: this._socket.writableLength,
+    });
     this._closeIfUnused();
   }
 
--- a/packages/mesh/src/node/SocketTransport.ts
+++ b/packages/mesh/src/node/SocketTransport.ts
@@ -19,11 +19,13 @@
 import {
   type DatagramHandler,
   Delivery,
+  type LinkTraffic,
   type RequestHandler,
   type Transport,
 } from '../common/services/Services.js';
 import { type LinkSilence, type PeerCall, PeerLink, PROBE_METHOD } from './PeerLink.js';
 import { readLines } from './LineReader.js';
+import { SocketTraffic } from './SocketTraffic.js';
 
 /**
  * An incoming connection on which nothing arrives for this long is closed; its opener closes a link
@@ -44,6 +46,7 @@
   /** Links that went silent while requests wait for a response. */
   private readonly _silentLinks = new Set<PeerLink>();
   private readonly _datagramHandlers = new Set<DatagramHandler>();
+  private readonly _socketTraffic = new SocketTraffic();
   private _address = '';
   private readonly _onLinkSilent = this.register(new Emitter<LinkSilence>());
   /** Fires when a link went silent and is replaced. */
@@ -53,7 +56,7 @@
     private readonly _clock: Clock,
     private readonly _server: Server,
     private readonly _datagrams: DatagramSocket,
-    private readonly _traffic: TrafficCounter,
+    private readonly _counter: TrafficCounter,
   ) {
     super();
     this.register(toDisposable(() => this._server.close()));
@@ -72,7 +75,7 @@
     clock: Clock,
     host: string,
     port: number,
-    traffic: TrafficCounter,
+    counter: TrafficCounter,
   ): Promise<SocketTransport> {
     const server = createServer();
     await new Promise<void>((resolve, reject) => {
@@ -86,7 +89,7 @@
       datagrams.once('error', reject);
       datagrams.bind(boundPort, host, resolve);
     });
-    const transport = new SocketTransport(clock, server, datagrams, traffic);
+    const transport = new SocketTransport(clock, server, datagrams, counter);
     transport._start(`${host}:${boundPort}`);
     return transport;
   }
@@ -95,6 +98,10 @@
     return this._address;
   }
 
+  public get traffic(): LinkTraffic {
+    return this._socketTraffic;
+  }
+
   public async request(
     address: string,
     method: string,
@@ -132,7 +139,7 @@
     if (this.isDisposed) {
       return;
     }
-    this._traffic.count(Buffer.byteLength(payload));
+    this._counter.count(Buffer.byteLength(payload));
     this._datagrams.send(payload, Number(port), host);
   }
 
@@ -160,6 +167,7 @@
   /** Reads requests from an incoming connection until it closes. */
   private async _serveConnection(socket: Socket): Promise<void> {
     const registration = this.register(toDisposable(() => socket.destroy()));
+    this._socketTraffic.add(socket);
     socket.setNoDelay(true);
     socket.setTimeout(INCOMING_IDLE_TIMEOUT_MS, () => socket.destroy());
     for await (const line of readLines(socket)) {
@@ -175,7 +183,7 @@
       return;
     }
     const responseLine = `${JSON.stringify(response)}\n`;
-    this._traffic.count(Buffer.byteLength(responseLine));
+    this._counter.count(Buffer.byteLength(responseLine));
     socket.write(responseLine);
   }
 
@@ -210,7 +218,7 @@
   }
 
   private _openLink(address: string): PeerLink {
-    const link = new PeerLink(this._clock, address, this._traffic, () => {
+    const link = new PeerLink(this._clock, address, this._counter, this._socketTraffic, () => {
       this._silentLinks.delete(link);
       if (this._links.get(address) === link) {
         this._links.delete(address);
--- a/packages/standins/src/node/faults/FaultyTransport.ts
+++ b/packages/standins/src/node/faults/FaultyTransport.ts
@@ -6,7 +6,13 @@
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
-import type { DatagramHandler, Delivery, RequestHandler, Transport } from '@tanagerdyke/mesh';
+import type {
+  DatagramHandler,
+  Delivery,
+  LinkTraffic,
+  RequestHandler,
+  Transport,
+} from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
 import type { LinkRule, LinkRules } from '../../common/LinkRules.js';
 
@@ -26,6 +32,10 @@
     return this._inner.address;
   }
 
+  public get traffic(): LinkTraffic {
+    return this._inner.traffic;
+  }
+
   public async request(
     address: string,
     method: string,
--- a/packages/standins/src/node/prove/naive/MatchByOrderTransport.ts
+++ b/packages/standins/src/node/prove/naive/MatchByOrderTransport.ts
@@ -1,6 +1,6 @@
 /** A naive transport that matches responses to requests by order alone. Only proof runs use it. */
 import type { Disposable, ServiceError } from '@tanagerdyke/kernel';
-import type { DatagramHandler, RequestHandler, Transport } from '@tanagerdyke/mesh';
+import type { DatagramHandler, LinkTraffic, RequestHandler, Transport } from '@tanagerdyke/mesh';
 import type { Result } from 'true-myth';
 
 type PeerResponse = Result<unknown, ServiceError>;
@@ -15,6 +15,10 @@
     return this._inner.address;
   }
 
+  public get traffic(): LinkTraffic {
+    return this._inner.traffic;
+  }
+
   public request(
     address: string,
     method: string,
