--- /dev/null
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -0,0 +1,97 @@
+/**
+ * An in-memory platform for tests whose answers take the time that the links of the platform and of
+ * the reading node need for them. Not shipped.
+ */
+import type { MemoryLink } from '@tanagerdyke/fakes';
+import { type Clock, ErrorKind, ServiceError } from '@tanagerdyke/kernel';
+import { Result } from 'true-myth';
+import type { KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic } from '../services/Services.js';
+
+const POLL_STEP_MS = 10;
+const MAX_PAGE_BYTES = 1_024 * 1_024;
+const HEADER_BYTES = 200;
+/** Snapshots are encoded as base64. */
+const SNAPSHOT_EXPANSION = 4 / 3;
+
+/** One keyed topic. */
+export class LinkedStore {
+  /** Time until an answer begins. */
+  public callMs = 4;
+  public bytesRead = 0;
+  private readonly _records: KeyedRecord[] = [];
+
+  constructor(
+    private readonly _clock: Clock,
+    private readonly _name: string,
+    private readonly _link: MemoryLink,
+  ) {}
+
+  public write(key: string, value: Buffer): void {
+    this._records.push({ key, offset: this._records.length, value });
+  }
+
+  /** The topic as a node at `link` reads it; it gets no answers while `isRefused`. */
+  public topicFor(link: MemoryLink, isRefused: () => boolean): KeyedTopic {
+    return {
+      name: this._name,
+      readSnapshot: (timeoutMs) =>
+        this._call(link, isRefused, timeoutMs, SNAPSHOT_EXPANSION, () => this._snapshot()),
+      read: async (from, waitMs, timeoutMs) => {
+        const startedAt = this._clock.now();
+        while (this._clock.now() - startedAt < waitMs && this._records.length === from) {
+          await this._clock.sleep(POLL_STEP_MS);
+        }
+        const leftMs = timeoutMs - (this._clock.now() - startedAt);
+        return this._call(link, isRefused, leftMs, 1, () => this._page(from));
+      },
+    };
+  }
+
+  private _snapshot(): KeyedSnapshot {
+    const newest = new Map(this._records.map((each) => [each.key, each]));
+    return { epoch: undefined, records: [...newest.values()], end: this._records.length };
+  }
+
+  private _page(from: number): KeyedPage {
+    const records: KeyedRecord[] = [];
+    for (const record of this._records.slice(from)) {
+      if (records.length > 0 && bytesOf([...records, record]) > MAX_PAGE_BYTES) {
+        break;
+      }
+      records.push(record);
+    }
+    return { epoch: undefined, records, end: from + records.length };
+  }
+
+  private async _call<T extends KeyedPage | KeyedSnapshot>(
+    link: MemoryLink,
+    isRefused: () => boolean,
+    timeoutMs: number,
+    expansion: number,
+    answer: () => T,
+  ): Promise<Result<T, ServiceError>> {
+    const limit = this._clock.sleep(timeoutMs);
+    const transfer = async (): Promise<T | undefined> => {
+      await this._clock.sleep(this.callMs);
+      if (isRefused()) {
+        await limit;
+        return undefined;
+      }
+      const value = answer();
+      const bytes = HEADER_BYTES + bytesOf(value.records) * expansion;
+      this.bytesRead += bytes;
+      await this._link.send(link, bytes, 0);
+      return value;
+    };
+    const value = await Promise.race([transfer(), limit]);
+    return value === undefined ? Result.err(unavailable()) : Result.ok(value);
+  }
+}
+
+function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
+
+function unavailable(): ServiceError {
+  return new ServiceError(ErrorKind.PlatformUnavailable, 'no answer', { remedy: 'none' });
+}
