Wait for an answer of the store as long as it goes on arriving

Cause, one of three: a read of the store had one limit, 800 ms for all of the answer. A configuration of 0.4 MB takes 0.35 s on a free link of the smallest hosts, so two of them, or copies of peers beside one, exceed it; the read is thrown away half received, the platform counts as lost, and the same bytes are asked for again.

Reservations on engines keep one limit for all. Polls on a silent connection are replaced as before.

--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -37,8 +37,9 @@
 }
 
 /**
- * A topic of the platform's log whose records replace earlier ones of the same key. Errors:
- * `PlatformUnavailable`, `RecordsExpired`.
+ * A topic of the platform's log whose records replace earlier ones of the same key. `timeoutMs` is
+ * the time until an answer begins; one that has begun is received as long as it goes on arriving.
+ * Errors: `PlatformUnavailable`, `RecordsExpired`.
  */
 export interface KeyedTopic {
   readonly name: string;
--- a/packages/gateway/src/common/state/LinkedStore.ts
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -9,6 +9,8 @@
 
 const POLL_STEP_MS = 10;
 const MAX_PAGE_BYTES = 1_024 * 1_024;
+/** Time without a part of an answer that has begun, after which it is given up. */
+const STALL_TIMEOUT_MS = 800;
 const HEADER_BYTES = 200;
 /** Snapshots are encoded as base64. */
 const SNAPSHOT_EXPANSION = 4 / 3;
@@ -70,7 +72,17 @@
     expansion: number,
     answer: () => T,
   ): Promise<Result<T, ServiceError>> {
-    const limit = this._clock.sleep(timeoutMs);
+    let dueAt = this._clock.now() + timeoutMs;
+    const onProgress = (): void => {
+      dueAt = this._clock.now() + STALL_TIMEOUT_MS;
+    };
+    const waitUntilDue = async (): Promise<undefined> => {
+      while (this._clock.now() < dueAt) {
+        await this._clock.sleep(dueAt - this._clock.now());
+      }
+      return undefined;
+    };
+    const limit = waitUntilDue();
     const transfer = async (): Promise<T | undefined> => {
       await this._clock.sleep(this.callMs);
       if (isRefused()) {
@@ -80,7 +92,7 @@
       const value = answer();
       const bytes = HEADER_BYTES + bytesOf(value.records) * expansion;
       this.bytesRead += bytes;
-      await this._link.send(link, bytes, 0);
+      await this._link.send(link, bytes, 0, onProgress);
       return value;
     };
     const value = await Promise.race([transfer(), limit]);
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -18,6 +18,8 @@
   public readonly name = 'topic';
   public mode = Mode.Responds;
   public calls = 0;
+  /** Time limit of each snapshot that was read. */
+  public readonly snapshotTimeouts: number[] = [];
   private readonly _log: KeyedRecord[] = [];
   private _first = 0;
   private _polls = 0;
@@ -41,6 +43,7 @@
   }
 
   public async readSnapshot(timeoutMs: number): Promise<Result<KeyedSnapshot, ServiceError>> {
+    this.snapshotTimeouts.push(timeoutMs);
     const failure = await this._simulateCall(timeoutMs);
     if (failure !== undefined) {
       return Result.err(failure);
@@ -183,6 +186,13 @@
   });
 
   describe('when the platform does not respond', () => {
+    it('waits longer for a snapshot after each failure, up to a limit', async () => {
+      topic.mode = Mode.TimesOut;
+      start();
+      await clock.advance(20_000);
+      expect(topic.snapshotTimeouts.slice(0, 5)).toEqual([800, 1_600, 3_200, 3_200, 3_200]);
+    });
+
     it('delays the start by no more than the timeout of a call', async () => {
       topic.write('a', '1');
       topic.mode = Mode.TimesOut;
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -16,7 +16,7 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 
-/** Snapshots usually arrive within a few ms; a lost call must not delay the start of a node. */
+/** Snapshots usually begin within a few ms; a lost call must not delay the start of a node. */
 const SNAPSHOT_TIMEOUT_MS = 800;
 /** Long, to keep calls few, but a silent connection must be replaced within 2.5 s. */
 const POLL_WAIT_MS = 1_200;
@@ -32,6 +32,8 @@
  */
 const POLLING_CHECK_INTERVAL_MS = 500;
 const READ_TIMEOUT_MS = 800;
+/** Failed calls in a row after which the time limit of a snapshot is not raised any more. */
+const MAX_TIMEOUT_DOUBLINGS = 2;
 
 export interface TopicFollowerOptions {
   readonly clock: Clock;
@@ -121,7 +123,9 @@
     const { table, topic } = this._options;
     const { clock } = this._options;
     const startedAt = clock.now();
-    const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS);
+    // An answer that is slow to begin for many nodes at once must not be asked for again and again.
+    const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
+    const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS * 2 ** doublings);
     this._countCall('newest', snapshot.isOk);
     if (snapshot.isErr) {
       return snapshot.error;
@@ -176,7 +180,7 @@
   private _logRead(call: string, { after, end, records, startedAt }: ReadSummary): void {
     const { clock, log, table } = this._options;
     if (records.length > 0) {
-      const bytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+      const bytes = bytesOf(records);
       const tookMs = Math.round(clock.now() - startedAt);
       const topic = table.name;
       log.write('platform.read', {
@@ -216,6 +220,10 @@
   }
 }
 
+function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+}
+
 function retryDelayMs(failures: number, maxDelayMs: number, random: RandomSource): number {
   const delayMs = Math.min(maxDelayMs, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
   return delayMs * (0.5 + random.next() / 2);
