Read the newest records of a topic instead of each superseded one

Cause, two of three: a node that polls read each version between its own and the newest one, in pages of 1,024 KB.

Change: a page is 64 KB, at least one record, and states the end of the log. If the records after it have more bytes than the newest record of each key, these are read next. The topic of the targets, with many short records, is read on as before.

The new test failed before: 20 versions, one a page, all 20 read.

--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -34,6 +34,8 @@
   readonly records: readonly KeyedRecord[];
   /** Offset to continue reading from. */
   readonly end: number;
+  /** End of the log when it was read; after `end` if more records follow. */
+  readonly logEnd: number;
 }
 
 /**
--- a/packages/gateway/src/common/state/LinkedStore.ts
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -8,7 +8,7 @@
 import type { KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic } from '../services/Services.js';
 
 const POLL_STEP_MS = 10;
-const MAX_PAGE_BYTES = 1_024 * 1_024;
+const MAX_PAGE_BYTES = 64 * 1_024;
 /** Time without a part of an answer that has begun, after which it is given up. */
 const STALL_TIMEOUT_MS = 800;
 const HEADER_BYTES = 200;
@@ -62,7 +62,7 @@
       }
       records.push(record);
     }
-    return { epoch: undefined, records, end: from + records.length };
+    return { epoch: undefined, records, end: from + records.length, logEnd: this._records.length };
   }
 
   private async _call<T extends KeyedPage | KeyedSnapshot>(
--- a/packages/gateway/src/common/state/RestoredLog.ts
+++ b/packages/gateway/src/common/state/RestoredLog.ts
@@ -83,7 +83,8 @@
       return Result.err(errorOf(ErrorKind.RecordsExpired));
     }
     const records = this._records.slice(from);
-    return Result.ok({ epoch: this._statedEpoch, records, end: this._records.length });
+    const end = this._records.length;
+    return Result.ok({ epoch: this._statedEpoch, records, end, logEnd: end });
   }
 
   private get _statedEpoch(): number | undefined {
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -20,6 +20,9 @@
   public calls = 0;
   /** Time limit of each snapshot that was read. */
   public readonly snapshotTimeouts: number[] = [];
+  /** Records in a page. */
+  public pageLength = Number.POSITIVE_INFINITY;
+  public recordsRead = 0;
   private readonly _log: KeyedRecord[] = [];
   private _first = 0;
   private _polls = 0;
@@ -75,7 +78,10 @@
       await this._clock.sleep(startedAt + timeoutMs - this._clock.now());
       return Result.err(errorOf(ErrorKind.PlatformUnavailable));
     }
-    return Result.ok({ epoch: undefined, records: this._log.slice(from), end: this._log.length });
+    const records = this._log.slice(from, from + this.pageLength);
+    this.recordsRead += records.length;
+    const end = from + records.length;
+    return Result.ok({ epoch: undefined, records, end, logEnd: this._log.length });
   }
 
   private async _simulateCall(timeoutMs: number): Promise<ServiceError | undefined> {
@@ -141,6 +147,34 @@
     expect(table.records).toHaveLength(2);
   });
 
+  describe('when the records that follow a page are longer than the newest of each key', () => {
+    const VERSIONS = 20;
+
+    beforeEach(async () => {
+      topic.write('other', 'short');
+      topic.write('a', '0');
+      start();
+      await clock.advance(50);
+      topic.pageLength = 1;
+      for (let version = 1; version <= VERSIONS; version++) {
+        topic.write('a', String(version).repeat(1_000));
+      }
+      await clock.advance(100);
+    });
+
+    it('reads the newest of each key, not each record', () => {
+      expect(table.find('a')?.value?.toString()).toBe(String(VERSIONS).repeat(1_000));
+      expect(topic.recordsRead).toBeLessThan(VERSIONS / 4);
+    });
+
+    it('goes on with the records after them', async () => {
+      topic.write('a', 'next');
+      await clock.advance(100);
+      expect(table.find('a')?.value?.toString()).toBe('next');
+      expect(table.find('other')?.value?.toString()).toBe('short');
+    });
+  });
+
   describe('when the node should not poll', () => {
     it('loads a snapshot at the start and makes no further calls', async () => {
       shouldPoll = false;
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -12,7 +12,7 @@
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
-import type { KeyedRecord, KeyedTopic } from '../services/Services.js';
+import type { KeyedPage, KeyedRecord, KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 
@@ -34,6 +34,8 @@
 const READ_TIMEOUT_MS = 800;
 /** Failed calls in a row after which the time limit of a snapshot is not raised any more. */
 const MAX_TIMEOUT_DOUBLINGS = 2;
+/** Bytes of a snapshot for each byte of its values. */
+const SNAPSHOT_EXPANSION = 4 / 3;
 
 export interface TopicFollowerOptions {
   readonly clock: Clock;
@@ -62,6 +64,8 @@
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
+  /** Whether the newest records are shorter than those that were not read yet. */
+  private _isFarBehind = false;
   /** Calls in a row that failed since the platform no longer holds the records. */
   private _expirations = 0;
 
@@ -100,7 +104,7 @@
       const error = needsSnapshot ? await this._loadSnapshot() : await this._poll();
       if (error === undefined) {
         this._recordSuccess();
-        needsSnapshot = false;
+        needsSnapshot = this._isFarBehind;
         continue;
       }
       if (error.kind === ErrorKind.RecordsExpired) {
@@ -126,6 +130,7 @@
     // An answer that is slow to begin for many nodes at once must not be asked for again and again.
     const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
     const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS * 2 ** doublings);
+    this._isFarBehind = false;
     this._countCall('newest', snapshot.isOk);
     if (snapshot.isErr) {
       return snapshot.error;
@@ -141,7 +146,7 @@
    */
   public async catchUp(): Promise<boolean> {
     let error = await this._readRecords(0, READ_TIMEOUT_MS);
-    if (error?.kind === ErrorKind.RecordsExpired) {
+    if (error?.kind === ErrorKind.RecordsExpired || this._isFarBehind) {
       error = await this._loadSnapshot();
     }
     if (error !== undefined && error.kind !== ErrorKind.RecordsExpired) {
@@ -172,10 +177,17 @@
     // Otherwise the records begin at an offset of another epoch.
     if (epoch === epochBefore) {
       table.apply(records, end, epoch);
+      this._isFarBehind = this._isSnapshotShorter(page.value);
     }
     return undefined;
   }
 
+  /** Whether a snapshot has fewer bytes than the records after a page, if they are as long. */
+  private _isSnapshotShorter({ end, logEnd, records }: KeyedPage): boolean {
+    const bytesAfter = (bytesOf(records) / records.length) * (logEnd - end);
+    return bytesAfter > bytesOf(this._options.table.records) * SNAPSHOT_EXPANSION;
+  }
+
   /** Logs a call that brought records. `tookMs` includes the wait for the first one. */
   private _logRead(call: string, { after, end, records, startedAt }: ReadSummary): void {
     const { clock, log, table } = this._options;
