Send long records in pieces, to few peers at once, and one copy at a time

Cause: a copy of the configuration was one response of up to 0.5 MB, base64, to each peer that asked, however many asked, and limits of time (250 ms for a link, 300 ms for the next source, 1,000 ms for a response) decided that it was late. Each expiry asked for the same bytes again, from another source, over the same link. Evidence, with the new log lines: a relay has 3.0 MB of copies queued, 2.7 s of its link; from then on it receives 1.1 MB a second, all its link carries, and no copy ends for 10 s. Timers are 0 to 1 ms late. The class: a limit of time that takes no account of size, and whose expiry repeats the load.

Change: pieces of 16 KB of a compressed copy; the next source continues the copy that was begun; four receivers for each sender, and refusals that name peers which have all. Nodes of earlier releases get what they got, whole copies at most every 500 ms.

The case of PeerRelay.test that expected a read of the platform for a long record now expects the record from the peer in the same time; the earlier release's side of both is tested beside it.

--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -16,6 +16,12 @@
 
 const LONG_VALUE_BYTES = 200_000;
 
+/** Text that does not compress well. */
+function randomText(length: number): string {
+  const random = new SeededRandom(1);
+  return Buffer.from(Array.from({ length }, () => random.integer(94) + 33)).toString('latin1');
+}
+
 describe('PeerRelay', () => {
   let clock: ManualClock;
   let network: MemoryNetwork;
@@ -188,14 +194,100 @@
   });
 
   describe('a record longer than the response limit', () => {
-    it('is read from the platform when the peer is connected to the platform', async () => {
+    it('is fetched from the peer within 300 ms when both are connected to the platform', async () => {
+      connected = new Set([0, 1]);
       create(2);
       nodes.forEach(({ table }) => {
         table.applySnapshot({ epoch: undefined, records: [], end: 0 });
       });
-      receiveFromPlatform(0, 'a', 'x'.repeat(LONG_VALUE_BYTES));
+      receiveFromPlatform(0, 'a', randomText(LONG_VALUE_BYTES));
       await clock.advance(300);
-      expect(nodes[1]?.caughtUp).toContain('topic');
+      expect(valueAt(1, 'a')).toHaveLength(LONG_VALUE_BYTES);
+      expect(nodes[1]?.caughtUp).toEqual([]);
+    });
+
+    it('is continued by the next peer when one stops in the middle of it', async () => {
+      create(3);
+      nodes.forEach(({ table }) => {
+        table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+      });
+      const value = randomText(LONG_VALUE_BYTES);
+      network.delayMs = 10;
+      network.cut('127.0.0.1:2', '127.0.0.1:3');
+      receiveFromPlatform(0, 'a', value);
+      receiveFromPlatform(1, 'a', value);
+      // The last node has some of the twelve pieces of the first one, and asks the second one next.
+      await clock.advance(150);
+      network.heal();
+      network.cut('127.0.0.1:3', '127.0.0.1:1');
+      const bytesBefore = network.find('127.0.0.1:2')?.bytesSent ?? 0;
+      await clock.advance(1_200);
+      expect(valueAt(2, 'a')).toHaveLength(LONG_VALUE_BYTES);
+      const bytes = (network.find('127.0.0.1:2')?.bytesSent ?? 0) - bytesBefore;
+      expect(bytes).toBeLessThan(LONG_VALUE_BYTES);
+    });
+
+    describe('at a peer of a release without pieces', () => {
+      const EARLIER_PEER = '127.0.0.1:99';
+      const value = 'x'.repeat(LONG_VALUE_BYTES);
+
+      beforeEach(async () => {
+        connected = new Set();
+        create(1);
+        nodes[0]?.table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+        const peer = network.join(EARLIER_PEER);
+        peer.handle('gateway.records', (params) => {
+          const { isPlatformLost: isWhole } = params as { isPlatformLost: boolean };
+          const records = isWhole ? [['a', 0, Buffer.from(value).toString('base64')]] : [];
+          return Promise.resolve(
+            Result.ok({ end: 1, epoch: 0, isKnown: true, isTooLong: !isWhole, records }),
+          );
+        });
+        const progress = { from: EARLIER_PEER, inTouch: true, isDirect: true, unsettled: false };
+        const params = { ...progress, ends: [['topic', 1]], epochs: [[0, '']] };
+        peer.sendDatagram('127.0.0.1:1', encodeNotification('gateway.progress', params));
+        await clock.advance(300);
+      });
+
+      it('is read from the platform, and from the peer if the platform does not answer', () => {
+        expect(nodes[0]?.caughtUp).toEqual(['topic']);
+        expect(valueAt(0, 'a')).toBe(value);
+      });
+    });
+
+    describe('in the request of a release without pieces', () => {
+      const EARLIER_PEER = '127.0.0.1:99';
+
+      beforeEach(() => {
+        create(1);
+        nodes[0]?.table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+        receiveFromPlatform(0, 'a', randomText(LONG_VALUE_BYTES));
+      });
+
+      async function request(isPlatformLost: boolean): Promise<unknown> {
+        const params = { topic: 'topic', after: 0, epoch: 0, isPlatformLost };
+        const response = network
+          .find(EARLIER_PEER)
+          ?.request('127.0.0.1:1', 'gateway.records', params, 1_000);
+        await clock.advance(100);
+        return (await response)?.unwrapOr(undefined);
+      }
+
+      it('is left out, so that the node reads the platform', async () => {
+        network.join(EARLIER_PEER);
+        expect(await request(false)).toMatchObject({ isTooLong: true, records: [] });
+      });
+
+      it('is sent whole to a node without the platform, twice a second', async () => {
+        network.join(EARLIER_PEER);
+        const responses = [];
+        for (let asked = 0; asked < 10; asked++) {
+          responses.push(await request(true));
+        }
+        const whole = responses.filter((each) => !(each as { isTooLong: boolean }).isTooLong);
+        expect(whole).toHaveLength(2);
+        expect(whole[0]).toMatchObject({ records: [['a', 0, expect.any(String)]] });
+      });
     });
 
     it('is fetched from the peer when the platform refuses only the node that lacks it', async () => {
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -10,6 +10,7 @@
   type Disposable,
   DisposableOwner,
   ErrorKind,
+  type Fields,
   type Metrics,
   type RandomSource,
   ServiceError,
@@ -24,16 +25,18 @@
   type Transport,
 } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
-import type * as z from 'zod';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
 import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
 import { RecordFetcher } from './RecordFetcher.js';
+import { PIECE_BYTES, RecordSender } from './RecordSender.js';
 import {
-  encodeValue,
+  encodeRecord,
   parseProgress,
+  type PieceResponse,
   PROGRESS_METHOD,
   RECORDS_METHOD,
+  type RecordsRequest,
   recordsRequestSchema,
 } from './RelayMessages.js';
 
@@ -52,10 +55,14 @@
 /** How long a peer's report of an outage is valid; senders repeat it while the outage lasts. */
 const OUTAGE_REPORT_TTL_MS = 1_200;
 /**
- * A longer response would occupy the link of a small host for too long; the platform has more
- * bandwidth.
+ * For nodes of earlier releases, which take no pieces: a longer response would occupy the link of a
+ * small host for too long; the platform has more bandwidth.
  */
 const MAX_RESPONSE_BYTES = 100_000;
+/** Shortest time between two longer responses to nodes that the platform does not answer. */
+const WHOLE_COPY_INTERVAL_MS = 500;
+/** Base64 characters for each byte of a value. */
+const TEXT_EXPANSION = 4 / 3;
 /** Time after a change at which dependents are notified again, since datagrams get lost. */
 const REPEATED_NOTICE_DELAY_MS = 150;
 
@@ -80,6 +87,8 @@
 /** Sends this node's end offsets to peers and exchanges missing records with them. */
 export class PeerRelay extends DisposableOwner {
   private readonly _fetcher: RecordFetcher;
+  private readonly _senders: ReadonlyMap<KeyedTable, RecordSender>;
+  private _wholeCopySentAt = Number.NEGATIVE_INFINITY;
   private _repeatedNotice: Disposable | undefined;
   private _pollerConnectedAt: number;
   /** When a poller itself last reported that it is connected. */
@@ -98,6 +107,7 @@
     );
     this._pollerConnectedAt = clock.now();
     this._fetcher = this.register(new RecordFetcher(_options));
+    this._senders = new Map(tables.map((table) => [table, new RecordSender(clock, table)]));
     this.register(
       toDisposable(() => {
         this._repeatedNotice?.dispose();
@@ -280,12 +290,8 @@
     }
   }
 
-  private _respond({
-    after,
-    epoch,
-    isPlatformLost,
-    topic,
-  }: z.infer<typeof recordsRequestSchema>): Result<unknown, ServiceError> {
+  private _respond(request: RecordsRequest): Result<unknown, ServiceError> {
+    const { after, epoch, topic } = request;
     const table = this._options.tables.find(({ name }) => name === topic);
     if (table === undefined) {
       return Result.err(
@@ -295,28 +301,60 @@
       );
     }
     const isSameEpoch = epoch === undefined || epoch === table.epoch;
-    const records = table
-      .recordsFrom(isSameEpoch ? after : 0)
-      .map(({ key, offset, value }) => [key, offset, encodeValue(value)] as const);
-    const earlier = table.earlierRecords.map(
-      (each) => [each.key, each.epoch, each.offset, encodeValue(each.value)] as const,
-    );
-    const length = records.reduce((sum, [, , value]) => sum + (value?.length ?? 0), 0);
-    // While the platform is unreachable, a peer is the only source of the records.
-    const isTooLong =
-      length > MAX_RESPONSE_BYTES && this._options.isConnected() && isPlatformLost !== true;
-    const { end, hasSnapshot } = table;
-    this._options.log.write('records.sent', {
-      ...{ topic, after, end, bytes: isTooLong ? 0 : length, isTooLong },
-      linkBytesQueued: this._options.transport.traffic.queuedBytes,
-    });
+    const records = table.recordsFrom(isSameEpoch ? after : 0);
+    const bytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+    const textBytes = Math.ceil(bytes * TEXT_EXPANSION);
+    const position = { epoch: table.epoch, end: table.end, isKnown: table.hasSnapshot };
+    const { from, piece } = request;
+    const isContinued = piece?.digest !== undefined;
+    if (from !== undefined && piece !== undefined && (isContinued || textBytes > PIECE_BYTES)) {
+      const response = this._senders.get(table)?.respond(from, isSameEpoch ? after : 0, piece);
+      this._logPiece(request, response);
+      return Result.ok({ ...position, isTooLong: false, records: [], ...response });
+    }
+    const isTooLong = textBytes > MAX_RESPONSE_BYTES && !this._admitsWholeCopy(request);
+    this._logSent(request, { bytes: isTooLong ? 0 : textBytes, isTooLong });
     return Result.ok({
-      epoch: table.epoch,
-      end,
-      isKnown: hasSnapshot,
+      ...position,
       isTooLong,
-      records: isTooLong ? [] : records,
-      earlier,
+      records: isTooLong ? [] : records.map(encodeRecord),
+      earlier: table.earlierRecords.map((each) => {
+        const [key, offset, value] = encodeRecord(each);
+        return [key, each.epoch, offset, value] as const;
+      }),
+    });
+  }
+
+  /** While the platform is unreachable for a node, a peer is its only source of the records. */
+  private _admitsWholeCopy({ isPlatformLost }: RecordsRequest): boolean {
+    const { clock, isConnected } = this._options;
+    const isOnlySource = isPlatformLost === true || !isConnected();
+    if (!isOnlySource || clock.now() - this._wholeCopySentAt < WHOLE_COPY_INTERVAL_MS) {
+      return false;
+    }
+    this._wholeCopySentAt = clock.now();
+    return true;
+  }
+
+  /** Logs the first piece of a copy and refusals. */
+  private _logPiece(request: RecordsRequest, response: PieceResponse | undefined): void {
+    if (response?.busy !== undefined) {
+      const { from, topic } = request;
+      const sources = response.busy.sources.length;
+      this._options.log.write('records.refused', { topic, peer: from, sources });
+    } else if (response?.piece?.start === 0) {
+      this._logSent(request, { bytes: response.piece.total, isTooLong: false });
+    }
+  }
+
+  private _logSent({ after, from, topic }: RecordsRequest, fields: Fields): void {
+    const linkBytesQueued = this._options.transport.traffic.queuedBytes;
+    this._options.log.write('records.sent', {
+      topic,
+      peer: from,
+      after,
+      ...fields,
+      linkBytesQueued,
     });
   }
 }
--- a/packages/gateway/src/common/state/RelayMessages.ts
+++ b/packages/gateway/src/common/state/RelayMessages.ts
@@ -26,6 +26,22 @@
 
 export const parseProgress = notificationParser(PROGRESS_METHOD, schemaReader(progressSchema));
 
+const pieceRequestSchema = z.object({
+  /** The copy that the requester has the begin of; it has none without. */
+  digest: z.string().optional(),
+  /** Offset of the piece in the encoded copy. The end of the copy confirms that all has arrived. */
+  start: z.number().int().nonnegative(),
+});
+
+const pieceSchema = z.object({
+  digest: z.string(),
+  start: z.number().int().nonnegative(),
+  /** Length of the encoded copy. */
+  total: z.number().int().positive(),
+  /** Base64. */
+  data: z.string(),
+});
+
 export const recordsRequestSchema = z.object({
   topic: z.string(),
   after: z.number().int(),
@@ -33,6 +49,10 @@
   epoch: z.number().int().optional(),
   /** Whether the platform does not answer the requester, so that the size is not limited. */
   isPlatformLost: z.boolean().optional(),
+  /** Peer address of the requester. */
+  from: z.string().optional(),
+  /** The piece to send when the records are long; nodes of earlier releases ask for all at once. */
+  piece: pieceRequestSchema.optional(),
 });
 
 export const recordsResponseSchema = z.object({
@@ -49,6 +69,12 @@
   earlier: z
     .array(z.tuple([z.string(), z.number().int(), z.number().int(), z.string().nullable()]))
     .default([]),
+  /** A piece of an encoded copy, which has all records, in place of `records` and `earlier`. */
+  piece: pieceSchema.optional(),
+  /** The sender serves as many peers as it can; `sources` have the records up to `end`. */
+  busy: z
+    .object({ sources: z.array(z.string()), epoch: z.number().int(), end: z.number().int() })
+    .optional(),
 });
 
 /** How far a peer is with a topic. */
@@ -59,7 +85,12 @@
   readonly earlierDigest: string;
 }
 
+export type RecordsRequest = z.infer<typeof recordsRequestSchema>;
 export type RecordsResponse = z.infer<typeof recordsResponseSchema>;
+export type PieceRequest = z.infer<typeof pieceRequestSchema>;
+export type Piece = z.infer<typeof pieceSchema>;
+/** A piece, or the refusal to send one. */
+export type PieceResponse = Pick<RecordsResponse, 'piece' | 'busy'>;
 
 /** Whether a peer has records of a topic that the table lacks. */
 export function isBehind(table: KeyedTable, { earlierDigest, end, epoch }: TopicProgress): boolean {
@@ -69,8 +100,12 @@
   return end > table.end || (earlierDigest !== '' && earlierDigest !== table.earlierDigest);
 }
 
-export function encodeValue(value: Buffer | undefined): string | null {
-  return value?.toString('base64') ?? null;
+export function encodeRecord({
+  key,
+  offset,
+  value,
+}: KeyedRecord): readonly [key: string, offset: number, value: string | null] {
+  return [key, offset, value?.toString('base64') ?? null];
 }
 
 export function decodeRecord(key: string, offset: number, value: string | null): KeyedRecord {
