--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -107,7 +107,10 @@
     );
     this._pollerConnectedAt = clock.now();
     this._fetcher = this.register(new RecordFetcher(_options));
-    this._senders = new Map(tables.map((table) => [table, new RecordSender(clock, table)]));
+    const queuedBytes = (): number => transport.traffic.queuedBytes;
+    this._senders = new Map(
+      tables.map((table) => [table, new RecordSender(clock, table, queuedBytes)]),
+    );
     this.register(
       toDisposable(() => {
         this._repeatedNotice?.dispose();
--- a/packages/gateway/src/common/state/RecordSender.test.ts
+++ b/packages/gateway/src/common/state/RecordSender.test.ts
@@ -6,22 +6,29 @@
 import type { Piece, PieceResponse } from './RelayMessages.js';
 
 const VALUE_BYTES = 100_000;
-const MAX_RECEIVERS = 4;
+const MIN_RECEIVERS = 2;
+const MAX_RECEIVERS = 8;
 
 describe('RecordSender', () => {
   const random = new SeededRandom(1);
   let clock: ManualClock;
   let table: KeyedTable;
   let sender: RecordSender;
+  let queuedBytes: number;
 
   beforeEach(() => {
     clock = new ManualClock();
     table = new KeyedTable('topic');
     table.applySnapshot({ epoch: 1, records: [], end: 0 });
     write();
-    sender = new RecordSender(clock, table);
+    queuedBytes = 0;
+    sender = createSender();
   });
 
+  function createSender(): RecordSender {
+    return new RecordSender(clock, table, () => queuedBytes);
+  }
+
   /** Writes the next record, of bytes that do not compress. */
   function write(): void {
     const value = Buffer.from(Array.from({ length: VALUE_BYTES }, () => random.integer(256)));
@@ -68,7 +75,7 @@
 
   it('continues a copy that another sender began', () => {
     const { digest } = pieceOf(begin('p'));
-    const other = new RecordSender(clock, table);
+    const other = createSender();
     const piece = pieceOf(other.respond('p', 0, { digest, start: PIECE_BYTES }));
     expect(piece).toMatchObject({ digest, start: PIECE_BYTES });
   });
@@ -84,9 +91,17 @@
     expect(piece.digest).not.toBe(digest);
   });
 
-  describe('with as many receivers as it serves', () => {
+  it('serves more receivers while nothing waits to be sent', () => {
+    for (let index = 0; index < MAX_RECEIVERS; index++) {
+      expect(begin(`p${index}`).piece).toBeDefined();
+    }
+    expect(begin('late').busy).toBeDefined();
+  });
+
+  describe('with as many receivers as it serves while bytes wait to be sent', () => {
     beforeEach(() => {
-      for (let index = 0; index < MAX_RECEIVERS; index++) {
+      queuedBytes = 1;
+      for (let index = 0; index < MIN_RECEIVERS; index++) {
         begin(`p${index}`);
       }
     });
--- a/packages/gateway/src/common/state/RecordSender.ts
+++ b/packages/gateway/src/common/state/RecordSender.ts
@@ -11,8 +11,10 @@
 
 /** 13 ms of a link of 14 Mbit/s, with its encoding. */
 export const PIECE_BYTES = 16 * 1024;
-/** Peers that receive pieces at the same time. */
-const MAX_RECEIVERS = 4;
+/** Peers that receive pieces at the same time: few, as each that has a copy is a further source. */
+const MIN_RECEIVERS = 2;
+/** The same while nothing waits to be sent, so that the link has room for more. */
+const MAX_RECEIVERS = 8;
 /** A receiver that asked for no further piece for this long does not count any more. */
 const RECEIVER_TIMEOUT_MS = 500;
 /** Encoded copies that are kept for the peers that still receive them. */
@@ -42,6 +44,8 @@
   constructor(
     private readonly _clock: Clock,
     private readonly _table: KeyedTable,
+    /** Bytes that wait to be sent on the links of this node. */
+    private readonly _queuedBytes: () => number,
   ) {}
 
   /**
@@ -80,7 +84,8 @@
         this._receivers.delete(peer);
       }
     }
-    return this._receivers.has(from) || this._receivers.size < MAX_RECEIVERS;
+    const limit = this._queuedBytes() === 0 ? MAX_RECEIVERS : MIN_RECEIVERS;
+    return this._receivers.has(from) || this._receivers.size < limit;
   }
 
   /** Peers that received the copy encoded last, or before any did, the one before it. */
