Give a silent target up only once another one replaces it

Cause: an attempt without an event, or a call without an answer in time, was ended first; only then the next attempt was counted, placed and admitted, and each of these may refuse. The target might still have sent the rest.

Change: the next attempt is placed and admitted while the current one goes on, every 500 ms until the target sends again; only then the current one ends. The budget is asked after the placement, so a refused placement costs no retry.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -15,6 +15,11 @@
 import { RelayLinkError } from './paths/RelayedSocket.js';
 import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
 
+/** Node.js timers may fire up to this much early. */
+const TIMER_TOLERANCE_MS = 2;
+/** Time between two searches for a target that replaces one that does not answer. */
+const REPLACEMENT_RETRY_MS = 500;
+
 /** Why an exchange has no complete answer. */
 interface ExchangeFailure {
   /** Whether the target ended the connection before its answer was complete. */
@@ -37,15 +42,19 @@
 
 /** Options of an exchange with a buffered answer. */
 export interface BufferedExchangeOptions extends ExchangeOptions {
-  /** Time on the clock at which the exchange is aborted. */
+  /** Time on the clock from which another target may replace this one. */
   readonly timeoutAt: number;
+  /** Time on the clock at which the exchange is aborted. */
+  readonly deadlineAt: number;
+  /** Whether another target replaces this one, which may still answer until then. */
+  readonly findReplacement: (execution: Execution) => boolean;
   readonly answerBuffers: AnswerBuffers;
 }
 
 /** Sends the request and buffers the answer. */
 export function exchangeBuffered(options: BufferedExchangeOptions): Promise<BufferedOutcome> {
   const { attemptId, clock, connections, dialect, onAnswerHead, request } = options;
-  const { signal, target, timeoutAt, upstream } = options;
+  const { deadlineAt, signal, target, timeoutAt, upstream } = options;
   return new Promise((resolve) => {
     const startedAt = clock.now();
     let execution = Execution.NotSent;
@@ -71,9 +80,15 @@
     const onAbort = (): void => {
       abort(CALLER_DISCONNECTED_CAUSE);
     };
-    const timer = clock.schedule(timeoutAt - clock.now(), () => {
-      abort('no answer in time', true);
-    });
+    const handleTimeout = (): void => {
+      const leftMs = deadlineAt - clock.now();
+      if (leftMs <= TIMER_TOLERANCE_MS || options.findReplacement(execution)) {
+        abort('no answer in time', true);
+      } else {
+        timer = clock.schedule(Math.min(leftMs, REPLACEMENT_RETRY_MS), handleTimeout);
+      }
+    };
+    let timer = clock.schedule(Math.min(timeoutAt, deadlineAt) - clock.now(), handleTimeout);
     if (signal.aborted) {
       fail(CALLER_DISCONNECTED_CAUSE);
       return;
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -52,6 +52,8 @@
   private _withheld = 0;
   /** Whether an attempt was admitted of which nothing has been sent yet. */
   private _isAdmitted = false;
+  /** Whether the attempt after the current one was admitted. */
+  private _isReplacementAdmitted = false;
   /** Identifies the current attempt among the requests that count for the rate of its target. */
   private _rateKey = '';
   private _retryAfterMs = NO_TARGET_RETRY_AFTER_MS;
@@ -78,7 +80,8 @@
         this._recordWithheld(target, outcome.obstacle);
         continue;
       }
-      this._isAdmitted = false;
+      this._isAdmitted = this._isReplacementAdmitted;
+      this._isReplacementAdmitted = false;
       this._execution = combineExecutions(this._execution, outcome.execution);
       if (outcome.execution !== Execution.NotSent) {
         this._attempts++;
@@ -93,11 +96,15 @@
 
   /** Admits an attempt; one that was withheld need not be admitted again. */
   private _admitAttempt(): boolean {
-    const selected = this._triedTargets.length;
-    this._isAdmitted ||= admitAttempt(this._dependencies, this._request, selected, this._attempts);
+    this._isAdmitted ||= this._admits(this._attempts);
     return this._isAdmitted;
   }
 
+  private _admits(delivered: number): boolean {
+    const selected = this._triedTargets.length;
+    return admitAttempt(this._dependencies, this._request, selected, delivered);
+  }
+
   private async _awaitTarget(): Promise<TargetEntry | undefined> {
     const { clock } = this._dependencies;
     const { deadlineAt, signal } = this._request;
@@ -167,7 +174,6 @@
   private async _sendToTarget(target: TargetEntry): Promise<BufferedOutcome> {
     const { clock, health } = this._dependencies;
     const { caller, deadlineAt, route } = this._request;
-    const isLastAttempt = this._attempts + 1 >= route.maxAttempts || !isRepeatable(route);
     const attemptTimeoutAt = clock.now() + ATTEMPT_TIMEOUT_FACTOR * route.latencyTargetMs;
     const chosen = { target, countedTargets: [target.id], rateKey: this._rateKey };
     health.recordStart(target.id);
@@ -177,13 +183,28 @@
           lastEventId: caller.lastEventId,
         }),
         answerBuffers: this._dependencies.answerBuffers,
-        timeoutAt: isLastAttempt ? deadlineAt : Math.min(deadlineAt, attemptTimeoutAt),
+        timeoutAt: attemptTimeoutAt,
+        deadlineAt,
+        findReplacement: (execution) => this._findReplacement(execution),
       });
     } finally {
       health.recordEnd(target.id);
     }
   }
 
+  /** Whether another target may get the call now, and the attempt is admitted. */
+  private _findReplacement(execution: Execution): boolean {
+    const { pauses, rateLimits } = this._dependencies;
+    const { route } = this._request;
+    const attempts = this._attempts + (execution === Execution.NotSent ? 0 : 1);
+    const isPermitted =
+      attempts < route.maxAttempts &&
+      isRepeatable(route) &&
+      this._untriedTargets().some(({ id }) => rateLimits.permits(id) && !pauses.isPaused(id));
+    this._isReplacementAdmitted = isPermitted && this._admits(attempts);
+    return this._isReplacementAdmitted;
+  }
+
   /** Records an attempt of which nothing was sent, so that another target may be tried. */
   private _recordWithheld({ id }: TargetEntry, obstacle: SendObstacle): void {
     this._withheld++;
--- a/packages/gateway/src/node/Exchanges.test.ts
+++ b/packages/gateway/src/node/Exchanges.test.ts
@@ -37,6 +37,8 @@
     onAnswerHead: () => undefined,
     attemptId: 'a1',
     timeoutAt: clock.now() + TIME_LIMIT_MS,
+    deadlineAt: clock.now() + TIME_LIMIT_MS,
+    findReplacement: () => false,
     answerBuffers: new AnswerBuffers(),
     signal: AbortSignal.abort(),
   };
@@ -57,10 +59,10 @@
       ...options,
       splitter: new EventStreamSplitter(undefined),
       response: {} as unknown as CallerResponse,
-      deadlineAt: options.timeoutAt,
       firstEventTimeoutMs: TIME_LIMIT_MS,
       nextEventTimeoutMs: TIME_LIMIT_MS,
       onFirstEvent: () => undefined,
+      findReplacement: () => Promise.resolve(false),
     });
     expect(upstream.sent).toBe(0);
     expect(outcome).toMatchObject({ execution: Execution.NotSent, end: StreamEnd.Cancelled });
--- a/packages/gateway/src/node/SilentTarget.test.ts
+++ b/packages/gateway/src/node/SilentTarget.test.ts
@@ -52,6 +52,8 @@
       attemptId: undefined,
       signal: new AbortController().signal,
       timeoutAt: clock.now() + TIMEOUT_MS,
+      deadlineAt: clock.now() + TIMEOUT_MS,
+      findReplacement: () => false,
       answerBuffers: new AnswerBuffers(),
     });
   }
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -1,7 +1,8 @@
 /**
  * One exchange with a target that answers with an event stream. Complete events are forwarded to
  * the caller as they arrive, with backpressure. The exchange ends when the stream is complete or
- * broken, when no event arrives in time, when the deadline passes or when the caller disconnects.
+ * broken, when no event arrives in time and another target replaces this one, when the deadline
+ * passes or when the caller disconnects.
  */
 import type { Disposable } from '@tanagerdyke/kernel';
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
@@ -23,6 +24,8 @@
 const MAX_FAILURE_BYTES = 256 * 1024;
 /** Events hold some tokens each; a larger one is treated as broken. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Time between two searches for a target that replaces a silent one. */
+const REPLACEMENT_RETRY_MS = 500;
 
 /** How an exchange ended. */
 export enum StreamEnd {
@@ -31,7 +34,7 @@
   Failure = 'failure',
   /** The connection failed, or the answer was incomplete or to another request. */
   Broken = 'broken',
-  /** No event arrived in time. */
+  /** No event arrived in time, and another target replaces this one. */
   Silent = 'silent',
   /** Nothing was sent, since the target may not get the request any more. */
   Withheld = 'withheld',
@@ -71,6 +74,11 @@
   /** Longest wait for each later event. */
   readonly nextEventTimeoutMs: number;
   readonly onFirstEvent: () => void;
+  /**
+   * Called while the target is silent; resolves with whether another one replaces it. The signal
+   * aborts when the target sends an event again or the exchange ends.
+   */
+  readonly findReplacement: (execution: Execution, signal: AbortSignal) => Promise<boolean>;
 }
 
 /** Sends the request and forwards the events of the answer. */
@@ -93,12 +101,18 @@
   private _exchange: Exchange | undefined;
   private _eventTimer: Disposable | undefined;
   private _deadlineTimer: Disposable | undefined;
+  /** Aborts the search for a target that replaces this one. */
+  private _search: AbortController | undefined;
   private _resolve: (outcome: StreamOutcome) => void = () => undefined;
   private readonly _onAbort = (): void => {
     this._abort(StreamEnd.Cancelled, CALLER_DISCONNECTED_CAUSE);
   };
 
-  constructor(private readonly _options: StreamExchangeOptions) {}
+  private readonly _startedAt: number;
+
+  constructor(private readonly _options: StreamExchangeOptions) {
+    this._startedAt = _options.clock.now();
+  }
 
   public run(): Promise<StreamOutcome> {
     const { clock, connections, deadlineAt, request, signal, target, upstream } = this._options;
@@ -194,7 +208,7 @@
     }
     if (!response.write(events)) {
       // While the caller reads slowly, missing events are not the target's fault.
-      this._eventTimer?.dispose();
+      this._stopWaiting();
       this._exchange?.pause();
       response.onDrain(() => {
         this._restartEventTimer(this._options.nextEventTimeoutMs);
@@ -223,19 +237,41 @@
   }
 
   private _restartEventTimer(limitMs: number): void {
-    this._eventTimer?.dispose();
+    this._stopWaiting();
     this._eventTimer = this._options.clock.schedule(limitMs, () => {
-      this._abort(StreamEnd.Silent, `no event for ${Math.round(limitMs)} ms`);
+      void this._replaceIfPermitted();
     });
   }
 
+  /** Ends the exchange if another target replaces this one; until then, events may still arrive. */
+  private async _replaceIfPermitted(): Promise<void> {
+    const { clock, findReplacement } = this._options;
+    const search = new AbortController();
+    this._search = search;
+    const isReplaced = await findReplacement(this._execution, search.signal);
+    if (search.signal.aborted) {
+      return;
+    }
+    if (isReplaced) {
+      const silenceMs = clock.now() - (this._lastEventAt ?? this._startedAt);
+      this._abort(StreamEnd.Silent, `no event for ${Math.round(silenceMs)} ms`);
+    } else {
+      this._restartEventTimer(REPLACEMENT_RETRY_MS);
+    }
+  }
+
+  private _stopWaiting(): void {
+    this._eventTimer?.dispose();
+    this._search?.abort();
+  }
+
   private _abort(end: StreamEnd, cause: string): void {
     this._exchange?.abort(ABORT_REASONS[end]);
     this._finish(end, cause);
   }
 
   private _finish(end: StreamEnd, cause: string): void {
-    this._eventTimer?.dispose();
+    this._stopWaiting();
     this._deadlineTimer?.dispose();
     this._options.signal.removeEventListener('abort', this._onAbort);
     this._resolve({
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -1,8 +1,9 @@
 /**
  * Forwards event streams to engines. If a stream breaks or sends no event in time and its route is
- * resumable, it is resumed on another engine after the last event that the caller received. If it
- * can't be resumed and the answer has begun, the caller's connection is closed, so that the answer
- * doesn't look complete.
+ * resumable, it is resumed on another engine after the last event that the caller received. A silent
+ * engine is given up only once another one is placed and the attempt admitted, since it may still
+ * send. If a broken stream can't be resumed and the answer has begun, the caller's connection is
+ * closed, so that the answer doesn't look complete.
  */
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { canRetryElsewhere, combineExecutions, Execution } from '../common/Execution.js';
@@ -58,6 +59,8 @@
   private _withheld = 0;
   /** Whether an attempt was admitted of which nothing has been sent yet. */
   private _isAdmitted = false;
+  /** Whether the attempt after the current one was admitted. */
+  private _isReplacementAdmitted = false;
   private _cause: string | undefined;
   private _failure: BufferedAnswer | undefined;
   private readonly _excludedEngines = new Set<string>();
@@ -67,6 +70,8 @@
   /** When the current attempt was sent. */
   private _sentAt = 0;
   private _placement: PlacedPrompt | undefined;
+  /** Placement of the next attempt, while the engine of the current one is silent. */
+  private _replacement: PlacedPrompt | undefined;
   private _retryAfterMs = DEFAULT_RETRY_AFTER_MS;
 
   constructor(
@@ -78,12 +83,21 @@
   }
 
   public async run(): Promise<RequestReport> {
+    try {
+      return await this._runAttempts();
+    } finally {
+      this._replacement?.end();
+    }
+  }
+
+  private async _runAttempts(): Promise<RequestReport> {
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && this._withheld < MAX_WITHHELD && !signal.aborted) {
       if (isQuarantined(this._dependencies, this._request)) {
         break;
       }
-      const placed = await this._place();
+      const placed = this._replacement ?? (await this._place(signal));
+      this._replacement = undefined;
       if (placed instanceof RefusedPrompt) {
         this._recordRefusal(placed);
         break;
@@ -101,7 +115,8 @@
         this._recordWithheld(placed, outcome.obstacle);
         continue;
       }
-      this._isAdmitted = false;
+      this._isAdmitted = this._isReplacementAdmitted;
+      this._isReplacementAdmitted = false;
       this._execution = combineExecutions(this._execution, outcome.execution);
       this._countAttempt(outcome);
       const report = this._handleOutcome(placed, outcome);
@@ -114,12 +129,15 @@
 
   /** Admits an attempt; one that was withheld, or lacked memory, need not be admitted again. */
   private _admitAttempt(): boolean {
-    const selected = this._triedPlacements.length;
-    const delivered = this._deliveredAttempts;
-    this._isAdmitted ||= admitAttempt(this._dependencies, this._request, selected, delivered);
+    this._isAdmitted ||= this._admits(this._deliveredAttempts);
     return this._isAdmitted;
   }
 
+  private _admits(delivered: number): boolean {
+    const selected = this._triedPlacements.length;
+    return admitAttempt(this._dependencies, this._request, selected, delivered);
+  }
+
   /**
    * Runs one attempt, then releases its reservations and removes it from the active requests.
    * Returns undefined if an engine had no memory for its part of the prompt.
@@ -174,9 +192,40 @@
     this._retryAfterMs = retryAfterMs;
   }
 
-  private _place(): Promise<PlacedPrompt | RefusedPrompt> {
+  /** Places and admits the next attempt while the engine of the current one is silent. */
+  private async _findReplacement(
+    current: PlacedPrompt,
+    execution: Execution,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { route } = this._request;
+    const counted = execution === Execution.NotSent ? 0 : 1;
+    const isPermitted =
+      this._attempts + counted < route.maxAttempts &&
+      canRetryElsewhere(route, execution) &&
+      !isQuarantined(this._dependencies, this._request);
+    if (!isPermitted) {
+      return false;
+    }
+    const placed = await this._place(signal, current.targets[0].id);
+    if (placed instanceof RefusedPrompt) {
+      return false;
+    }
+    if (signal.aborted || !this._admits(this._deliveredAttempts + counted)) {
+      placed.end();
+      return false;
+    }
+    this._replacement = placed;
+    this._isReplacementAdmitted = true;
+    return true;
+  }
+
+  private _place(
+    signal: AbortSignal,
+    ...alsoExcluded: readonly string[]
+  ): Promise<PlacedPrompt | RefusedPrompt> {
     const { clock, scheduler } = this._dependencies;
-    const { caller, deadlineAt, receivedAt, route, service, signal, workspace } = this._request;
+    const { caller, deadlineAt, receivedAt, route, service, workspace } = this._request;
     const now = clock.now();
     const waitUntil = now + (deadlineAt - now) * CAPACITY_WAIT_SHARE;
     const prompt = {
@@ -190,7 +239,7 @@
       deadlineAt,
       workspace: workspace?.name ?? '',
       isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
-      excluded: this._excludedEngines,
+      excluded: new Set([...this._excludedEngines, ...alsoExcluded]),
     };
     return scheduler.place(prompt, waitUntil, signal);
   }
@@ -248,6 +297,7 @@
       onFirstEvent: () => {
         placed.markGenerating();
       },
+      findReplacement: (execution, signal) => this._findReplacement(placed, execution, signal),
     });
   }
 
