--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -23,8 +23,8 @@
 import { TopicFollower } from './TopicFollower.js';
 
 /**
- * The platform counts as disconnected after this time without a response. Polls are answered or time
- * out within 2.2 s.
+ * The platform counts as disconnected after this time without a response. Polls begin to be answered
+ * or time out within 2.2 s.
  */
 const CONNECTION_TIMEOUT_MS = 2_700;
 /** An outage of the platform counts as recent for this long after its end. */
--- a/packages/gateway/src/common/state/RecordSender.ts
+++ b/packages/gateway/src/common/state/RecordSender.ts
@@ -9,7 +9,7 @@
 import { digestOf, encodeRecordSet, type RecordSet } from './RecordsCodec.js';
 import type { PieceRequest, PieceResponse } from './RelayMessages.js';
 
-/** 13 ms of a link of 14 Mbit/s, with its encoding. */
+/** Occupies the link of a small host for some ms, less than a probe of the link may take. */
 export const PIECE_BYTES = 16 * 1024;
 /** Peers that receive pieces at the same time: few, as each that has a copy is a further source. */
 const MIN_RECEIVERS = 2;
