--- a/packages/gateway/src/node/EndlessAnswer.test.ts
+++ b/packages/gateway/src/node/EndlessAnswer.test.ts
@@ -173,7 +173,8 @@
     expect(harness.bufferedBytes).toBeLessThanOrEqual(MAX_TOGETHER_BYTES);
     expect(harness.bufferedBytes).toBeGreaterThan(0);
     const answers = await Promise.all(endless);
-    expect(answers.every((each) => /^HTTP\/1\.1 50[24]/.test(each))).toBe(true);
+    const others = answers.filter((each) => !/^HTTP\/1\.1 50[24]/.test(each));
+    expect(others).toEqual([]);
     expect(harness.bufferedBytes).toBe(0);
   });
 });
