Measure how late the answers of the store are

The log states only that the limit of a call had passed. tanager_platform_late_ms has the time beyond the wait that a call asks for, of answered and of given-up calls: it tells a store whose answers begin late from one that does not answer, and a slow store from a link that is full.

--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -131,7 +131,7 @@
     const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
     const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS * 2 ** doublings);
     this._isFarBehind = false;
-    this._countCall('newest', snapshot.isOk);
+    this._countCall('newest', snapshot.isOk, clock.now() - startedAt);
     if (snapshot.isErr) {
       return snapshot.error;
     }
@@ -162,9 +162,10 @@
   private async _readRecords(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
     const { table, topic } = this._options;
     const { end: from, epoch: epochBefore } = table;
-    const startedAt = this._options.clock.now();
+    const { clock } = this._options;
+    const startedAt = clock.now();
     const page = await topic.read(from, waitMs, timeoutMs);
-    this._countCall('read', page.isOk);
+    this._countCall('read', page.isOk, clock.now() - startedAt - waitMs);
     if (page.isErr) {
       return page.error;
     }
@@ -207,9 +208,12 @@
     }
   }
 
-  private _countCall(call: string, isAnswered: boolean): void {
+  /** Counts a call. `lateMs` is how much longer than the requested wait it took. */
+  private _countCall(call: string, isAnswered: boolean, lateMs: number): void {
     const outcome = isAnswered ? 'answered' : 'failed';
-    this._options.metrics.increment('tanager_platform_calls_total', { call, outcome });
+    const { metrics } = this._options;
+    metrics.increment('tanager_platform_calls_total', { call, outcome });
+    metrics.observe('tanager_platform_late_ms', lateMs, { call, outcome });
   }
 
   private _recordSuccess(): void {
