--- a/packages/gateway/src/common/state/LinkedStore.ts
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -20,6 +20,7 @@
   /** Time until an answer begins. */
   public callMs = 4;
   public bytesRead = 0;
+  public calls = 0;
   private readonly _records: KeyedRecord[] = [];
 
   constructor(
@@ -39,6 +40,7 @@
       readSnapshot: (timeoutMs) =>
         this._call(link, isRefused, timeoutMs, SNAPSHOT_EXPANSION, () => this._snapshot()),
       read: async (from, waitMs, timeoutMs) => {
+        this.calls++;
         const startedAt = this._clock.now();
         while (this._clock.now() - startedAt < waitMs && this._records.length === from) {
           await this._clock.sleep(POLL_STEP_MS);
