Keep late calls to the store open beside their repeats

Cause: a poll was given up 2.2 s, a short read 0.8 s after its start, and the same was asked again. The limits take no account of the pace of the store, so an answer that begins later than the limit is never received, however often it is asked for.

Change: OpenCalls repeats a late call beside the first and takes the first answer of any. Limits follow the lateness of recent answers, with a floor and a ceiling; long answers close the other calls.

--- a/packages/fakes/src/common/MemoryLink.ts
+++ b/packages/fakes/src/common/MemoryLink.ts
@@ -5,7 +5,8 @@
  */
 import type { Clock } from '@tanagerdyke/kernel';
 
-const SEGMENT_BYTES = 8_192;
+/** Bytes of a transfer that arrive together. */
+export const SEGMENT_BYTES = 8_192;
 /** Segments of a transfer that may be under way. */
 const WINDOW_SEGMENTS = 8;
 
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -14,7 +14,8 @@
   type ZoneBroadcast,
 } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
-import type { QuarantineRegistry } from '../services/Services.js';
+import type { QuarantineRegistry, StoredQuarantine } from '../services/Services.js';
+import { OPEN_CALL_TIMEOUT_MS, OpenCalls } from '../state/OpenCalls.js';
 import { MIN_TARGETS_IF_ANSWERED, type TargetCrash } from './CrashEvidence.js';
 import type { QuarantinedCause } from './BlockedCauses.js';
 import type { AnsweredCause, CrashQuarantine, LiveTarget } from './CrashQuarantine.js';
@@ -25,7 +26,8 @@
 const LIFE_METHOD = 'target.alive';
 
 const ANNOUNCEMENT_INTERVAL_MS = 1_000;
-const CALL_TIMEOUT_MS = 800;
+/** Time without an answer after which the stored quarantines are asked for again. */
+const ANSWER_LIMIT_MS = 800;
 const RETRY_MS = 700;
 /** The store does not hold their number; the first one was made when the quarantine began. */
 const TRIALS_OF_STORED = 1;
@@ -55,10 +57,12 @@
   private readonly _announcedAt = new Map<string, number>();
   /** The most nodes that were live at the same time. */
   private _maxLive = 1;
+  private readonly _lists: OpenCalls<readonly StoredQuarantine[]>;
 
   constructor(private readonly _options: QuarantineReportsOptions) {
     super();
-    const { broadcast, quarantine } = _options;
+    const { broadcast, clock, quarantine } = _options;
+    this._lists = this.register(new OpenCalls(clock));
     this.register(
       quarantine.onCrash((crash) => {
         this._reportCrash(crash);
@@ -195,7 +199,9 @@
   /** Applies the stored quarantines; returns whether the store answered. */
   private async _read(): Promise<boolean> {
     const { clock, log, quarantine, registry } = this._options;
-    const listed = await registry.list(CALL_TIMEOUT_MS);
+    const listed = await this._lists.ask(ANSWER_LIMIT_MS, (attempt) =>
+      registry.list(OPEN_CALL_TIMEOUT_MS, attempt),
+    );
     if (listed.isErr) {
       log.write('quarantine.unread', { error: listed.error.message });
       return false;
@@ -221,7 +227,7 @@
     }
     this._storedAt.set(cause, now);
     const expiresAt = clock.wallTime() + remainingMs;
-    const stored = await registry.store({ cause, expiresAt }, CALL_TIMEOUT_MS);
+    const stored = await registry.store({ cause, expiresAt }, OPEN_CALL_TIMEOUT_MS);
     if (stored.isErr) {
       this._storedAt.delete(cause);
       log.write('quarantine.unstored', { cause, error: stored.error.message });
@@ -231,7 +237,7 @@
   private async _removeStored(cause: string): Promise<void> {
     const { log, registry } = this._options;
     this._storedAt.delete(cause);
-    const removed = await registry.remove(cause, CALL_TIMEOUT_MS);
+    const removed = await registry.remove(cause, OPEN_CALL_TIMEOUT_MS);
     if (removed.isErr) {
       log.write('quarantine.unremoved', { cause, error: removed.error.message });
     }
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -38,6 +38,17 @@
   readonly logEnd: number;
 }
 
+/** One of several calls for the same, of which the first answer counts. */
+export interface CallAttempt {
+  /** Ends the call and closes its connection. */
+  readonly signal: AbortSignal;
+  /**
+   * To be called when an answer other than a rejection begins, and for each further part of it, with
+   * the bytes of it that have arrived.
+   */
+  readonly onProgress: (receivedBytes: number) => void;
+}
+
 /**
  * A topic of the platform's log whose records replace earlier ones of the same key. `timeoutMs` is
  * the time until an answer begins; one that has begun is received as long as it goes on arriving.
@@ -46,9 +57,17 @@
 export interface KeyedTopic {
   readonly name: string;
   /** Reads the newest record of every key. */
-  readSnapshot(timeoutMs: number): Promise<Result<KeyedSnapshot, ServiceError>>;
+  readSnapshot(
+    timeoutMs: number,
+    attempt?: CallAttempt,
+  ): Promise<Result<KeyedSnapshot, ServiceError>>;
   /** Reads records from offset `from` on, waiting up to `waitMs` when there are none yet. */
-  read(from: number, waitMs: number, timeoutMs: number): Promise<Result<KeyedPage, ServiceError>>;
+  read(
+    from: number,
+    waitMs: number,
+    timeoutMs: number,
+    attempt?: CallAttempt,
+  ): Promise<Result<KeyedPage, ServiceError>>;
 }
 
 /** Registry of the nodes' peer addresses on the platform. */
@@ -57,9 +76,10 @@
     name: string,
     peerAddress: string,
     timeoutMs: number,
+    attempt?: CallAttempt,
   ): Promise<Result<void, ServiceError>>;
   /** Peer addresses of all nodes that have ever announced themselves, including stopped ones. */
-  list(timeoutMs: number): Promise<Result<readonly string[], ServiceError>>;
+  list(timeoutMs: number, attempt?: CallAttempt): Promise<Result<readonly string[], ServiceError>>;
 }
 
 /** A quarantine as it is stored. */
@@ -75,7 +95,10 @@
   store(quarantine: StoredQuarantine, timeoutMs: number): Promise<Result<void, ServiceError>>;
   remove(cause: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
   /** All that were stored and not removed, including expired ones. */
-  list(timeoutMs: number): Promise<Result<readonly StoredQuarantine[], ServiceError>>;
+  list(
+    timeoutMs: number,
+    attempt?: CallAttempt,
+  ): Promise<Result<readonly StoredQuarantine[], ServiceError>>;
 }
 
 /** Decodes the records of the platform's topics. */
--- a/packages/gateway/src/common/state/LinkedStore.ts
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -2,10 +2,16 @@
  * An in-memory platform for tests whose answers take the time that the links of the platform and of
  * the reading node need for them. Not shipped.
  */
-import type { MemoryLink } from '@tanagerdyke/fakes';
+import { type MemoryLink, SEGMENT_BYTES } from '@tanagerdyke/fakes';
 import { type Clock, ErrorKind, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import type { KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic } from '../services/Services.js';
+import type {
+  CallAttempt,
+  KeyedPage,
+  KeyedRecord,
+  KeyedSnapshot,
+  KeyedTopic,
+} from '../services/Services.js';
 
 const POLL_STEP_MS = 10;
 const MAX_PAGE_BYTES = 64 * 1_024;
@@ -15,6 +21,16 @@
 /** Snapshots are encoded as base64. */
 const SNAPSHOT_EXPANSION = 4 / 3;
 
+/** A call of a node. */
+interface Call {
+  readonly link: MemoryLink;
+  readonly isRefused: () => boolean;
+  readonly timeoutMs: number;
+  /** Bytes of the answer for each byte of its records. */
+  readonly expansion: number;
+  readonly attempt: CallAttempt | undefined;
+}
+
 /** One keyed topic. */
 export class LinkedStore {
   /** Time until an answer begins. */
@@ -37,16 +53,20 @@
   public topicFor(link: MemoryLink, isRefused: () => boolean): KeyedTopic {
     return {
       name: this._name,
-      readSnapshot: (timeoutMs) =>
-        this._call(link, isRefused, timeoutMs, SNAPSHOT_EXPANSION, () => this._snapshot()),
-      read: async (from, waitMs, timeoutMs) => {
+      readSnapshot: (timeoutMs, attempt) =>
+        this._call({ link, isRefused, timeoutMs, expansion: SNAPSHOT_EXPANSION, attempt }, () =>
+          this._snapshot(),
+        ),
+      read: async (from, waitMs, timeoutMs, attempt) => {
         this.calls++;
         const startedAt = this._clock.now();
         while (this._clock.now() - startedAt < waitMs && this._records.length === from) {
           await this._clock.sleep(POLL_STEP_MS);
         }
         const leftMs = timeoutMs - (this._clock.now() - startedAt);
-        return this._call(link, isRefused, leftMs, 1, () => this._page(from));
+        return this._call({ link, isRefused, timeoutMs: leftMs, expansion: 1, attempt }, () =>
+          this._page(from),
+        );
       },
     };
   }
@@ -68,33 +88,32 @@
   }
 
   private async _call<T extends KeyedPage | KeyedSnapshot>(
-    link: MemoryLink,
-    isRefused: () => boolean,
-    timeoutMs: number,
-    expansion: number,
+    { attempt, expansion, isRefused, link, timeoutMs }: Call,
     answer: () => T,
   ): Promise<Result<T, ServiceError>> {
     let dueAt = this._clock.now() + timeoutMs;
-    const onProgress = (): void => {
-      dueAt = this._clock.now() + STALL_TIMEOUT_MS;
-    };
     const waitUntilDue = async (): Promise<undefined> => {
-      while (this._clock.now() < dueAt) {
-        await this._clock.sleep(dueAt - this._clock.now());
+      while (this._clock.now() < dueAt && attempt?.signal.aborted !== true) {
+        await this._clock.sleep(dueAt - this._clock.now(), attempt?.signal);
       }
       return undefined;
     };
     const limit = waitUntilDue();
     const transfer = async (): Promise<T | undefined> => {
       await this._clock.sleep(this.callMs);
-      if (isRefused()) {
+      if (isRefused() || attempt?.signal.aborted === true) {
         await limit;
         return undefined;
       }
       const value = answer();
       const bytes = HEADER_BYTES + bytesOf(value.records) * expansion;
       this.bytesRead += bytes;
-      await this._link.send(link, bytes, 0, onProgress);
+      let received = 0;
+      await this._link.send(link, bytes, 0, () => {
+        received = Math.min(bytes, received + SEGMENT_BYTES);
+        dueAt = this._clock.now() + STALL_TIMEOUT_MS;
+        attempt?.onProgress(received);
+      });
       return value;
     };
     const value = await Promise.race([transfer(), limit]);
--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -8,8 +8,10 @@
 import type { SwimMembership } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { NodeRegistry } from '../services/Services.js';
+import { OPEN_CALL_TIMEOUT_MS, OpenCalls } from './OpenCalls.js';
 
-const CALL_TIMEOUT_MS = 800;
+/** Time without an answer after which a call is repeated. */
+const ANSWER_LIMIT_MS = 800;
 const RETRY_MS = 700;
 /** Time for seeds to respond before the platform is queried. */
 const SEED_WAIT_MS = 600;
@@ -27,9 +29,13 @@
 /** Registers this node with the platform and joins the mesh through the nodes listed there. */
 export class NodeDirectory extends DisposableOwner {
   private _isRenewing = false;
+  private readonly _announcements: OpenCalls<void>;
+  private readonly _lists: OpenCalls<readonly string[]>;
 
   constructor(private readonly _options: NodeDirectoryOptions) {
     super();
+    this._announcements = this.register(new OpenCalls(_options.clock));
+    this._lists = this.register(new OpenCalls(_options.clock));
   }
 
   public start(): void {
@@ -53,7 +59,9 @@
     const { clock, log, membership, registry } = this._options;
     const { name, peerAddress } = membership.self;
     while (!this.disposalSignal.aborted) {
-      const announced = await registry.announce(name, peerAddress, CALL_TIMEOUT_MS);
+      const announced = await this._announcements.ask(ANSWER_LIMIT_MS, (attempt) =>
+        registry.announce(name, peerAddress, OPEN_CALL_TIMEOUT_MS, attempt),
+      );
       if (announced.isOk) {
         return;
       }
@@ -67,7 +75,9 @@
     const { disposalSignal: signal } = this;
     await clock.sleep(SEED_WAIT_MS, signal);
     while (!signal.aborted && membership.live.length < 2) {
-      const listed = await registry.list(CALL_TIMEOUT_MS);
+      const listed = await this._lists.ask(ANSWER_LIMIT_MS, (attempt) =>
+        registry.list(OPEN_CALL_TIMEOUT_MS, attempt),
+      );
       if (listed.isErr) {
         log.write('peers.unlisted', { cause: listed.error.message });
       } else {
--- a/packages/gateway/src/common/state/TopicFollower.test.ts
+++ b/packages/gateway/src/common/state/TopicFollower.test.ts
@@ -18,8 +18,8 @@
   public readonly name = 'topic';
   public mode = Mode.Responds;
   public calls = 0;
-  /** Time limit of each snapshot that was read. */
-  public readonly snapshotTimeouts: number[] = [];
+  /** When each snapshot was asked for. */
+  public readonly snapshotTimes: number[] = [];
   /** Records in a page. */
   public pageLength = Number.POSITIVE_INFINITY;
   public recordsRead = 0;
@@ -46,7 +46,7 @@
   }
 
   public async readSnapshot(timeoutMs: number): Promise<Result<KeyedSnapshot, ServiceError>> {
-    this.snapshotTimeouts.push(timeoutMs);
+    this.snapshotTimes.push(this._clock.now());
     const failure = await this._simulateCall(timeoutMs);
     if (failure !== undefined) {
       return Result.err(failure);
@@ -224,7 +224,10 @@
       topic.mode = Mode.TimesOut;
       start();
       await clock.advance(20_000);
-      expect(topic.snapshotTimeouts.slice(0, 5)).toEqual([800, 1_600, 3_200, 3_200, 3_200]);
+      const waits = topic.snapshotTimes.slice(1).map((at, index) => {
+        return at - (topic.snapshotTimes[index] ?? at);
+      });
+      expect(waits.slice(0, 5)).toEqual([800, 1_600, 3_200, 3_200, 3_200]);
     });
 
     it('delays the start by no more than the timeout of a call', async () => {
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -1,8 +1,8 @@
 /**
  * Follows one keyed topic of the platform: loads a snapshot, then long-polls from its end offset,
  * and loads a new snapshot when records expired before they were read, or when the log was restored
- * from an older copy. Every call has its own timeout, since a connection may stop responding without
- * being closed.
+ * from an older copy. Every call is repeated when its answer is late, since a connection may stop
+ * responding without being closed; the late answer counts as well if it arrives.
  */
 import {
   type Clock,
@@ -12,16 +12,24 @@
   type RandomSource,
   ServiceError,
 } from '@tanagerdyke/kernel';
-import type { KeyedPage, KeyedRecord, KeyedTopic } from '../services/Services.js';
+import { Result } from 'true-myth';
+import type { CallAttempt, KeyedPage, KeyedRecord, KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
+import { OPEN_CALL_TIMEOUT_MS, OpenCalls } from './OpenCalls.js';
 
 /** Snapshots usually begin within a few ms; a lost call must not delay the start of a node. */
-const SNAPSHOT_TIMEOUT_MS = 800;
+const SNAPSHOT_MARGIN_MS = 800;
 /** Long, to keep calls few, but a silent connection must be replaced within 2.5 s. */
 const POLL_WAIT_MS = 1_200;
-/** Time that the response to a poll may take beyond the requested wait. */
+/** Time beyond the requested wait after which a poll is repeated. */
 const POLL_MARGIN_MS = 1_000;
+/** Limit of these times, however late the answers are. */
+const MAX_MARGIN_MS = 4_000;
+/** Answers may take this many times as long as recent ones until their calls are repeated. */
+const MARGIN_FACTOR = 2;
+/** Weight of the longest recent time when an answer is on time. */
+const LATENESS_DECAY = 0.7;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 /** Applies to a node that polls only while no poller is connected; it receives records from peers. */
@@ -31,8 +39,8 @@
  * pollers of its zone count as disconnected.
  */
 const POLLING_CHECK_INTERVAL_MS = 500;
-const READ_TIMEOUT_MS = 800;
-/** Failed calls in a row after which the time limit of a snapshot is not raised any more. */
+const READ_MARGIN_MS = 800;
+/** Failed calls in a row after which the time until a snapshot is repeated is not raised any more. */
 const MAX_TIMEOUT_DOUBLINGS = 2;
 /** Bytes of a snapshot for each byte of its values. */
 const SNAPSHOT_EXPANSION = 4 / 3;
@@ -50,6 +58,14 @@
   readonly isAppointedPoller: () => boolean;
 }
 
+/** What became of a call to the platform. */
+enum Outcome {
+  Answered = 'answered',
+  Failed = 'failed',
+  /** Another call for the same was answered first. */
+  Superseded = 'superseded',
+}
+
 /** Records that a call to the platform returned. */
 interface ReadSummary {
   /** End offset of the table before. */
@@ -64,6 +80,13 @@
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
+  private _needsSnapshot = true;
+  /** Longest recent time of an answer beyond the requested wait, in ms. */
+  private _latenessMs = 0;
+  private readonly _snapshots: OpenCalls<void>;
+  /** Calls that return whether there were records. */
+  private readonly _polls: OpenCalls<boolean>;
+  private readonly _catchUps: OpenCalls<void>;
   /** Whether the newest records are shorter than those that were not read yet. */
   private _isFarBehind = false;
   /** Calls in a row that failed since the platform no longer holds the records. */
@@ -71,6 +94,11 @@
 
   constructor(private readonly _options: TopicFollowerOptions) {
     super();
+    const { clock } = _options;
+    this._snapshots = this.register(new OpenCalls(clock));
+    // A poll without records leaves open those that began later.
+    this._polls = this.register(new OpenCalls(clock, (hasRecords) => hasRecords));
+    this._catchUps = this.register(new OpenCalls(clock));
   }
 
   /** Name of the topic. */
@@ -93,86 +121,140 @@
   }
 
   private async _run(): Promise<void> {
-    const { clock, random } = this._options;
+    const { clock } = this._options;
     const { disposalSignal: signal } = this;
-    let needsSnapshot = true;
     while (!signal.aborted) {
-      if (!needsSnapshot && !this._options.shouldPoll()) {
+      if (!this._needsSnapshot && !this._options.shouldPoll()) {
         await clock.sleep(POLLING_CHECK_INTERVAL_MS, signal);
         continue;
       }
-      const error = needsSnapshot ? await this._loadSnapshot() : await this._poll();
-      if (error === undefined) {
-        this._recordSuccess();
-        needsSnapshot = this._isFarBehind;
-        continue;
+      const answer = this._needsSnapshot ? await this._loadSnapshot() : await this._poll();
+      if (answer.isErr) {
+        await this._recover(answer.error);
       }
-      if (error.kind === ErrorKind.RecordsExpired) {
-        needsSnapshot = true;
-        this._expirations++;
-        // A snapshot is of no use if the records after it are not there either.
-        if (this._expirations > 1) {
-          await clock.sleep(retryDelayMs(this._expirations, MAX_RETRY_MS, random), signal);
-        }
-        continue;
+    }
+  }
+
+  /**
+   * Waits until the next call, but not longer than until the answer to a late one. Calls that are
+   * repeated because they are late are far enough apart without a wait.
+   */
+  private async _recover(error: ServiceError): Promise<void> {
+    const { random } = this._options;
+    if (error.kind === ErrorKind.RecordsExpired) {
+      this._needsSnapshot = true;
+      this._expirations++;
+      // A snapshot is of no use if the records after it are not there either.
+      if (this._expirations > 1) {
+        await this._pause(retryDelayMs(this._expirations, MAX_RETRY_MS, random));
       }
-      this._recordFailure(error);
-      const isSubstitute = !needsSnapshot && !this._options.isAppointedPoller();
-      const maxRetryMs = isSubstitute ? MAX_SUBSTITUTE_RETRY_MS : MAX_RETRY_MS;
-      await clock.sleep(retryDelayMs(this._failures, maxRetryMs, random), signal);
+      return;
+    }
+    this._recordFailure(error);
+    const isSubstitute = !this._needsSnapshot && !this._options.isAppointedPoller();
+    if (error.kind === ErrorKind.DeadlineExceeded && !isSubstitute) {
+      return;
     }
+    const maxRetryMs = isSubstitute ? MAX_SUBSTITUTE_RETRY_MS : MAX_RETRY_MS;
+    await this._pause(retryDelayMs(this._failures, maxRetryMs, random));
   }
 
-  private async _loadSnapshot(): Promise<ServiceError | undefined> {
-    const { table, topic } = this._options;
-    const { clock } = this._options;
-    const startedAt = clock.now();
+  private async _pause(delayMs: number): Promise<void> {
+    const answered = new AbortController();
+    const subscriptions = [this._snapshots, this._polls].map(({ onAnswer }) =>
+      onAnswer(() => {
+        answered.abort();
+      }),
+    );
+    const signal = AbortSignal.any([this.disposalSignal, answered.signal]);
+    await this._options.clock.sleep(delayMs, signal);
+    for (const each of subscriptions) {
+      each.dispose();
+    }
+  }
+
+  private _loadSnapshot(): Promise<Result<void, ServiceError>> {
     // An answer that is slow to begin for many nodes at once must not be asked for again and again.
     const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
-    const snapshot = await topic.readSnapshot(SNAPSHOT_TIMEOUT_MS * 2 ** doublings);
-    this._isFarBehind = false;
-    this._countCall('newest', snapshot.isOk, clock.now() - startedAt);
+    const limitMs = Math.max(SNAPSHOT_MARGIN_MS * 2 ** doublings, this._marginMs(0));
+    return this._snapshots.ask(limitMs, async (attempt) => {
+      const loaded = await this._readSnapshot(attempt);
+      return loaded.map(() => {
+        this._recordSuccess();
+      });
+    });
+  }
+
+  private async _readSnapshot(attempt: CallAttempt): Promise<Result<void, ServiceError>> {
+    const { clock, table, topic } = this._options;
+    const startedAt = clock.now();
+    const snapshot = await topic.readSnapshot(OPEN_CALL_TIMEOUT_MS, attempt);
+    this._recordCall('newest', snapshot, clock.now() - startedAt, attempt);
     if (snapshot.isErr) {
-      return snapshot.error;
+      return Result.err(snapshot.error);
     }
+    this._isFarBehind = false;
     const { end, records } = snapshot.value;
     this._logRead('newest', { after: table.end, end, records, startedAt });
-    return table.applySnapshot(snapshot.value) ? undefined : restoredError(table.name);
+    if (!table.applySnapshot(snapshot.value)) {
+      return Result.err(restoredError(table.name));
+    }
+    this._needsSnapshot = false;
+    return Result.ok(undefined);
   }
 
   /**
    * Reads the records beyond the table's end offset, without waiting for new ones. Returns whether
-   * the platform answered.
+   * the platform answered in time; records that arrive later are applied as well.
    */
   public async catchUp(): Promise<boolean> {
-    let error = await this._readRecords(0, READ_TIMEOUT_MS);
-    if (error?.kind === ErrorKind.RecordsExpired || this._isFarBehind) {
-      error = await this._loadSnapshot();
-    }
-    if (error !== undefined && error.kind !== ErrorKind.RecordsExpired) {
-      this._recordFailure(error);
+    const answer = await this._catchUps.ask(this._marginMs(READ_MARGIN_MS), async (attempt) => {
+      const read = await this._readRecords(0, attempt);
+      const isExpired = read.isErr && read.error.kind === ErrorKind.RecordsExpired;
+      return isExpired || this._isFarBehind
+        ? this._readSnapshot(attempt)
+        : read.map(() => undefined);
+    });
+    if (answer.isErr && answer.error.kind !== ErrorKind.RecordsExpired) {
+      this._recordFailure(answer.error);
     }
-    return error === undefined;
+    return answer.isOk;
+  }
+
+  private _poll(): Promise<Result<boolean, ServiceError>> {
+    const limitMs = POLL_WAIT_MS + this._marginMs(POLL_MARGIN_MS);
+    return this._polls.ask(limitMs, async (attempt) => {
+      const read = await this._readRecords(POLL_WAIT_MS, attempt);
+      return read.map((count) => {
+        this._needsSnapshot = this._isFarBehind;
+        this._recordSuccess();
+        return count > 0;
+      });
+    });
   }
 
-  private _poll(): Promise<ServiceError | undefined> {
-    return this._readRecords(POLL_WAIT_MS, POLL_WAIT_MS + POLL_MARGIN_MS);
+  /** Time beyond the requested wait after which a call is repeated, in ms. */
+  private _marginMs(minMs: number): number {
+    return Math.max(minMs, Math.min(MARGIN_FACTOR * this._latenessMs, MAX_MARGIN_MS));
   }
 
-  private async _readRecords(waitMs: number, timeoutMs: number): Promise<ServiceError | undefined> {
-    const { table, topic } = this._options;
+  /** Reads and applies a page of records; returns their number. */
+  private async _readRecords(
+    waitMs: number,
+    attempt: CallAttempt,
+  ): Promise<Result<number, ServiceError>> {
+    const { clock, table, topic } = this._options;
     const { end: from, epoch: epochBefore } = table;
-    const { clock } = this._options;
     const startedAt = clock.now();
-    const page = await topic.read(from, waitMs, timeoutMs);
-    this._countCall('read', page.isOk, clock.now() - startedAt - waitMs);
+    const page = await topic.read(from, waitMs, waitMs + OPEN_CALL_TIMEOUT_MS, attempt);
+    this._recordCall('read', page, clock.now() - startedAt - waitMs, attempt);
     if (page.isErr) {
-      return page.error;
+      return Result.err(page.error);
     }
     const { end, epoch = epochBefore, records } = page.value;
     this._logRead('read', { after: from, end, records, startedAt });
     if (epoch > table.epoch) {
-      return restoredError(table.name);
+      return Result.err(restoredError(table.name));
     }
     this._expirations = 0;
     // Otherwise the records begin at an offset of another epoch.
@@ -180,7 +262,7 @@
       table.apply(records, end, epoch);
       this._isFarBehind = this._isSnapshotShorter(page.value);
     }
-    return undefined;
+    return Result.ok(records.length);
   }
 
   /** Whether a snapshot has fewer bytes than the records after a page, if they are as long. */
@@ -208,12 +290,21 @@
     }
   }
 
-  /** Counts a call. `lateMs` is how much longer than the requested wait it took. */
-  private _countCall(call: string, isAnswered: boolean, lateMs: number): void {
-    const outcome = isAnswered ? 'answered' : 'failed';
+  /** Records the outcome of a call. `lateMs` is how much longer than the requested wait it took. */
+  private _recordCall(
+    call: string,
+    answer: Result<unknown, ServiceError>,
+    lateMs: number,
+    { signal }: CallAttempt,
+  ): void {
     const { metrics } = this._options;
-    metrics.increment('tanager_platform_calls_total', { call, outcome });
-    metrics.observe('tanager_platform_late_ms', lateMs, { call, outcome });
+    const outcome = answer.isOk ? Outcome.Answered : Outcome.Failed;
+    const labels = { call, outcome: signal.aborted ? Outcome.Superseded : outcome };
+    metrics.increment('tanager_platform_calls_total', labels);
+    metrics.observe('tanager_platform_late_ms', lateMs, labels);
+    if (answer.isOk) {
+      this._latenessMs = Math.max(lateMs, LATENESS_DECAY * this._latenessMs);
+    }
   }
 
   private _recordSuccess(): void {
