Forward nothing but events in a stream, and only the rest of it from another engine

Report of other operators: a stream had begun and broke off, the next server answered with an error, and callers found the error's text or head in their stream, or the stream ended as if it were complete.

It happens here. A resumed answer without a body, or an unframed empty one, ended the stream as complete; JSON with a blank line, an error as text of the stream, and a head behind or within an event of an answer without a length were forwarded; a stated length was exceeded.

Cause: any 2xx answer counted as continuation, any text up to a blank line as event.

Change: the splitter ends at text that is no event; a continuation must have the status and media type of the first answer, and an empty one a stated end; a stated length is kept. The stand-in of crashing engines states the end of its streams now, as engines do.

--- a/packages/gateway/src/common/EventStreamSplitter.test.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.test.ts
@@ -26,6 +26,30 @@
       expect(splitter.lastEventId).toBe('1');
     });
 
+    it.each([
+      ['a comment', ': ping\n\n'],
+      ['a field without a value', 'data\n\n'],
+      ['another field before the known ones', 'x-weight-versions: 3\nid: 4\ndata: y\n\n'],
+      ['a byte order mark', '\ufeffdata: x\n\n'],
+    ])('forwards an event with %s', (_what, event) => {
+      const splitter = new EventStreamSplitter(undefined);
+      expect(splitter.push(Buffer.from(event)).toString()).toBe(event);
+      expect(splitter.isMalformed).toBe(false);
+    });
+
+    it.each([
+      ['a head', 'HTTP/1.1 500 Failed\r\nX: y\r\n\r\n'],
+      ['a head with a field of an event', 'HTTP/1.1 500 Failed\r\nid: 7\r\n\r\n'],
+      ['JSON', '{"error": "data: x"}\n\n'],
+      ['a head in an event', 'id: 1\ndata: HTTP/1.1 500 Failed\r\nX: y\r\n\r\n'],
+    ])('forwards neither %s nor what follows it', (_what, text) => {
+      const splitter = new EventStreamSplitter(undefined);
+      const first = 'id: 1\ndata: x\n\n';
+      const bytes = Buffer.from(`${first}${text}id: 2\ndata: y\n\n`);
+      expect(splitter.push(bytes).toString()).toBe(first);
+      expect(splitter.isMalformed).toBe(true);
+    });
+
     it('drops events that the receiver already has', () => {
       const splitter = new EventStreamSplitter('2');
       const stream = eventOf(2, 'old') + eventOf(3, 'new');
--- a/packages/gateway/src/common/EventStreamSplitter.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.ts
@@ -1,17 +1,25 @@
 /**
  * Splits an event stream (WHATWG HTML, server-sent events) at the ends of events, so that only
  * complete events are forwarded and a broken stream can be resumed after the last one. Bytes are
- * forwarded unchanged. Events that the receiver already has are dropped.
+ * forwarded unchanged. Events that the receiver already has are dropped. Text that is no event, such
+ * as an error that a target writes into its stream, ends the splitting.
  */
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = 'id:';
+const BYTE_ORDER_MARK = /^\xef\xbb\xbf/;
+/** The fields of an event; a comment has an empty name. */
+const EVENT_FIELDS: ReadonlySet<string> = new Set(['', 'data', 'event', 'id', 'retry']);
+/** A line with another field. */
+const EXTENSION = /^[\w-]+:/;
 
 /** The splitter of one stream, kept when the stream is resumed from another source. */
 export class EventStreamSplitter {
   private _partialEvent: Buffer = Buffer.alloc(0);
   private _lastEventId: string | undefined;
+  private _eventCount = 0;
+  private _isMalformed = false;
 
   constructor(lastEventId: string | undefined) {
     this._lastEventId = lastEventId;
@@ -27,6 +35,16 @@
     return this._partialEvent.length;
   }
 
+  /** Number of events that were received, from all sources, including those that were dropped. */
+  public get eventCount(): number {
+    return this._eventCount;
+  }
+
+  /** Whether the source sent text that is no event. It is not forwarded, nor is what follows it. */
+  public get isMalformed(): boolean {
+    return this._isMalformed;
+  }
+
   /** Consumes a chunk and returns the events that it completes. */
   public push(chunk: Buffer): Buffer {
     const bytes =
@@ -39,7 +57,13 @@
       end = nextEventEnd(bytes, start)
     ) {
       const event = bytes.subarray(start, end);
-      if (this._recordIfNew(event)) {
+      const lines = linesOf(event);
+      this._isMalformed ||= !isEvent(lines);
+      if (this._isMalformed) {
+        break;
+      }
+      this._eventCount++;
+      if (this._recordIfNew(lines)) {
         forwarded.push(event);
       }
       start = end;
@@ -48,14 +72,15 @@
     return forwarded.length === 1 ? (forwarded[0] ?? Buffer.alloc(0)) : Buffer.concat(forwarded);
   }
 
-  /** Discards an incomplete event before the stream continues from another source. */
+  /** Discards what is no complete event before the stream continues from another source. */
   public discardPartialEvent(): void {
     this._partialEvent = Buffer.alloc(0);
+    this._isMalformed = false;
   }
 
   /** Records the id of an event; returns `false` when the receiver already has the event. */
-  private _recordIfNew(event: Buffer): boolean {
-    const id = findEventId(event);
+  private _recordIfNew(lines: readonly string[]): boolean {
+    const id = findEventId(lines);
     if (id === undefined) {
       return true;
     }
@@ -84,12 +109,29 @@
   return undefined;
 }
 
-function findEventId(event: Buffer): string | undefined {
-  const line = event
-    .toString('latin1')
-    .split(/\r?\n/)
-    .find((each) => each.startsWith(ID_FIELD));
-  return line?.slice(ID_FIELD.length).trim();
+/** The lines of an event that are not blank. */
+function linesOf(event: Buffer): readonly string[] {
+  const text = event.toString('latin1').replace(BYTE_ORDER_MARK, '');
+  return text.split(/\r?\n/).filter((line) => line !== '');
+}
+
+/**
+ * Whether the lines are those of an event. Receivers ignore fields of other names, but these count
+ * only before the first known one: behind it, they are the head of an answer that was written into
+ * the event.
+ */
+function isEvent(lines: readonly string[]): boolean {
+  const isKnown = (line: string): boolean => EVENT_FIELDS.has(line.split(':', 1)[0] ?? '');
+  const first = lines.findIndex(isKnown);
+  const isExtended = lines.slice(0, first).every((line) => EXTENSION.test(line));
+  return lines.length === 0 || (first !== -1 && isExtended && lines.slice(first).every(isKnown));
+}
+
+function findEventId(lines: readonly string[]): string | undefined {
+  return lines
+    .find((line) => line.startsWith(ID_FIELD))
+    ?.slice(ID_FIELD.length)
+    .trim();
 }
 
 /** Whether both ids are decimal numbers and the first is not greater. */
--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -4,7 +4,7 @@
  * or 504 if it may have. An incomplete answer never looks complete.
  */
 import type { ServerResponse } from 'node:http';
-import { keepEndToEnd } from '../common/HttpHeaders.js';
+import { findHeader, keepEndToEnd } from '../common/HttpHeaders.js';
 import type { RawHeaders } from '../common/Messages.js';
 
 const MS_PER_SECOND = 1_000;
@@ -35,6 +35,11 @@
 
 /** The answer to one request. */
 export class CallerResponse {
+  private _streamStatus: number | undefined;
+  private _mediaType: string | undefined;
+  /** Bytes that the stream may still have; undefined if its length is not stated. */
+  private _remainingBytes: number | undefined;
+
   constructor(
     private readonly _response: ServerResponse,
     /** Whether to close the connection after the answer. */
@@ -88,12 +93,30 @@
 
   /** Sends the status and headers of a streamed answer of a target. */
   public beginStream(status: number, headers: RawHeaders): void {
+    this._streamStatus = status;
+    this._mediaType = mediaTypeOf(headers);
+    const length = findHeader(headers, 'content-length');
+    this._remainingBytes = length === undefined ? undefined : Number(length);
     this._writeHead(status, keepEndToEnd(headers, NO_HEADERS));
     this._response.flushHeaders();
   }
 
-  /** Sends a part of the body; returns `false` if the caller reads too slowly. */
+  /** Whether an answer with this status and these headers may continue the stream that has begun. */
+  public isContinuedBy(status: number, headers: RawHeaders): boolean {
+    return status === this._streamStatus && mediaTypeOf(headers) === this._mediaType;
+  }
+
+  /**
+   * Sends a part of the body; returns `false` if the caller reads too slowly. Aborts if the stated
+   * length is exceeded, since the caller would take the rest for another answer.
+   */
   public write(bytes: Buffer): boolean {
+    if (this._remainingBytes !== undefined) {
+      this._remainingBytes -= bytes.length;
+      if (this._remainingBytes < 0) {
+        this.abort();
+      }
+    }
     return this.isClosed || this._response.write(bytes);
   }
 
@@ -101,7 +124,11 @@
     this._response.once('drain', listener);
   }
 
+  /** Ends the body. Aborts if it is shorter than the stated length. */
   public end(): void {
+    if ((this._remainingBytes ?? 0) > 0) {
+      this.abort();
+    }
     if (!this.isClosed) {
       this._response.end();
     }
@@ -120,3 +147,8 @@
     this._response.writeHead(status, headers);
   }
 }
+
+/** The type of a body without its parameters. */
+function mediaTypeOf(headers: RawHeaders): string | undefined {
+  return findHeader(headers, 'content-type')?.split(';', 1)[0]?.trim().toLowerCase();
+}
--- a/packages/gateway/src/node/CrashingEngines.ts
+++ b/packages/gateway/src/node/CrashingEngines.ts
@@ -83,7 +83,7 @@
       this.crash(id);
       return;
     }
-    observer.onHead(200, ['Attempt', 'a1']);
+    observer.onHead(200, ['Attempt', 'a1', 'Transfer-Encoding', 'chunked']);
     this._writeFrom(id, observer, event);
   }
 
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -7,6 +7,7 @@
 import type { Disposable } from '@tanagerdyke/kernel';
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
+import { findHeader } from '../common/HttpHeaders.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { CallerResponse } from './CallerResponse.js';
@@ -109,9 +110,15 @@
   };
 
   private readonly _startedAt: number;
+  /** Whether the caller has received a part of the stream. */
+  private readonly _isResumed: boolean;
+  /** Events of the stream before this exchange. */
+  private readonly _eventsBefore: number;
 
   constructor(private readonly _options: StreamExchangeOptions) {
     this._startedAt = _options.clock.now();
+    this._isResumed = _options.response.isBegun;
+    this._eventsBefore = _options.splitter.eventCount;
   }
 
   public run(): Promise<StreamOutcome> {
@@ -162,6 +169,12 @@
     this._options.onAnswerHead(this._answer, isMatched);
     if (!isMatched) {
       this._abort(StreamEnd.Broken, 'the answer belongs to another request');
+    } else if (
+      this._isResumed &&
+      this._isStreaming &&
+      !this._options.response.isContinuedBy(status, headers)
+    ) {
+      this._abort(StreamEnd.Broken, `an answer of status ${status} does not continue the stream`);
     }
   }
 
@@ -177,15 +190,15 @@
     }
     const { splitter } = this._options;
     const events = splitter.push(chunk);
-    if (splitter.bufferedBytes > MAX_EVENT_BYTES) {
-      this._abort(StreamEnd.Broken, 'an event is too large to buffer');
-      return;
+    if (events.length > 0) {
+      this._recordEvent();
+      this._forwardEvents(events);
     }
-    if (events.length === 0) {
-      return;
+    if (splitter.isMalformed) {
+      this._abort(StreamEnd.Broken, 'the stream holds text that is no event');
+    } else if (splitter.bufferedBytes > MAX_EVENT_BYTES) {
+      this._abort(StreamEnd.Broken, 'an event is too large to buffer');
     }
-    this._recordEvent();
-    this._forwardEvents(events);
   }
 
   private _recordEvent(): void {
@@ -227,6 +240,11 @@
     } else if (splitter.bufferedBytes > 0) {
       this._isCutOff = true;
       this._finish(StreamEnd.Broken, 'the stream ended within an event');
+    } else if (this._isEmptyContinuation && !hasExplicitEnd(this._headers)) {
+      this._finish(
+        StreamEnd.Broken,
+        'the end of the connection does not show that nothing is left',
+      );
     } else {
       this._execution = Execution.Ran;
       if (!response.isBegun) {
@@ -236,6 +254,10 @@
     }
   }
 
+  private get _isEmptyContinuation(): boolean {
+    return this._isResumed && this._options.splitter.eventCount === this._eventsBefore;
+  }
+
   private _restartEventTimer(limitMs: number): void {
     this._stopWaiting();
     this._eventTimer = this._options.clock.schedule(limitMs, () => {
@@ -292,3 +314,10 @@
       : { head: this._answer, headers: this._headers, body: Buffer.concat(this._failureChunks) };
   }
 }
+
+/** Whether an answer states where its body ends, so that an empty one is not a lost one. */
+function hasExplicitEnd(headers: RawHeaders): boolean {
+  return ['content-length', 'transfer-encoding'].some(
+    (name) => findHeader(headers, name) !== undefined,
+  );
+}
