Take no refusal without an id on a connection that has carried another request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run (REFUSED), or these ran at a second server (TWICE).

A refusal without an id counted as the answer to whatever request was sent; one with the id of another request was not taken, but its connection was kept, so that each later request got the answer of the one before it.

Change: each connection has the history of the attempts that it carried. A refusal without an id counts only as the first answer of a connection, one with the id of a request only if the connection has not carried that attempt before; any other may be an earlier one, so the request may have run. The connection of an answer that belongs to another request is closed. Connections through other nodes have the same history, as each has a connection to the target of its own.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -100,10 +100,15 @@
         execution = Execution.MayHaveRun;
         waitedMs = clock.now() - startedAt;
       },
-      onHead: (status, raw) => {
+      onHead: (status, raw, history) => {
         headers = raw;
         answer = dialect.parseTargetAnswer(status, raw);
-        onAnswerHead(answer, matchesAttempt(answer, attemptId));
+        const isMatched = matchesAttempt(answer, attemptId, history);
+        onAnswerHead(answer, isMatched);
+        if (!isMatched) {
+          // The connection would carry the answer to this request in place of that to the next one.
+          abort('the answer belongs to another request');
+        }
       },
       onData: (chunk) => {
         if (buffer.add(chunk.length)) {
@@ -113,8 +118,8 @@
         }
       },
       onEnd: () => {
-        if (answer === undefined || !matchesAttempt(answer, attemptId)) {
-          fail('the answer belongs to another request');
+        if (answer === undefined) {
+          fail('no answer');
           return;
         }
         execution = answer.isNotRun ? Execution.NotRun : Execution.Ran;
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -3,6 +3,7 @@
 import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { Dialect } from '../common/services/Services.js';
+import type { ConnectionHistory } from './ConnectionHistory.js';
 import type { RequestSender, UpstreamRequest } from './Upstream.js';
 
 /** The cause of an exchange that ends because the caller disconnected. */
@@ -37,10 +38,20 @@
   readonly body: Buffer;
 }
 
-/** Whether an answer belongs to this request; refusals without execution may lack its id. */
-export function matchesAttempt(answer: TargetAnswer, attemptId: string | undefined): boolean {
-  if (attemptId === undefined || answer.attemptId === attemptId) {
+/**
+ * Whether an answer belongs to this request. Refusals without execution may lack its id, but on a
+ * kept connection, one that is not identified may be an earlier one that is written once more.
+ */
+export function matchesAttempt(
+  answer: TargetAnswer,
+  attemptId: string | undefined,
+  history?: ConnectionHistory,
+): boolean {
+  if (attemptId === undefined) {
     return true;
   }
-  return answer.attemptId === undefined && answer.isNotRun;
+  if (answer.attemptId === attemptId) {
+    return !answer.isNotRun || history?.isRepeated !== true;
+  }
+  return answer.attemptId === undefined && answer.isNotRun && history?.isKept !== true;
 }
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -238,7 +238,7 @@
     upstream,
     target,
     connections: connectionLimit(dependencies, service),
-    request: { method, path, headers: forwardedHeaders, body },
+    request: { method, path, headers: forwardedHeaders, body, attemptId: caller.attemptId },
     findObstacle: () => check.findObstacle(),
     onAnswerHead: (answer, isMatched) => {
       if (isMatched && !answer.isMisdirected) {
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -11,6 +11,8 @@
 import { Upstream } from './Upstream.js';
 
 const HOST = '127.0.0.1';
+/** Id of requests for which the test gives none. */
+const ATTEMPT = 'a1';
 
 /** Handles one request at a target. */
 export type TargetScript = (socket: Socket, request: string) => void;
@@ -116,12 +118,17 @@
   }
 
   /** Sends a POST request on a new connection and returns the raw answer. */
-  public post(path: string, headers: readonly string[] = [], body = ''): Promise<string> {
+  public post(
+    path: string,
+    headers: readonly string[] = [],
+    body = '',
+    attempt = ATTEMPT,
+  ): Promise<string> {
     const lines = [
       `POST ${path} HTTP/1.1`,
       'Host: test',
       'Key: k',
-      'Attempt: a1',
+      `Attempt: ${attempt}`,
       'Connection: close',
       `Content-Length: ${body.length}`,
       ...headers,
@@ -131,10 +138,15 @@
 }
 
 /** A complete answer to a request of the harness. */
-export function answerText(status: number, headers: readonly string[], body: string): string {
+export function answerText(
+  status: number,
+  headers: readonly string[],
+  body: string,
+  attempt = ATTEMPT,
+): string {
   const lines = [
     `HTTP/1.1 ${status} Scripted`,
-    'Attempt: a1',
+    `Attempt: ${attempt}`,
     `Content-Length: ${body.length}`,
     ...headers,
   ];
@@ -147,6 +159,11 @@
   'Transfer-Encoding: chunked\r\n\r\n';
 export const STREAM_END = '0\r\n\r\n';
 
+/** The attempt id of a request. */
+export function attemptOf(request: string): string {
+  return /^attempt: (\w+)/im.exec(request)?.[1] ?? '';
+}
+
 /** Encodes a text as one chunk. */
 export function chunkOf(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -11,6 +11,7 @@
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { CallerResponse } from './CallerResponse.js';
+import type { ConnectionHistory } from './ConnectionHistory.js';
 import {
   type BufferedAnswer,
   CALLER_DISCONNECTED_CAUSE,
@@ -139,8 +140,8 @@
         onSendStart: () => {
           this._execution = Execution.MayHaveRun;
         },
-        onHead: (status, headers) => {
-          this._handleHead(status, headers);
+        onHead: (status, headers, history) => {
+          this._handleHead(status, headers, history);
         },
         onData: (chunk) => {
           this._handleData(chunk);
@@ -162,10 +163,14 @@
     return this._answer !== undefined && this._answer.status < FIRST_NON_SUCCESS_STATUS;
   }
 
-  private _handleHead(status: number, headers: RawHeaders): void {
+  private _handleHead(
+    status: number,
+    headers: RawHeaders,
+    history: ConnectionHistory | undefined,
+  ): void {
     this._headers = headers;
     this._answer = this._options.dialect.parseTargetAnswer(status, headers);
-    const isMatched = matchesAttempt(this._answer, this._options.attemptId);
+    const isMatched = matchesAttempt(this._answer, this._options.attemptId, history);
     this._options.onAnswerHead(this._answer, isMatched);
     if (!isMatched) {
       this._abort(StreamEnd.Broken, 'the answer belongs to another request');
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -8,6 +8,7 @@
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { ConnectionHistories, type ConnectionHistory } from './ConnectionHistory.js';
 import { createTargetClient, type TargetConnection, type TargetDispatch } from './TargetClient.js';
 import { RelayedSocket } from './paths/RelayedSocket.js';
 import type { WatchedExchange } from './paths/SilenceMonitor.js';
@@ -26,6 +27,8 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer;
+  /** The caller's id of the request; undefined if it sent none. */
+  readonly attemptId?: string | undefined;
 }
 
 /**
@@ -37,8 +40,8 @@
   findObstacle(): SendObstacle | undefined;
   /** The first byte of the request is about to be sent. */
   onSendStart(): void;
-  /** The status and headers of the final answer arrived. */
-  onHead(status: number, headers: RawHeaders): void;
+  /** The status and headers of the final answer arrived, on a connection with this history. */
+  onHead(status: number, headers: RawHeaders, history?: ConnectionHistory): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
   onError(cause: Error): void;
@@ -100,6 +103,7 @@
 /** Sends requests over the connection pools of all targets. */
 export class Upstream extends DisposableOwner implements RequestSender {
   private readonly _pools = new Map<string, TargetPool>();
+  private readonly _histories = new ConnectionHistories();
 
   constructor(private readonly _options: UpstreamOptions) {
     super();
@@ -119,6 +123,11 @@
     observer: ExchangeObserver,
   ): Exchange {
     const exchange = new PoolExchange(observer, {
+      beginOn: (connection) => {
+        const history = this._histories.of(connection);
+        history.begin(request.attemptId);
+        return history;
+      },
       watch: () => this._options.watch(target.address),
       renewConnections: () => {
         this.renewConnections(target.address);
@@ -212,6 +221,8 @@
 
 /** What an exchange needs of the pools. */
 interface ExchangePools {
+  /** Records that the request is about to be sent on a connection; returns its history. */
+  readonly beginOn: (connection: TargetConnection | undefined) => ConnectionHistory;
   readonly watch: () => WatchedExchange;
   /** Opens new connections for further requests to the target. */
   readonly renewConnections: () => void;
@@ -225,6 +236,7 @@
   private _isFinished = false;
   private _watched: WatchedExchange | undefined;
   private _reassignments = 0;
+  private _history: ConnectionHistory | undefined;
   private _connection: () => TargetConnection | undefined = () => undefined;
 
   constructor(
@@ -264,10 +276,12 @@
     if (obstacle !== undefined) {
       throw new WithheldRequest(obstacle);
     }
-    const connection: unknown = this._connection();
-    if (connection instanceof RelayedSocket && connection.isRetired) {
-      throw new RetiredConnection(`${connection.relay} retired the connection to the target`);
+    const connection = this._connection();
+    const socket: unknown = connection;
+    if (socket instanceof RelayedSocket && socket.isRetired) {
+      throw new RetiredConnection(`${socket.relay} retired the connection to the target`);
     }
+    this._history = this._pools.beginOn(connection);
     this._watched = this._pools.watch();
     this._observer.onSendStart();
   }
@@ -281,7 +295,7 @@
     if (this._isFinished || statusCode < 200) {
       return;
     }
-    this._observer.onHead(statusCode, rawHeadersOf(controller, headers));
+    this._observer.onHead(statusCode, rawHeadersOf(controller, headers), this._history);
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/gateway/src/node/WaitingRequests.test.ts
+++ b/packages/gateway/src/node/WaitingRequests.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import {
   answerText,
+  attemptOf,
   chunkOf,
   ForwardingHarness,
   STREAM_END,
@@ -20,8 +21,8 @@
 
 describe('requests that wait for a connection or for capacity', () => {
   let harness: ForwardingHarness;
-  /** Connections with a request that the target has not answered. */
-  let held: Socket[];
+  /** Connections with a request that the target has not answered, and its attempt id. */
+  let held: { readonly socket: Socket; readonly attempt: string }[];
 
   beforeEach(async () => {
     harness = new ForwardingHarness();
@@ -34,23 +35,26 @@
   });
 
   async function play(service: string, path: string, statement: string): Promise<string[]> {
-    await harness.addTarget('stating', service, (socket) => {
-      held.push(socket);
+    await harness.addTarget('stating', service, (socket, request) => {
+      held.push({ socket, attempt: attemptOf(request) });
     });
-    const answers = Array.from({ length: REQUESTS }, () => harness.post(path));
+    const answers = Array.from({ length: REQUESTS }, (_each, index) =>
+      harness.post(path, [], '', `a${index}`),
+    );
     await vi.waitFor(() => {
       expect(held.length).toBeGreaterThanOrEqual(4);
     });
     // The other requests have been read by then, so they wait.
     await new Promise((resolve) => setTimeout(resolve, 100));
-    const refuse = (socket: Socket): void => {
-      socket.write(answerText(503, ['Not-Run: 1', statement], ''));
+    const refuse = ({ attempt, socket }: (typeof held)[number]): void => {
+      socket.write(answerText(503, ['Not-Run: 1', statement], '', attempt));
     };
-    await harness.addTarget('other', service, (socket) => {
+    await harness.addTarget('other', service, (socket, request) => {
+      const attempt = attemptOf(request);
       socket.end(
         service === 'engine'
-          ? STREAM_HEAD + chunkOf('id: 1\ndata: x\n\n') + STREAM_END
-          : answerText(200, [], ''),
+          ? STREAM_HEAD.replace('a1', attempt) + chunkOf('id: 1\ndata: x\n\n') + STREAM_END
+          : answerText(200, [], '', attempt),
       );
     });
     const [first, ...others] = held.splice(0);
