--- a/packages/gateway/src/node/paths/OpenSocket.ts
+++ b/packages/gateway/src/node/paths/OpenSocket.ts
@@ -1,6 +1,6 @@
 /** Opens TCP connections to targets and nodes, with a time limit. */
 import { connect, type Socket } from 'node:net';
-import type { Clock } from '@tanagerdyke/kernel';
+import { type Clock, isIpv4SocketAddress, parseSocketAddress } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 
 /** Where to connect to, and for how long to try. */
@@ -12,7 +12,10 @@
   readonly signal: AbortSignal;
 }
 
-/** Resolves with a connected socket without listeners for errors, or the text of the cause. */
+/**
+ * Resolves with a connected socket without listeners for errors, or the text of the cause. Never
+ * rejects: addresses come from outside.
+ */
 export function openSocket(
   clock: Clock,
   { address, signal, timeoutMs }: SocketRequest,
@@ -22,8 +25,12 @@
       resolve(Result.err('aborted'));
       return;
     }
-    const [host, port] = address.split(':');
-    const socket = connect({ host, port: Number(port), noDelay: true });
+    const parsed = isIpv4SocketAddress(address) ? parseSocketAddress(address) : undefined;
+    if (parsed === undefined) {
+      resolve(Result.err(`no address to connect to: ${JSON.stringify(address)}`));
+      return;
+    }
+    const socket = connect({ ...parsed, noDelay: true });
     const finish = (result: Result<Socket, string>): void => {
       timer.dispose();
       signal.removeEventListener('abort', onAbort);
--- a/packages/gateway/src/node/paths/RelayFrames.ts
+++ b/packages/gateway/src/node/paths/RelayFrames.ts
@@ -8,6 +8,7 @@
  * retires the connection: the request in flight goes on, and no further one may be sent on it. It is
  * sent only to nodes that accept it, which earlier releases do not.
  */
+import { isIpv4SocketAddress } from '@tanagerdyke/kernel';
 
 const LENGTH_BYTES = 4;
 /** By whether the node accepts that the connection is retired. */
@@ -15,7 +16,6 @@
   { acceptsRetirement: true, prefix: 'RELAY/2 ' },
   { acceptsRetirement: false, prefix: 'RELAY ' },
 ] as const;
-const ADDRESS = /^\d+\.\d+\.\d+\.\d+:\d+$/;
 /** The result line of a connection that was opened. */
 export const RELAY_OPENED = 'OPENED';
 /** A longer line is malformed. */
@@ -56,7 +56,7 @@
 export function parseRelayRequest(line: string): RelayRequest | undefined {
   const found = REQUEST_PREFIXES.find(({ prefix }) => line.startsWith(prefix));
   const address = line.slice(found?.prefix.length);
-  return found !== undefined && ADDRESS.test(address)
+  return found !== undefined && isIpv4SocketAddress(address)
     ? { address, acceptsRetirement: found.acceptsRetirement }
     : undefined;
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -11,6 +11,7 @@
 export * from './common/SeededRandom.js';
 export * from './common/ServiceError.js';
 export * from './common/SettingsParser.js';
+export * from './common/SocketAddresses.js';
 export * from './common/TimeLine.js';
 export * from './node/JsonLog.js';
 export * from './node/SystemClock.js';
--- a/packages/kernel/src/node/SystemClock.ts
+++ b/packages/kernel/src/node/SystemClock.ts
@@ -4,6 +4,9 @@
 import { sleepWith } from '../common/ManualClock.js';
 import type { Clock, Disposable } from '../common/services/Services.js';
 
+/** Node.js runs timers with longer delays at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** Monotonic time from `performance.now`, timers from the event loop. */
 export class SystemClock implements Clock {
   public now(): number {
@@ -15,7 +18,7 @@
   }
 
   public schedule(delayMs: number, callback: () => void): Disposable {
-    const timer = setTimeout(callback, Math.max(0, delayMs));
+    const timer = setTimeout(callback, Math.min(MAX_DELAY_MS, Math.max(0, delayMs)));
     return toDisposable(() => {
       clearTimeout(timer);
     });
--- a/packages/mesh/src/node/SocketTransport.ts
+++ b/packages/mesh/src/node/SocketTransport.ts
@@ -10,6 +10,7 @@
   type Disposable,
   DisposableOwner,
   Emitter,
+  parseSocketAddress,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import { JSONRPCServer } from 'json-rpc-2.0';
@@ -135,12 +136,13 @@
   }
 
   public sendDatagram(address: string, payload: string): void {
-    const [host, port] = address.split(':');
-    if (this.isDisposed) {
+    const target = parseSocketAddress(address);
+    // Addresses come from records and messages; a wrong one is equivalent to a lost datagram.
+    if (this.isDisposed || target === undefined) {
       return;
     }
     this._counter.count(Buffer.byteLength(payload));
-    this._datagrams.send(payload, Number(port), host);
+    this._datagrams.send(payload, target.port, target.host);
   }
 
   public onDatagram(handler: DatagramHandler): Disposable {
