Leave long records out for nodes of earlier releases at nodes that do not poll, too

A node of an earlier release asks for everything at once, and is to read long records from the store. They can't tell; a node without an answer of the store asks again and says so. PeerRelay.test failed before.

--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -278,6 +278,19 @@
         expect(await request(false)).toMatchObject({ isTooLong: true, records: [] });
       });
 
+      it('is left out by a node that relies on others to poll, too', async () => {
+        create(6);
+        nodes.forEach(({ table }) => {
+          table.applySnapshot({ epoch: undefined, records: [], end: 0 });
+        });
+        receiveFromPlatform(3, 'a', randomText(LONG_VALUE_BYTES));
+        const peer = network.join(EARLIER_PEER);
+        const params = { topic: 'topic', after: 0, epoch: 0, isPlatformLost: false };
+        const response = peer.request('127.0.0.1:4', 'gateway.records', params, 1_000);
+        await clock.advance(100);
+        expect((await response).unwrapOr(undefined)).toMatchObject({ isTooLong: true });
+      });
+
       it('is sent whole to a node without the platform, twice a second', async () => {
         network.join(EARLIER_PEER);
         const responses = [];
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -328,10 +328,13 @@
     });
   }
 
-  /** While the platform is unreachable for a node, a peer is its only source of the records. */
+  /**
+   * While the platform is unreachable, a peer is the only source of the records. A node that does not
+   * poll can't tell whether it is; the requester asks again if it gets no answer.
+   */
   private _admitsWholeCopy({ isPlatformLost }: RecordsRequest): boolean {
     const { clock, isConnected } = this._options;
-    const isOnlySource = isPlatformLost === true || !isConnected();
+    const isOnlySource = isPlatformLost === true || (this.isPoller && !isConnected());
     if (!isOnlySource || clock.now() - this._wholeCopySentAt < WHOLE_COPY_INTERVAL_MS) {
       return false;
     }
