--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -22,10 +22,7 @@
 import { TargetTable } from './TargetTable.js';
 import { TopicFollower } from './TopicFollower.js';
 
-/**
- * The platform counts as disconnected after this time without a response. Polls begin to be answered
- * or time out within 2.2 s.
- */
+/** The platform counts as disconnected after this time without a response; a late poll takes 2.2 s. */
 const CONNECTION_TIMEOUT_MS = 2_700;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
