--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -20,7 +20,6 @@
 export const OPEN_CALL_TIMEOUT_MS = 10_000;
 /** Calls that may be open at the same time; the oldest is closed for a further one. */
 const MAX_OPEN_CALLS = 3;
-
 /** Bytes of an answer from which on it is not awaited twice; the links of small hosts are narrow. */
 const LONG_ANSWER_BYTES = 4_096;
 
@@ -65,8 +64,8 @@
 
   /**
    * Makes a call beside those that are late, unless one is open that is not late yet. Returns the
-   * first answer of any of them. Errors: that of the new call; that of the last open one; `DeadlineExceeded` after `limitMs`
-   * without a part of an answer, which leaves the call open.
+   * first answer of any of them. Errors: that of the new call; that of the last open one;
+   * `DeadlineExceeded` after `limitMs` without a part of an answer, which leaves the call open.
    */
   public ask(limitMs: number, call: Call<T>): Promise<Result<T, ServiceError>> {
     const own = [...this._open].find(({ isLate }) => !isLate) ?? this._start(call);
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -267,8 +267,11 @@
 
   /** Whether a snapshot has fewer bytes than the records after a page, if they are as long. */
   private _isSnapshotShorter({ end, logEnd, records }: KeyedPage): boolean {
-    const bytesAfter = (bytesOf(records) / records.length) * (logEnd - end);
-    return bytesAfter > bytesOf(this._options.table.records) * SNAPSHOT_EXPANSION;
+    const { table } = this._options;
+    // A late page ends before records that have arrived since.
+    const missing = logEnd - Math.max(end, table.end);
+    const bytesAfter = (bytesOf(records) / records.length) * missing;
+    return bytesAfter > bytesOf(table.records) * SNAPSHOT_EXPANSION;
   }
 
   /** Logs a call that brought records. `tookMs` includes the wait for the first one. */
