--- a/packages/gateway/src/common/EventStreamSplitter.test.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.test.ts
@@ -29,7 +29,7 @@
     it.each([
       ['a comment', ': ping\n\n'],
       ['a field without a value', 'data\n\n'],
-      ['another field before the known ones', 'x-weight-versions: 3\nid: 4\ndata: y\n\n'],
+      ['another field before the known ones', 'x-extension: 3\nid: 4\ndata: y\n\n'],
       ['a byte order mark', '\ufeffdata: x\n\n'],
     ])('forwards an event with %s', (_what, event) => {
       const splitter = new EventStreamSplitter(undefined);
