--- a/packages/kernel/src/common/SocketAddresses.ts
+++ b/packages/kernel/src/common/SocketAddresses.ts
@@ -1,7 +1,7 @@
 /** Addresses as text, `host:port`, as they come from outside. */
 
 const MAX_PORT = 65_535;
-const IPV4 = /^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?!$)|$)){4}$/;
+const IPV4 = /^(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(?:\.(?!$)|$)){4}$/;
 
 /** Where to connect to, or to send a datagram. */
 export interface SocketAddress {
