Repeat late calls to the store on new connections

Since a poll whose connection went silent was replaced after 4.4 s in place of 2.2 s at times: the late call keeps its connection, so pools have idle ones, and the repeat took one of these, which was silent as well.

--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -40,6 +40,8 @@
 
 /** One of several calls for the same, of which the first answer counts. */
 export interface CallAttempt {
+  /** Whether no connection that is open may be used, as all of them may have gone silent. */
+  readonly needsNewConnection: boolean;
   /** Ends the call and closes its connection. */
   readonly signal: AbortSignal;
   /**
--- a/packages/gateway/src/common/state/OpenCalls.test.ts
+++ b/packages/gateway/src/common/state/OpenCalls.test.ts
@@ -43,6 +43,11 @@
   describe('when a call is late', () => {
     beforeEach(askUntilLate);
 
+    it('makes the next call on a new connection', () => {
+      void ask();
+      expect(attempts.map(({ needsNewConnection }) => needsNewConnection)).toEqual([false, true]);
+    });
+
     it('returns its answer to the next call, and closes that one', async () => {
       const answer = ask();
       settle[0]?.(Result.ok('first'));
--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -97,16 +97,17 @@
 
   private _start(call: Call<T>): OpenCall {
     const open = { abort: new AbortController(), startedAt: this._clock.now(), isLate: false };
+    const needsNewConnection = this._open.size > 0;
     const [oldest] = this._open;
     if (oldest !== undefined && this._open.size >= MAX_OPEN_CALLS) {
       this._close(oldest);
     }
     this._open.add(open);
-    void this._run(open, call);
+    void this._run(open, call, needsNewConnection);
     return open;
   }
 
-  private async _run(open: OpenCall, call: Call<T>): Promise<void> {
+  private async _run(open: OpenCall, call: Call<T>, needsNewConnection: boolean): Promise<void> {
     const { signal } = open.abort;
     const onProgress = (receivedBytes: number): void => {
       if (!signal.aborted) {
@@ -116,7 +117,7 @@
         }
       }
     };
-    const result = await call({ signal, onProgress });
+    const result = await call({ needsNewConnection, signal, onProgress });
     if (signal.aborted && !this.isDisposed) {
       return;
     }
