Accept SIGHUP from the start of the program

A process that got SIGHUP before its node had started was ended by the signal.

What remains is the time in which Node.js itself starts; the soak leaves that out, as no program can prevent it.

--- a/scripts/gatewayLoader.mjs
+++ b/scripts/gatewayLoader.mjs
@@ -7,6 +7,9 @@
 import { fileURLToPath } from 'node:url';
 import { Script } from 'node:vm';
 
+// Without a listener the signal ends the process, and the program takes a while to load.
+process.on('SIGHUP', () => undefined);
+
 const filename = fileURLToPath(new URL('gateway.cjs', import.meta.url));
 
 function readCache() {
