--- a/packages/gateway/src/common/Execution.test.ts
+++ b/packages/gateway/src/common/Execution.test.ts
@@ -13,6 +13,7 @@
     pauseTargetMs: 200,
     maxAttempts: 2,
     allowsAnonymous: false,
+    allowedRegions: undefined,
     isResumable,
     priority: 1,
     shares: [],
--- a/packages/gateway/src/common/GatewaySettings.ts
+++ b/packages/gateway/src/common/GatewaySettings.ts
@@ -22,4 +22,10 @@
   readonly retries: RetryLimits;
   /** Time from a termination signal until the process is killed. */
   readonly shutdownTimeoutMs: number;
+  /** Region of each availability zone. */
+  readonly regionByZone: ReadonlyMap<string, string>;
+  /** Memory of the process; more ends it. */
+  readonly memoryBytes: number;
+  /** File descriptors that the process may have open, connections among them. */
+  readonly maxDescriptors: number;
 }
--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -39,6 +39,8 @@
   readonly isResumable: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Regions whose targets may get the requests; `undefined` when all may. */
+  readonly allowedRegions: readonly string[] | undefined;
   readonly shares: readonly RouteShare[];
 }
 
@@ -62,11 +64,21 @@
   readonly stride: number;
 }
 
+/** What a target tolerates while it is cold, that is slow after its start. */
+export interface WarmUp {
+  /** Time after its start for which a target is cold. */
+  readonly durationMs: number;
+  /** Requests per second that a cold target accepts from all nodes together. */
+  readonly requestsPerSecond: number;
+}
+
 /** A group of targets that run the same program. */
 export interface TargetService {
   readonly name: string;
   /** Connections that one target accepts from all its clients together. */
   readonly maxConnections: number;
+  /** `undefined` when the targets are never cold. */
+  readonly warmUp: WarmUp | undefined;
   /** Present when the targets are model engines. */
   readonly engine: EngineProfile | undefined;
 }
@@ -87,6 +99,8 @@
   readonly keys: readonly string[];
   /** `undefined` when none is configured. */
   readonly priority: number | undefined;
+  /** Regions whose targets may get its requests; `undefined` when all may. */
+  readonly allowedRegions: readonly string[] | undefined;
 }
 
 /** The whole configuration of the gateway. */
@@ -110,6 +124,8 @@
   readonly isDraining: boolean;
   /** Start time of the instance, in ms since the Unix epoch; `undefined` when it is not stated. */
   readonly startedAt: number | undefined;
+  /** How much longer the target stays cold, when the record was written; 0 when it is warm. */
+  readonly coldMs: number;
 }
 
 /** Alternating names and values of headers, in the order received. */
@@ -126,6 +142,8 @@
   readonly promptTokens: number;
   /** 0 when the caller does not state the length of the answer. */
   readonly outputTokens: number;
+  /** The caller's own estimate of the length of the answer; `undefined` when it states none. */
+  readonly expectedOutputTokens: number | undefined;
   /** Id of the last event that the caller has received; `undefined` when it has received none. */
   readonly lastEventId: string | undefined;
   /** Ids of the parts of the prompt that other prompts may have, too. */
@@ -156,6 +174,8 @@
    * otherwise; `undefined` when it states no limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /** How much longer the target stays cold; `undefined` when it does not state that. */
+  readonly coldMs: number | undefined;
 }
 
 /** Values of the headers that the gateway adds to a forwarded request. */
--- a/packages/gateway/src/common/placement/PlacementFixtures.ts
+++ b/packages/gateway/src/common/placement/PlacementFixtures.ts
@@ -37,6 +37,7 @@
     slots,
     isDraining: false,
     startedAt: undefined,
+    coldMs: 0,
   };
 }
 
--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -82,6 +82,7 @@
     slots: 4,
     isDraining: false,
     startedAt: undefined,
+    coldMs: 0,
   };
 }
 
--- a/packages/gateway/src/common/placement/ServicePlacer.test.ts
+++ b/packages/gateway/src/common/placement/ServicePlacer.test.ts
@@ -11,6 +11,7 @@
       slots: 6,
       isDraining: false,
       startedAt: undefined,
+      coldMs: 0,
     },
     inFlight: 0,
     failureRate: 0,
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -109,6 +109,11 @@
   target(id: string, value: Buffer): Result<TargetEntry, ServiceError>;
   /** Whether records of the configuration topic with this key hold the configuration. */
   isConfiguration(key: string): boolean;
+  /**
+   * The availability zone that a record of the configuration topic with this key evacuates;
+   * `undefined` if it does not evacuate one.
+   */
+  evacuatedZone(key: string): string | undefined;
 }
 
 /** The platform's HTTP conventions: header names, paths, and formats of requests and answers. */
--- a/packages/gateway/src/common/state/ConfigurationState.test.ts
+++ b/packages/gateway/src/common/state/ConfigurationState.test.ts
@@ -20,6 +20,7 @@
     pauseTargetMs: 200,
     maxAttempts: 1,
     allowsAnonymous: false,
+    allowedRegions: undefined,
     isResumable: false,
     priority: 1,
     shares: [{ service: 's', weight: 1 }],
@@ -31,14 +32,17 @@
   return {
     version: Number(text),
     routes: [routeOf('/'), routeOf('/a/b/'), routeOf('/a/')],
-    services: [{ name: 's', maxConnections: 10, engine: undefined }],
-    workspaces: [{ name: 'w', keys: [`key-${text}`], priority: undefined }],
+    services: [{ name: 's', maxConnections: 10, warmUp: undefined, engine: undefined }],
+    workspaces: [
+      { name: 'w', keys: [`key-${text}`], priority: undefined, allowedRegions: undefined },
+    ],
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
 }
 
 const decoder: RecordDecoder = {
   isConfiguration: (key) => key === 'config',
+  evacuatedZone: () => undefined,
   configuration: (value) => {
     const text = value.toString();
     return /^\d+$/.test(text) ? Result.ok(configurationOf(text)) : Result.err(unreadable);
--- a/packages/gateway/src/common/state/LargeConfigurations.test.ts
+++ b/packages/gateway/src/common/state/LargeConfigurations.test.ts
@@ -27,6 +27,7 @@
 
 const decoder: RecordDecoder = {
   isConfiguration: (key) => key === 'config',
+  evacuatedZone: () => undefined,
   configuration: (value) => {
     const version = Number(/"version":(\d+)/.exec(value.subarray(0, 40).toString())?.[1]);
     return Result.ok({
--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -13,6 +13,7 @@
 /** A configuration is the text of its version; an entry is its start time and state. */
 const decoder: RecordDecoder = {
   isConfiguration: (key) => key === 'config',
+  evacuatedZone: () => undefined,
   configuration: (value) => {
     const version = Number(value.toString());
     return Number.isInteger(version) ? Result.ok(configurationOf(version)) : Result.err(unreadable);
@@ -27,6 +28,7 @@
           address: '10.0.0.1:80',
           availabilityZone: 'a',
           slots: 1,
+          coldMs: 0,
           isDraining: state === 'draining',
           startedAt: Number(startedAt),
         });
--- a/packages/gateway/src/common/state/SlowStore.test.ts
+++ b/packages/gateway/src/common/state/SlowStore.test.ts
@@ -17,6 +17,7 @@
 
 const decoder: RecordDecoder = {
   isConfiguration: (key) => key === 'config',
+  evacuatedZone: () => undefined,
   configuration: (value) =>
     Result.ok({
       version: Number(value.toString()),
--- a/packages/gateway/src/common/state/TargetTable.test.ts
+++ b/packages/gateway/src/common/state/TargetTable.test.ts
@@ -12,6 +12,7 @@
 /** Decodes entries that are JSON with an `isDraining` field. */
 const decoder: RecordDecoder = {
   isConfiguration: () => false,
+  evacuatedZone: () => undefined,
   configuration: () => Result.err(unreadable),
   target: (id, value) => {
     try {
@@ -24,6 +25,7 @@
         slots: 1,
         isDraining: parsed.isDraining,
         startedAt: undefined,
+        coldMs: 0,
       });
     } catch {
       return Result.err(unreadable);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,3 +8,4 @@
 export * from './node/GatewayNode.js';
 export * from './node/paths/AnswerHeadLimit.js';
 export * from './node/StandardOutput.js';
+export * from './node/TimedCall.js';
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -72,6 +72,7 @@
     key: findHeader(headers, 'key'),
     promptTokens: numberOf(findHeader(headers, 'prompt')) ?? 0,
     outputTokens: numberOf(findHeader(headers, 'output')) ?? 0,
+    expectedOutputTokens: numberOf(findHeader(headers, 'hint')),
     lastEventId: findHeader(headers, 'last'),
     sharedParts: [],
     ownPart: undefined,
@@ -99,6 +100,7 @@
     isMisdirected: false,
     isLeaving: findHeader(headers, 'leaving') !== undefined,
     pauseMs: numberOf(findHeader(headers, 'pause')),
+    coldMs: numberOf(findHeader(headers, 'cold')),
     failedAddress: findHeader(headers, 'failed-at'),
     requestsPerSecond: numberOf(findHeader(headers, 'rate')),
   }),
@@ -127,10 +129,10 @@
     routeOf('/stream/', CallKind.Stream, 'engine'),
   ],
   services: [
-    { name: 'app', maxConnections: 50, engine: undefined },
-    { name: 'engine', maxConnections: 50, engine: profile },
+    { name: 'app', maxConnections: 50, warmUp: undefined, engine: undefined },
+    { name: 'engine', maxConnections: 50, warmUp: undefined, engine: profile },
   ],
-  workspaces: [{ name: 'w', keys: ['k'], priority: undefined }],
+  workspaces: [{ name: 'w', keys: ['k'], priority: undefined, allowedRegions: undefined }],
   limits: { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 },
 };
 
@@ -145,6 +147,7 @@
     pauseTargetMs: 200,
     maxAttempts: 2,
     allowsAnonymous: false,
+    allowedRegions: undefined,
     isResumable: true,
     priority: 1,
     shares: [{ service, weight: 1 }],
@@ -160,6 +163,7 @@
     availabilityZone: ZONE,
     slots: profile.slots,
     isDraining: false,
+    coldMs: 0,
     startedAt: undefined,
   };
 }
@@ -197,6 +201,7 @@
     });
     const decoder: RecordDecoder = {
       isConfiguration: () => true,
+      evacuatedZone: () => undefined,
       configuration: () => Result.ok(configuration),
       target: (id) => {
         const entry = this._entries.get(id);
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -48,6 +48,7 @@
       key: 'k',
       promptTokens,
       outputTokens: 100,
+      expectedOutputTokens: undefined,
       lastEventId: undefined,
       sharedParts,
       ownPart: undefined,
--- a/platform/src/TimedCall.ts
+++ b/packages/gateway/src/node/TimedCall.ts
@@ -2,10 +2,10 @@
  * An HTTP call to the platform's store or to a server, with undici. The calling code sets the time
  * limits and decides about retries. Answers have a size limit, too.
  */
-import type { CallAttempt } from '@tanagerdyke/gateway';
 import { type Clock, describeCause, type Disposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { type Dispatcher, request } from 'undici';
+import type { CallAttempt } from '../common/services/Services.js';
 
 /** Several times the largest page of the store. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/packages/gateway/src/node/Upstream.test.ts
+++ b/packages/gateway/src/node/Upstream.test.ts
@@ -48,6 +48,7 @@
       slots: 1,
       isDraining: false,
       startedAt: undefined,
+      coldMs: 0,
     };
   });
 
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -87,7 +87,7 @@
     const address = `127.0.0.1:${await listenOnLoopback(targetServer)}`;
     target = {
       ...{ id: 't', service: 's', address, availabilityZone: 'z', slots: 1 },
-      ...{ isDraining: false, startedAt: 1 },
+      ...{ isDraining: false, startedAt: 1, coldMs: 0 },
     };
     const log = new DecisionLog(clock, 'n', (line) => lines.push(line) > 0);
     const services = { clock, log, metrics: new Metrics() };
