Complete member lists by anti-entropy

After all nodes of a large system had started at the same moment, the lists of live members stayed incomplete: with 120 nodes on links of 10 Mbit/s, 119 lacked members after 5 s, with 132 nodes the lists had 81 to 132 members after 10 s (trial). Gossip sends each update a limited number of times, to members that are known by then. Nodes with different lists choose different coordinators and relays.

Probe messages carry a digest of the live members; a node whose own digest differs requests the records that it lacks. A response has at most 32 records, so that seeds don't send whole lists to all at once.

--- a/packages/mesh/src/common/ProbeMessages.ts
+++ b/packages/mesh/src/common/ProbeMessages.ts
@@ -25,6 +25,8 @@
   target: z.string().optional(),
   /** The sender's own state and piggybacked updates; for `Update` only the pushed update. */
   members: z.array(wireMemberSchema),
+  /** Digest of the sender's live members; nodes of earlier releases send none. */
+  digest: z.number().optional(),
 });
 
 export type ProbeMessage = z.infer<typeof probeMessageSchema>;
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -6,6 +6,7 @@
 import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import * as z from 'zod';
+import { fingerprintOf } from './MemberSync.js';
 import { isLive, type MemberTable } from './MemberTable.js';
 import { JOIN_METHOD, type Member, memberSchema, MemberStatus } from './Messages.js';
 import { Delivery, type Transport } from './services/Services.js';
@@ -13,6 +14,11 @@
 const JOIN_TIMEOUT_MS = 1_000;
 /** Time between attempts while this node has no peers. */
 const FIRST_RETRY_MS = 500;
+/**
+ * Records in one response to a node that requests the rest from other peers. When all nodes start at
+ * once, whole lists for each of them would occupy the links of the seeds for seconds.
+ */
+const MAX_RECORDS = 32;
 /** Time between checks for seeds that aren't live. */
 const REJOIN_INTERVAL_MS = 5_000;
 
@@ -20,6 +26,8 @@
   members: z.array(memberSchema),
   /** In a request: names of the only members to return; all are returned without it. */
   wanted: z.array(z.string()).optional(),
+  /** In a request: fingerprints of the records that are not to be returned. */
+  known: z.array(z.number()).optional(),
 });
 
 export interface SeedJoinerOptions {
@@ -65,7 +73,10 @@
   public async joinThrough(address: string): Promise<void> {
     const { self, table } = this._options;
     const dead = table.all.filter(({ status }) => status === MemberStatus.Dead);
-    await this._exchange(address, { members: [self(), ...dead] });
+    await this._exchange(address, {
+      members: [self(), ...dead],
+      known: table.all.map(fingerprintOf),
+    });
   }
 
   /**
@@ -76,7 +87,13 @@
     await this._exchange(address, { members: [this._options.self()], wanted: [...names] });
   }
 
-  private async _exchange(address: string, request: z.infer<typeof joinSchema>): Promise<void> {
+  /** Requests the records whose fingerprints are not among `known`; returns their number. */
+  public requestMissing(address: string, known: readonly number[]): Promise<number> {
+    return this._exchange(address, { members: [this._options.self()], known: [...known] });
+  }
+
+  /** Returns the number of records that were received. */
+  private async _exchange(address: string, request: z.infer<typeof joinSchema>): Promise<number> {
     const { merge, transport } = this._options;
     const response = await transport.request(
       address,
@@ -86,9 +103,11 @@
       Delivery.AtLeastOnce,
     );
     const parsed = response.isOk ? joinSchema.safeParse(response.value) : undefined;
-    if (parsed?.success === true) {
-      merge(parsed.data.members.map(downgradeDeath));
+    if (parsed?.success !== true) {
+      return 0;
     }
+    merge(parsed.data.members.map(downgradeDeath));
+    return parsed.data.members.length;
   }
 
   private _hasPeers(): boolean {
@@ -106,10 +125,22 @@
     if (parsed.success) {
       this._options.merge(parsed.data.members.map(downgradeDeath));
     }
-    const wanted = parsed.success ? parsed.data.wanted : undefined;
+    const { known, wanted } = parsed.success ? parsed.data : {};
     const { all } = this._options.table;
     const names = wanted === undefined ? undefined : new Set(wanted);
-    return Result.ok({ members: all.filter(({ name }) => names?.has(name) ?? true) });
+    const excluded = new Set(known);
+    const members = all.filter(
+      (member) =>
+        (names?.has(member.name) ?? true) &&
+        (excluded.size === 0 || !excluded.has(fingerprintOf(member))),
+    );
+    return Result.ok({ members: known === undefined ? members : this._chooseRecords(members) });
+  }
+
+  /** A random selection, so that the responses of several nodes have different records. */
+  private _chooseRecords(members: readonly Member[]): readonly Member[] {
+    const first = this._options.random.integer(Math.max(1, members.length));
+    return [...members.slice(first), ...members.slice(0, first)].slice(0, MAX_RECORDS);
   }
 }
 
--- a/packages/mesh/src/common/SwimMembership.ts
+++ b/packages/mesh/src/common/SwimMembership.ts
@@ -15,6 +15,7 @@
 import { AckTable } from './AckTable.js';
 import { UpdateKind } from './GossipQueue.js';
 import { decodeMember, isWireMemberLive, type WireMember } from './MemberCodec.js';
+import { MemberSync } from './MemberSync.js';
 import { isLive, MemberTable } from './MemberTable.js';
 import { type Member, type MemberState, MemberStatus } from './Messages.js';
 import { parseProbeMessage, type ProbeMessage, ProbeKind } from './ProbeMessages.js';
@@ -59,6 +60,7 @@
   public readonly onChange = this._onChange.event;
   private readonly _abort = new AbortController();
   private readonly _joiner: SeedJoiner;
+  private readonly _sync: MemberSync;
   private _self: Member;
   private _lastContactAt = Number.NEGATIVE_INFINITY;
   private _resumedAt = Number.NEGATIVE_INFINITY;
@@ -85,9 +87,17 @@
     const { clock, isEagerPushEnabled = true, random, seeds, transport } = _options;
     this._acks = new AckTable(clock);
     this._probeOrder = new ProbeOrder(this._table, random, this._self.name);
+    this._sync = this.register(
+      new MemberSync({
+        clock,
+        table: this._table,
+        request: (address, known) => this._joiner.requestMissing(address, known),
+      }),
+    );
     this._disseminator = new UpdateDisseminator({
       transport,
       table: this._table,
+      digest: () => this._sync.digest,
       self: () => this._self,
       isEagerPushEnabled,
     });
@@ -253,6 +263,9 @@
       return;
     }
     this._handlers[message.kind](message);
+    if (message.digest !== undefined) {
+      this._sync.handleDigest(message.from, message.digest);
+    }
   }
 
   private readonly _handlers: Record<ProbeKind, (message: ProbeMessage) => void> = {
--- a/packages/mesh/src/common/UpdateDisseminator.ts
+++ b/packages/mesh/src/common/UpdateDisseminator.ts
@@ -27,6 +27,8 @@
   readonly table: MemberTable;
   readonly self: () => Member;
   readonly isEagerPushEnabled: boolean;
+  /** Digest of the live members, which probe messages carry. */
+  readonly digest: () => number;
 }
 
 /** Sends probe messages and disseminates membership updates by gossip and eager push. */
@@ -70,7 +72,7 @@
       ...(aboutMember === undefined ? [] : [encodeMember(aboutMember, false)]),
       ...updates.map(({ member, isIntroduction }) => encodeMember(member, isIntroduction)),
     ];
-    this._sendDatagram(address, { kind, id, target, members });
+    this._sendDatagram(address, { kind, id, target, members, digest: this._options.digest() });
   }
 
   private _sendDatagram(address: string, content: Omit<ProbeMessage, 'from'>): void {
