Keep targets of evacuated zones from new requests

Cause: the operator's request to evacuate an availability zone was decoded and had no effect.

Change: ZoneEvacuations holds the evacuated zones, derived from the records of the configuration topic. A target of such a zone accepts no requests, is in no list of accepting targets, and is neither draining nor leaving. An evacuation outlasts its loss by a restore of the store until it, or its removal, is written again.

Without the removals that are told to peers, two tests of PlatformView fail ("ends on a node that gets the log of after the removal").

--- a/packages/gateway/src/common/state/KeyedTable.test.ts
+++ b/packages/gateway/src/common/state/KeyedTable.test.ts
@@ -96,7 +96,7 @@
     it('keeps a record that outlasts the epoch until it is written again', () => {
       const outlasts = (_key: string, earlier: Buffer, later: Buffer | undefined): boolean =>
         earlier.toString() > (later?.toString() ?? '');
-      const table = new KeyedTable('t', { outlasts });
+      const table = new KeyedTable('t', { outlasts, outlastsLoss: () => true });
       table.applySnapshot({ epoch: 1, records: [record('a', 8, '5')], end: 9 });
       table.applySnapshot({ epoch: 2, records: [record('a', 2, '3')], end: 3 });
       expect(stateOf(table)).toEqual({ a: '5' });
@@ -107,6 +107,38 @@
       expect(stateOf(table)).toEqual({ a: '6' });
     });
 
+    it('keeps a record that outlasts its loss until its removal is written', () => {
+      const table = new KeyedTable('t', { outlasts: () => false, outlastsLoss: () => true });
+      table.applySnapshot({ epoch: 1, records: [record('a', 8, '5')], end: 9 });
+      table.applySnapshot({ epoch: 2, records: [], end: 3 });
+      expect(stateOf(table)).toEqual({ a: '5' });
+      table.apply([record('a', 3)], 4);
+      expect(stateOf(table)).toEqual({});
+    });
+
+    it('tells a peer that read a snapshot since of the removal, and the digests become equal', () => {
+      const succession = { outlasts: () => false, outlastsLoss: () => true };
+      const [saw, missed, started] = ['saw', 'missed', 'started'].map(
+        () => new KeyedTable('t', succession),
+      ) as [KeyedTable, KeyedTable, KeyedTable];
+      for (const table of [saw, missed]) {
+        table.applySnapshot({ epoch: 1, records: [record('a', 8, '5')], end: 9 });
+      }
+      saw.applySnapshot({ epoch: 2, records: [], end: 3 });
+      saw.apply([record('a', 3)], 4);
+      for (const table of [missed, started]) {
+        table.applySnapshot({ epoch: 2, records: [], end: 4 });
+      }
+      saw.applyEarlier(missed.earlierRecords);
+      started.applyEarlier(missed.earlierRecords);
+      missed.applyEarlier(saw.earlierRecords);
+      started.applyEarlier(saw.earlierRecords);
+      expect([saw, missed, started].map(stateOf)).toEqual([{}, {}, {}]);
+      expect(new Set([saw, missed, started].map((each) => each.earlierDigest)).size).toBe(1);
+      saw.apply([record('a', 4, 'again')], 5);
+      expect(saw.earlierDigest).toBe('');
+    });
+
     it('sends a peer of the epoch before a table that leads it to the same state', () => {
       const table = new KeyedTable('t');
       table.applySnapshot({ epoch: 2, records: [record('a', 2, 'new')], end: 3 });
--- a/packages/gateway/src/common/state/KeyedTable.ts
+++ b/packages/gateway/src/common/state/KeyedTable.ts
@@ -27,13 +27,15 @@
 /** Decides which records of an earlier epoch stay valid in a later one. */
 export interface RecordSuccession {
   /**
-   * Whether `earlier` holds newer state than `later`, the record of the key in a later epoch;
-   * `later` is undefined if that epoch has none.
+   * Whether `earlier` holds newer state than `later`, the record of the key that was written in a
+   * later epoch; `later` is undefined for a removal.
    */
   outlasts(key: string, earlier: Buffer, later: Buffer | undefined): boolean;
+  /** Whether `earlier` stays valid if a later epoch has no record of the key, nor its removal. */
+  outlastsLoss(key: string, earlier: Buffer): boolean;
 }
 
-const LATER_EPOCH_WINS: RecordSuccession = { outlasts: () => false };
+const LATER_EPOCH_WINS: RecordSuccession = { outlasts: () => false, outlastsLoss: () => false };
 
 /** The begin of an epoch. */
 export interface EpochStart {
@@ -51,6 +53,8 @@
   private readonly _tombstones = new Map<string, EpochRecord>();
   /** By key: the record of this epoch that one of an earlier epoch outlasts. */
   private readonly _outlasted = new Map<string, EpochRecord>();
+  /** By key: the removal of this epoch that ended a record which had outlasted its loss. */
+  private readonly _endings = new Map<string, EpochRecord>();
   private _epoch = UNSTATED_EPOCH;
   private _end = 0;
   /** Records of this epoch from this offset on were written after the restore. */
@@ -90,10 +94,14 @@
     return [...this._records.values()];
   }
 
-  /** Records and tombstones of earlier epochs that are still valid. */
+  /**
+   * Records and tombstones of earlier epochs that are still valid, and the removals of this epoch
+   * that ended such records: a peer that has read a snapshot since may have missed them.
+   */
   public get earlierRecords(): readonly EpochRecord[] {
     const tombstones = this._holdsRemovals ? [...this._tombstones.values()] : [];
-    return [...this._records.values(), ...tombstones].filter(({ epoch }) => epoch < this._epoch);
+    const earlier = [...this._records.values(), ...tombstones];
+    return [...earlier.filter(({ epoch }) => epoch < this._epoch), ...this._endings.values()];
   }
 
   /** Differs if the records of earlier epochs differ; empty if there are none. */
@@ -125,9 +133,11 @@
     this._fire(changed);
   }
 
-  /** Merges records of earlier epochs. */
+  /** Merges records of earlier epochs, and removals of this one that ended some. */
   public applyEarlier(records: readonly EpochRecord[]): void {
-    this._fire(records.filter((record) => record.epoch < this._epoch && this._merge(record)));
+    const earlier = records.filter((record) => record.epoch < this._epoch && this._merge(record));
+    const endings = records.filter((record) => record.epoch === this._epoch);
+    this._fire([...earlier, ...endings.filter((record) => this._mergeEnding(record))]);
   }
 
   /**
@@ -144,7 +154,7 @@
     }
     // The exact offset of a removal is unknown; the last one before the end is the latest possible.
     const removed = [...this._records.values()]
-      .filter((record) => !present.has(record.key) && (record.epoch < epoch || record.offset < end))
+      .filter((record) => !present.has(record.key) && this._isRemovedBy(record, epoch, end))
       .map(({ key }): KeyedRecord => ({ key, offset: end - 1, value: undefined }));
     const changed = this._mergeAll([...records, ...removed], epoch);
     this._end = Math.max(this._end, end);
@@ -172,6 +182,16 @@
     this._fire([...this._outlasted.values()].filter((record) => this._merge(record)));
   }
 
+  /** Whether a snapshot that lacks the key of a record removes the record. */
+  private _isRemovedBy(record: EpochRecord, epoch: number, end: number): boolean {
+    return record.epoch < epoch ? !this._outlastsLoss(record) : record.offset < end;
+  }
+
+  private _outlastsLoss(record: EpochRecord | undefined): boolean {
+    const { key = '', value } = record ?? {};
+    return value !== undefined && this._succession.outlastsLoss(key, value);
+  }
+
   private _startEpoch(epoch: number, end: number, present: ReadonlyMap<string, KeyedRecord>): void {
     const start = {
       epoch,
@@ -184,6 +204,7 @@
     this._restoredEnd = end;
     this._holdsRemovals = true;
     this._outlasted.clear();
+    this._endings.clear();
     for (const key of [...this._tombstones.keys()].filter((each) => !present.has(each))) {
       this._tombstones.delete(key);
     }
@@ -208,6 +229,13 @@
     } else if (stored?.epoch === this._epoch) {
       this._outlasted.set(key, stored);
     }
+    const isEnding =
+      value === undefined && stored?.epoch !== this._epoch && this._outlastsLoss(stored);
+    if (isEnding) {
+      this._endings.set(key, record);
+    } else {
+      this._endings.delete(key);
+    }
     if (value === undefined) {
       const existed = this._records.delete(key);
       this._addTombstone(record);
@@ -218,6 +246,18 @@
     return true;
   }
 
+  /** Merges a removal that ended an earlier record at a peer. Returns whether it was a change. */
+  private _mergeEnding(record: EpochRecord): boolean {
+    const { key, offset, value } = record;
+    const isChange = value === undefined && this._merge(record);
+    const isRemoved = (this._tombstones.get(key)?.offset ?? -1) >= offset;
+    // Kept as well where nothing ended, so that the digests of the peers become equal.
+    if (value === undefined && isRemoved && offset > (this._endings.get(key)?.offset ?? -1)) {
+      this._endings.set(key, record);
+    }
+    return isChange;
+  }
+
   /** Keeps a record of this epoch that one of an earlier epoch outlasts, for when that one ends. */
   private _keepOutlasted(record: EpochRecord, stored: EpochRecord | undefined): void {
     const isOutlasted =
@@ -229,11 +269,7 @@
 
   private _isNewer(record: EpochRecord, stored: EpochRecord | undefined): boolean {
     if (stored === undefined) {
-      const { epoch, key, value } = record;
-      const isEarlier = epoch < this._epoch;
-      return (
-        !isEarlier || (value !== undefined && this._succession.outlasts(key, value, undefined))
-      );
+      return record.epoch === this._epoch || this._outlastsLoss(record);
     }
     if (record.epoch === stored.epoch) {
       return record.offset > stored.offset;
--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -13,7 +13,7 @@
 /** A configuration is the text of its version; an entry is its start time and state. */
 const decoder: RecordDecoder = {
   isConfiguration: (key) => key === 'config',
-  evacuatedZone: () => undefined,
+  evacuatedZone: (key) => (key.startsWith('evacuate/') ? key.slice(9) || undefined : undefined),
   configuration: (value) => {
     const version = Number(value.toString());
     return Number.isInteger(version) ? Result.ok(configurationOf(version)) : Result.err(unreadable);
@@ -111,6 +111,118 @@
     return views.map(({ targets }) => targets.acceptsRequests(id));
   }
 
+  function evacuated(): boolean[] {
+    return views.map(({ evacuations }) => evacuations.isEvacuated('a'));
+  }
+
+  const ALL = [true, true, true];
+  const NONE = [false, false, false];
+
+  describe('the evacuation of a zone', () => {
+    beforeEach(async () => {
+      operatorLog.write('config', '1');
+      targetLog.write('t0', '1 ready');
+      await start(3);
+    });
+
+    it('excludes its targets on all nodes within a second, and its end includes them', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(1_000);
+      expect([evacuated(), accepting('t0')]).toEqual([ALL, NONE]);
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(1_000);
+      expect([evacuated(), accepting('t0')]).toEqual([NONE, ALL]);
+    });
+
+    it('reaches a node that the platform refuses, and one that starts meanwhile', async () => {
+      access[2] = Access.Refuses;
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(1_000);
+      expect(evacuated()).toEqual(ALL);
+      access[1] = Access.Refuses;
+      const restarted = restart(1);
+      await clock.advance(1_000);
+      expect([restarted.isReady, ...evacuated()]).toEqual([true, ...ALL]);
+    });
+
+    it('is what the last record says when it ends and begins again at once', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(1_000);
+      operatorLog.write('evacuate/a', undefined);
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(1_000);
+      expect(evacuated()).toEqual(ALL);
+    });
+
+    it('stays when the log lost it, until its removal is written', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(500);
+      operatorLog.restoreWithout(1);
+      await clock.advance(10_000);
+      expect(evacuated()).toEqual(ALL);
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(APPLY_MS);
+      expect(evacuated()).toEqual(NONE);
+    });
+
+    it('stays when the log lost it, on a node that starts after the restore', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(500);
+      operatorLog.restoreWithout(1);
+      await clock.advance(300);
+      restart(0);
+      await clock.advance(APPLY_MS);
+      expect(evacuated()).toEqual(ALL);
+    });
+
+    it('ends with its removal when it was written again after the log lost it', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(500);
+      operatorLog.restoreWithout(1);
+      await clock.advance(300);
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(500);
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(APPLY_MS);
+      expect(evacuated()).toEqual(NONE);
+    });
+
+    it('does not return with a copy that lacks its end, which is written again', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(500);
+      operatorLog.restoreWithout(1);
+      await clock.advance(2_000);
+      expect(evacuated()).toEqual(NONE);
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(8_000);
+      expect(evacuated()).toEqual(NONE);
+    });
+
+    it.each([
+      ['peers', Access.Refuses],
+      ['the log', Access.Answers],
+    ])('ends on a node that gets the log of after the removal from %s', async (_from, later) => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(500);
+      for (const peer of ['127.0.0.1:1', '127.0.0.1:2']) {
+        network.cut(peer, '127.0.0.1:3');
+        network.cut('127.0.0.1:3', peer);
+      }
+      access[2] = Access.Refuses;
+      operatorLog.restoreWithout(1);
+      await clock.advance(1_500);
+      operatorLog.write('evacuate/a', undefined);
+      await clock.advance(1_000);
+      expect(evacuated()).toEqual([false, false, true]);
+      access[2] = later;
+      await clock.advance(later === Access.Answers ? 4_000 : 0);
+      network.heal();
+      await clock.advance(APPLY_MS);
+      expect(evacuated()).toEqual(NONE);
+    });
+  });
+
   describe('after the log returned from an older copy', () => {
     describe('the configuration', () => {
       beforeEach(() => {
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -1,6 +1,6 @@
 /**
- * A node's copy of the platform's state: the configuration in force and the targets. Updates come
- * from the platform itself and from peers.
+ * A node's copy of the platform's state: the configuration in force, the evacuated zones and the
+ * targets. Updates come from the platform itself and from peers.
  */
 import {
   type Clock,
@@ -21,6 +21,7 @@
 import { configurationSuccession, targetSuccession } from './RecordSuccessions.js';
 import { TargetTable } from './TargetTable.js';
 import { TopicFollower } from './TopicFollower.js';
+import { ZoneEvacuations } from './ZoneEvacuations.js';
 
 /** The platform counts as disconnected after this time without a response; a late poll takes 2.2 s. */
 const CONNECTION_TIMEOUT_MS = 2_700;
@@ -47,7 +48,9 @@
 /** Owns the tables, the followers of the platform's topics and the relay between nodes. */
 export class PlatformView extends DisposableOwner {
   public readonly configuration: ConfigurationState;
+  public readonly evacuations: ZoneEvacuations;
   public readonly targets: TargetTable;
+  private readonly _configurationRecords: KeyedTable;
   private readonly _targetRecords: KeyedTable;
   private readonly _followers: readonly TopicFollower[];
   private readonly _relay: PeerRelay;
@@ -75,20 +78,31 @@
       configurationTopic.name,
       configurationSuccession(decoder),
     );
+    this._configurationRecords = configurationRecords;
     this._targetRecords = this._createTable(targetTopic.name, targetSuccession(decoder));
     this.configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
+    this.evacuations = this.register(
+      new ZoneEvacuations({
+        table: configurationRecords,
+        decoder,
+        log,
+        countTargets: (zone) =>
+          this._targetRecords.hasSnapshot ? this.targets.targetsInZone(zone).length : undefined,
+      }),
+    );
     this.targets = this.register(
       new TargetTable({
         clock,
         table: this._targetRecords,
         decoder,
         log,
+        evacuations: this.evacuations,
         hadRecentOutage: () => this._hadRecentOutage() || this._relay.isOutageReported,
       }),
     );
-    for (const event of [this.configuration.onChange, this._targetRecords.onChange]) {
+    for (const table of [configurationRecords, this._targetRecords]) {
       this.register(
-        event(() => {
+        table.onChange(() => {
           if (this.isReady) {
             this._onUpdate.fire();
           }
@@ -112,9 +126,13 @@
     );
   }
 
-  /** Whether a configuration and the targets are loaded, so that requests can be routed. */
+  /**
+   * Whether the configuration, the evacuated zones and the targets are loaded, so that requests can
+   * be routed. A configuration without a snapshot of its topic does not show which zones are evacuated.
+   */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this._targetRecords.hasSnapshot;
+    const tables = [this._configurationRecords, this._targetRecords];
+    return this.configuration.current !== undefined && tables.every((each) => each.hasSnapshot);
   }
 
   /** Newest epoch of the platform's log that this node has a record of; 0 if none is stated. */
--- a/packages/gateway/src/common/state/RecordFetcher.ts
+++ b/packages/gateway/src/common/state/RecordFetcher.ts
@@ -438,6 +438,8 @@
   } else if (isKnown && (!table.hasSnapshot || epoch > table.epoch)) {
     const present = records.filter(({ value }) => value !== undefined);
     table.applySnapshot({ epoch, records: present, end });
+    // A snapshot does not say which of the missing keys were removed since the restore.
+    table.apply(records, end, epoch);
   } else {
     table.apply(records, end, epoch);
   }
--- a/packages/gateway/src/common/state/RecordSuccessions.ts
+++ b/packages/gateway/src/common/state/RecordSuccessions.ts
@@ -5,14 +5,21 @@
 import type { RecordDecoder } from '../services/Services.js';
 import type { RecordSuccession } from './KeyedTable.js';
 
-/** A newer version of the configuration outlasts an older one, and its loss. */
+/**
+ * A newer version of the configuration outlasts an older one, its removal and its loss. The
+ * evacuation of a zone outlasts its loss, but neither a record nor a removal that was written since.
+ */
 export function configurationSuccession(decoder: RecordDecoder): RecordSuccession {
   const versionOf = (key: string, value: Buffer | undefined): number =>
     value === undefined || !decoder.isConfiguration(key)
       ? Number.NEGATIVE_INFINITY
       : decoder.configuration(value).mapOr(Number.NEGATIVE_INFINITY, ({ version }) => version);
+  const outlasts = (key: string, earlier: Buffer, later: Buffer | undefined): boolean =>
+    versionOf(key, earlier) > versionOf(key, later);
   return {
-    outlasts: (key, earlier, later) => versionOf(key, earlier) > versionOf(key, later),
+    outlasts,
+    outlastsLoss: (key, earlier) =>
+      decoder.evacuatedZone(key) !== undefined || outlasts(key, earlier, undefined),
   };
 }
 
@@ -36,5 +43,6 @@
         ? isDraining && !after.value.isDraining
         : (startedAt ?? 0) > (after.value.startedAt ?? 0);
     },
+    outlastsLoss: () => false,
   };
 }
--- a/packages/gateway/src/common/state/TargetTable.test.ts
+++ b/packages/gateway/src/common/state/TargetTable.test.ts
@@ -38,18 +38,21 @@
   let records: KeyedTable;
   let targets: TargetTable;
   let hadRecentOutage: boolean;
+  let evacuatedZones: Set<string>;
   let offset: number;
 
   beforeEach(() => {
     clock = new ManualClock();
     records = new KeyedTable('targets');
     hadRecentOutage = false;
+    evacuatedZones = new Set();
     offset = 0;
     targets = new TargetTable({
       clock,
       table: records,
       decoder,
       log: new DecisionLog(clock, 'n', () => true),
+      evacuations: { isEvacuated: (zone) => evacuatedZones.has(zone) },
       hadRecentOutage: () => hadRecentOutage,
     });
   });
@@ -79,6 +82,36 @@
     expect(targets.acceptingTargets('app')).toHaveLength(1);
   });
 
+  describe('in an evacuated zone', () => {
+    beforeEach(() => {
+      write('t1', ready);
+      evacuatedZones.add('a');
+    });
+
+    it('accepts no requests for a target, until the evacuation ends', () => {
+      expect(targets.acceptsRequests('t1')).toBe(false);
+      expect(targets.acceptingTargets('app')).toEqual([]);
+      evacuatedZones.clear();
+      expect(targets.acceptsRequests('t1')).toBe(true);
+    });
+
+    it('counts no target as leaving, so that what runs on it goes on', () => {
+      expect(targets.leavingCount).toBe(0);
+      expect(targets.find('t1')?.isDraining).toBe(false);
+    });
+
+    it('lists the targets that only the evacuation excludes', () => {
+      write('t2', '{"isDraining":true}');
+      expect(targets.evacuatedTargets('app').map(({ id }) => id)).toEqual(['t1']);
+      expect(targets.evacuatedTargets('other')).toEqual([]);
+    });
+
+    it('accepts none for a target that registers meanwhile', () => {
+      write('t3', ready);
+      expect(targets.acceptsRequests('t3')).toBe(false);
+    });
+  });
+
   describe('when an entry is removed', () => {
     it('removes the target immediately without a recent outage', () => {
       write('t1', ready);
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -4,13 +4,15 @@
  * other targets stay in use. A target that starts to drain, or that states in an answer that it is
  * leaving, gets no new requests from then on, as long as the same instance has its id.
  * Neither does one whose entry was removed, except shortly after an outage of the platform: during
- * an outage the entries of live targets expire.
+ * an outage the entries of live targets expire. Nor does a target in an evacuated zone, which is
+ * neither draining nor leaving: what runs on it goes on, and it is used again afterwards.
  */
 import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { RecordDecoder } from '../services/Services.js';
 import type { EpochRecord, KeyedTable } from './KeyedTable.js';
+import type { ZoneEvacuations } from './ZoneEvacuations.js';
 
 /**
  * How long a target whose entry was removed after an outage stays in use. Live targets renew their
@@ -29,6 +31,7 @@
   readonly table: KeyedTable;
   readonly decoder: RecordDecoder;
   readonly log: DecisionLog;
+  readonly evacuations: Pick<ZoneEvacuations, 'isEvacuated'>;
   /** Whether this node or a peer recently observed an outage of the platform. */
   readonly hadRecentOutage: () => boolean;
 }
@@ -77,11 +80,21 @@
   /** Whether a target accepts new requests. */
   public acceptsRequests(id: string): boolean {
     const entry = this._entries.get(id);
-    return (
-      entry !== undefined && !entry.isDraining && !this._isLeaving(entry) && !this._isRemovalDue(id)
+    return entry !== undefined && this._isServing(entry) && !this._isEvacuated(entry);
+  }
+
+  /** Targets of a service that would accept new requests if their zones were not evacuated. */
+  public evacuatedTargets(service: string): readonly TargetEntry[] {
+    return [...this._entries.values()].filter(
+      (entry) => entry.service === service && this._isEvacuated(entry) && this._isServing(entry),
     );
   }
 
+  /** All targets in a zone, in whatever state. */
+  public targetsInZone(zone: string): readonly TargetEntry[] {
+    return [...this._entries.values()].filter(({ availabilityZone }) => availabilityZone === zone);
+  }
+
   /** Number of targets that are draining or leaving. */
   public get leavingCount(): number {
     return [...this._entries.values()].filter((entry) => entry.isDraining || this._isLeaving(entry))
@@ -112,6 +125,14 @@
     return true;
   }
 
+  private _isServing(entry: TargetEntry): boolean {
+    return !entry.isDraining && !this._isLeaving(entry) && !this._isRemovalDue(entry.id);
+  }
+
+  private _isEvacuated({ availabilityZone }: TargetEntry): boolean {
+    return this._options.evacuations.isEvacuated(availabilityZone);
+  }
+
   private _isLeaving({ id, startedAt }: TargetInstance): boolean {
     return this._leaving.has(id) && this._leaving.get(id) === startedAt;
   }
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -29,11 +29,14 @@
 import { ConfigurationState } from '../common/state/ConfigurationState.js';
 import { KeyedTable } from '../common/state/KeyedTable.js';
 import { TargetTable } from '../common/state/TargetTable.js';
+import { ZoneEvacuations } from '../common/state/ZoneEvacuations.js';
 import { AnswerBuffers } from './AnswerBuffers.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import type { RequestSender } from './Upstream.js';
 
 const ZONE = 'a';
+const CONFIGURATION_KEY = 'configuration';
+const EVACUATION_PREFIX = 'evacuate/';
 
 /** Refuses every reservation. */
 const noReservations: EngineReservations = {
@@ -200,19 +203,27 @@
       return true;
     });
     const decoder: RecordDecoder = {
-      isConfiguration: () => true,
-      evacuatedZone: () => undefined,
+      isConfiguration: (key) => key === CONFIGURATION_KEY,
+      evacuatedZone: (key) =>
+        key.startsWith(EVACUATION_PREFIX) ? key.slice(EVACUATION_PREFIX.length) : undefined,
       configuration: () => Result.ok(configuration),
       target: (id) => {
         const entry = this._entries.get(id);
         return entry === undefined ? Result.err(refusal('unknown')) : Result.ok(entry);
       },
     };
-    const targets = new TargetTable({
+    const evacuations = new ZoneEvacuations({
+      table: this._configurationRecords,
+      decoder,
+      log,
+      countTargets: (zone) => targets.targetsInZone(zone).length,
+    });
+    const targets: TargetTable = new TargetTable({
       clock,
       table: this._targetRecords,
       decoder,
       log,
+      evacuations,
       hadRecentOutage: () => false,
     });
     const activeRequests = new ActiveRequestTable(clock, 'n');
@@ -268,11 +279,19 @@
   public publishConfiguration(): void {
     this._configurationRecords.applySnapshot({
       epoch: undefined,
-      records: [{ key: 'configuration', offset: 0, value: Buffer.from('x') }],
+      records: [{ key: CONFIGURATION_KEY, offset: 0, value: Buffer.from('x') }],
       end: 1,
     });
   }
 
+  /** Applies a record that evacuates a zone, or that ends its evacuation. */
+  public evacuate(zone: string, isEvacuated = true): void {
+    const offset = this._configurationRecords.end;
+    const value = isEvacuated ? Buffer.from('{}') : undefined;
+    const record = { key: `${EVACUATION_PREFIX}${zone}`, offset, value };
+    this._configurationRecords.apply([record], offset + 1);
+  }
+
   /** Applies the removal of a target. */
   public removeTarget(id: string): void {
     this._entries.delete(id);
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -317,6 +317,7 @@
     metrics.gauge('tanager_configuration_version', () => this._platform.version);
     metrics.gauge('tanager_answers_buffered_bytes', () => this._answerBuffers.bytes);
     metrics.gauge('tanager_targets_leaving', () => this._platform.targets.leavingCount);
+    metrics.gauge('tanager_zones_evacuated', () => this._platform.evacuations.zones.length);
     metrics.gauge('tanager_platform_epoch', () => this._platform.epoch);
     metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.silenceMs));
     metrics.gauge('tanager_timer_delay_ms', () => this._platform.timerDelayMs);
