Obey evacuations wherever a target is chosen or kept

Cause: with TargetTable alone, an engine that prefills a part of a prompt was not checked at the first byte, relayed connections that were open carried further requests, prompts and calls waited for targets that take nothing, and with 69 engines in three zones an evacuation turned three cells into one, whose coordinators have no account.

Change: SendCheck looks at all targets that work on a request. A relaying node retires its connections to an evacuated zone: the request in flight goes on. Cells are formed with the evacuated engines, so that the coordinators stay. The queue is evaluated at once; prompts whose turn is no longer expected in time are refused, from the end of the queue.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -8,14 +8,17 @@
   type Clock,
   type Disposable,
   DisposableOwner,
+  type Event,
   type RandomSource,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
+import type { ZoneChange } from '../state/ZoneEvacuations.js';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
 import { isInCell, keyOfCell } from './EngineCells.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { prefillMs } from './EngineTiming.js';
+import { evacuationRetryMs } from './EvacuatedTargets.js';
 import { PlacementRefusal, type PromptRequest, RefusedPrompt } from './PlacementDecision.js';
 import { placementJitter } from './PlacementJitter.js';
 import { promptValue } from './PlacementLoss.js';
@@ -46,6 +49,9 @@
 /** The targets that accept requests. */
 export interface TargetSource {
   acceptingTargets(service: string): readonly TargetEntry[];
+  /** Targets that would accept requests if their zones were not evacuated. */
+  evacuatedTargets(service: string): readonly TargetEntry[];
+  readonly onEvacuation: Event<ZoneChange>;
 }
 
 /** Dependencies of the scheduler. */
@@ -111,6 +117,15 @@
         }
       }),
     );
+    this.register(
+      _options.targets.onEvacuation(({ isEvacuated }) => {
+        this._loads = undefined;
+        if (isEvacuated) {
+          this._refuseLate();
+        }
+        this._evaluate();
+      }),
+    );
   }
 
   /** Number of prompts that wait for capacity. */
@@ -180,6 +195,23 @@
     }
   }
 
+  /** Refuses waiting prompts whose turn is no longer expected in time, those behind first ones. */
+  private _refuseLate(): void {
+    const now = this._options.clock.now();
+    for (const queue of this._queues.values()) {
+      let ahead = 0;
+      for (const prompt of queue.inOrder(now)) {
+        const { request, resolve, waitUntil } = prompt;
+        if (now + this._expectedWaitMs(request, ahead) < waitUntil) {
+          ahead++;
+        } else {
+          queue.remove(prompt);
+          resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
+        }
+      }
+    }
+  }
+
   private _evaluateQueue(queue: PromptQueue<QueuedPrompt>): void {
     const now = this._options.clock.now();
     let failures = 0;
@@ -211,7 +243,8 @@
     const { activeRequests: table, clock, random, rateLimits } = this._options;
     const loads = this._loadsOf(request);
     if (loads.length === 0) {
-      return undefined;
+      const isEvacuated = this._evacuationRetryMs(request) !== undefined;
+      return isEvacuated ? this._refuse(request, PlacementRefusal.NoCapacity, 0) : undefined;
     }
     const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
@@ -304,11 +337,21 @@
     return (ahead * meanTimeMs) / active.length;
   }
 
+  /** Time to retry since all engines of the cell are evacuated; `undefined` if they are not. */
+  private _evacuationRetryMs(request: PromptRequest): number | undefined {
+    const { random, targets } = this._options;
+    const { cell } = request;
+    const evacuated = targets.evacuatedTargets(cell.service);
+    const ofCell = evacuated.filter((engine) => isInCell(cell, engine));
+    return evacuationRetryMs(this._enginesOf(request), ofCell, random);
+  }
+
   private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
     const { clock, rateLimits } = this._options;
     const engineCount = this._enginesOf(request).length;
     if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
-      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
+      const retryMs = this._evacuationRetryMs(request) ?? NO_ENGINE_RETRY_MS;
+      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, retryMs);
     }
     const earliestMs =
       refusal === PlacementRefusal.NetLoss
--- a/packages/gateway/src/common/placement/PlacementDecision.ts
+++ b/packages/gateway/src/common/placement/PlacementDecision.ts
@@ -34,6 +34,8 @@
 export enum PlacementRefusal {
   /** No engine of the service accepts requests. */
   NoEngine = 'no-engine',
+  /** All engines of the service are in evacuated zones. Not sent by coordinators. */
+  Evacuated = 'evacuated',
   /** No engine has capacity within the time that the prompt can wait. */
   NoCapacity = 'no-room',
   /** All engines limit the rate of their requests. */
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -1,9 +1,10 @@
 /** The placement components of one node, connected as in a gateway node. Not shipped. */
 import { FixedMembership, type MemoryNetwork } from '@tanagerdyke/fakes';
-import { Metrics } from '@tanagerdyke/kernel';
+import { Emitter, Metrics } from '@tanagerdyke/kernel';
 import { type Member, ZoneBroadcast } from '@tanagerdyke/mesh';
 import { DecisionLog } from '../DecisionLog.js';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
+import type { ZoneChange } from '../state/ZoneEvacuations.js';
 import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
 import { CoordinatorChannel } from './CoordinatorChannel.js';
@@ -25,6 +26,8 @@
   public readonly rateLimits: RateLimits;
   /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
+  private readonly _evacuatedZones = new Set<string>();
+  private readonly _onEvacuation = new Emitter<ZoneChange>();
   public profile: EngineProfile | undefined = simpleProfile;
   /** Whether the node applies reports about rates, which earlier builds don't. */
   public appliesRateReports = true;
@@ -44,7 +47,14 @@
     const log = new DecisionLog(clock, self.name, () => true);
     this.engines = engines;
     this.table = new ActiveRequestTable(clock, self.name);
-    const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
+    const isEvacuated = (engine: TargetEntry): boolean =>
+      this._evacuatedZones.has(engine.availabilityZone);
+    const targets = {
+      acceptingTargets: (): readonly TargetEntry[] =>
+        this.engines.filter((each) => !isEvacuated(each)),
+      evacuatedTargets: (): readonly TargetEntry[] => this.engines.filter(isEvacuated),
+      onEvacuation: this._onEvacuation.event,
+    };
     this.rateLimits = new RateLimits({
       clock,
       log,
@@ -72,7 +82,7 @@
         clock,
         transport,
         log,
-        findEngine: (id) => this.engines.find((each) => each.id === id),
+        findEngine: (id) => targets.acceptingTargets().find((each) => each.id === id),
       }),
       isCoordinated: () => true,
       onPlaced: (cell) => {
@@ -82,4 +92,14 @@
       availabilityZone: self.availabilityZone,
     });
   }
+
+  /** Evacuates a zone at this node, or ends its evacuation. */
+  public evacuate(zone: string, isEvacuated = true): void {
+    if (isEvacuated) {
+      this._evacuatedZones.add(zone);
+    } else {
+      this._evacuatedZones.delete(zone);
+    }
+    this._onEvacuation.fire({ zone, isEvacuated });
+  }
 }
--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -4,6 +4,7 @@
 import { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
 import type { EngineReservation, EngineReservations } from '../services/Services.js';
+import { ForwardingFixture } from '../../node/ForwardingFixture.js';
 import { PromptReservations } from './PromptReservations.js';
 import { TargetPauses } from './TargetPauses.js';
 
@@ -143,6 +144,42 @@
     });
   });
 
+  describe('with an engine in an evacuated zone', () => {
+    let node: ForwardingFixture;
+
+    beforeEach(() => {
+      const ignore = (): void => undefined;
+      const exchange = { abort: ignore, pause: ignore, resume: ignore };
+      node = new ForwardingFixture({ clock, upstream: { send: () => exchange } });
+      node.addTarget({ ...targetOf('a'), availabilityZone: 'x' });
+      node.addTarget(targetOf('b'));
+    });
+
+    function createAtNode(): PromptReservations {
+      const { targets: table } = node.dependencies;
+      const services = { clock, log, targets: table, pauses, engineReservations: engines };
+      const ids = ['a', 'b'].map(targetOf);
+      return new PromptReservations(services, { id: 'r1', targets: ids, tokens: 100 });
+    }
+
+    it('asks none of the engines', async () => {
+      node.evacuate('x');
+      expect((await createAtNode().acquire())?.id).toBe('a');
+      expect(engines.calls).toBe(0);
+    });
+
+    it('renews and releases what was reserved before, as the prompt runs', async () => {
+      const reservations = createAtNode();
+      await reservations.acquire();
+      node.evacuate('x');
+      await clock.advance(20_000);
+      expect(engines.held).toBe(2);
+      reservations.dispose();
+      await clock.advance(10);
+      expect(engines.held).toBe(0);
+    });
+  });
+
   it('frees all memory when the prompt ends', async () => {
     const reservations = create(100);
     await reservations.acquire();
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -8,7 +8,7 @@
 import type { EngineProfile } from '../Messages.js';
 import { type ActiveRequest, toGenerating } from './ActiveRequestTable.js';
 import { chooseCells } from './CellChoice.js';
-import { cellsOf, type EngineCell } from './EngineCells.js';
+import { cellsOf, type EngineCell, isInCell } from './EngineCells.js';
 import {
   AccountState,
   type EngineScheduler,
@@ -16,6 +16,7 @@
   type TargetSource,
   toActiveRequest,
 } from './EngineScheduler.js';
+import { evacuationRetryMs } from './EvacuatedTargets.js';
 import type { CoordinatorAnswer } from './PlacementClient.js';
 import {
   PlacementRefusal,
@@ -140,11 +141,19 @@
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { availabilityZone, pauses, random, targets } = this._options;
     const engines = targets.acceptingTargets(prompt.service);
+    const evacuated = targets.evacuatedTargets(prompt.service);
+    const evacuationMs = evacuationRetryMs(engines, evacuated, random);
+    if (evacuationMs !== undefined) {
+      return new RefusedPrompt(PlacementRefusal.Evacuated, 0, evacuationMs);
+    }
     const retryAfterMs = pauses.retryAfterMs(engines.map(({ id }) => id));
     if (retryAfterMs !== undefined) {
       return new RefusedPrompt(PlacementRefusal.Paused, engines.length, retryAfterMs);
     }
-    const cells = chooseCells(cellsOf(prompt.service, engines), availabilityZone, random);
+    // An evacuation must not divide the engines anew: the coordinators of other cells have no account.
+    const allCells = cellsOf(prompt.service, [...engines, ...evacuated]);
+    const usable = allCells.filter((cell) => engines.some((engine) => isInCell(cell, engine)));
+    const cells = chooseCells(usable.length > 0 ? usable : allCells, availabilityZone, random);
     let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
     for (const cell of cells) {
       const decided = await this._decide(this._toRequest(prompt, cell), waitUntil, signal);
--- a/packages/gateway/src/common/placement/SendCheck.test.ts
+++ b/packages/gateway/src/common/placement/SendCheck.test.ts
@@ -19,11 +19,12 @@
       upstream: { send: () => ({ abort: ignore, pause: ignore, resume: ignore }) },
     });
     node.addTarget(targetEntry('t0', 'app', 't0:80'));
+    node.addTarget({ ...targetEntry('reader', 'app', 'reader:80'), availabilityZone: 'b' });
   });
 
-  function checkOf(rateKey = 'k'): SendCheck {
+  function checkOf(rateKey = 'k', countedTargets = ['t0']): SendCheck {
     const target = targetEntry('t0', 'app', 't0:80');
-    const chosen = { target, countedTargets: ['t0'], rateKey, causes: [CAUSE] };
+    const chosen = { target, countedTargets, rateKey, causes: [CAUSE] };
     return new SendCheck(node.dependencies, chosen);
   }
 
@@ -65,6 +66,17 @@
     },
   );
 
+  it.each([
+    ['of its target', 'a'],
+    ['of an engine that prefills for its target', 'b'],
+  ])('withholds a request while the zone %s is evacuated', (_whose, zone) => {
+    const check = checkOf('k', ['t0', 'reader']);
+    node.evacuate(zone);
+    expect(check.findObstacle()).toBe(SendObstacle.NotAccepting);
+    node.evacuate(zone, false);
+    expect(check.findObstacle()).toBeUndefined();
+  });
+
   it('finds nothing after a pause has ended', async () => {
     const check = checkOf();
     CHANGES[SendObstacle.Paused]();
--- a/packages/gateway/src/common/placement/SendCheck.ts
+++ b/packages/gateway/src/common/placement/SendCheck.ts
@@ -12,7 +12,7 @@
 
 /** Why a request is not sent to the target that was chosen for it. */
 export enum SendObstacle {
-  /** The target drains, is leaving or is gone. */
+  /** The target, or one that prefills for it, drains, is leaving or gone, or its zone is evacuated. */
   NotAccepting = 'not-accepting',
   Paused = 'paused',
   /** The request was quarantined since its target was chosen. */
@@ -25,7 +25,7 @@
 /** A request with the target that was chosen for it. */
 export interface ChosenTarget {
   readonly target: TargetEntry;
-  /** Targets whose request rates the request counts for. */
+  /** Targets that work on the request, for whose request rates it counts. */
   readonly countedTargets: readonly string[];
   /** Identifies the request among those that count for these rates. */
   readonly rateKey: string;
@@ -56,7 +56,8 @@
 
 /** In this order; the last one counts the request if it is new to the rates. */
 const OBSTACLE_CHECKS: Readonly<Record<SendObstacle, ObstacleCheck>> = {
-  [SendObstacle.NotAccepting]: ({ targets }, { target }) => !targets.acceptsRequests(target.id),
+  [SendObstacle.NotAccepting]: ({ targets }, { countedTargets, target }) =>
+    [target.id, ...countedTargets].some((id) => !targets.acceptsRequests(id)),
   [SendObstacle.Paused]: ({ pauses }, { target }) => pauses.isPaused(target.id),
   // A request that was let through a quarantine was blocked when it was chosen.
   [SendObstacle.Quarantined]: ({ quarantine }, { causes }, { wasBlocked }) =>
--- a/packages/gateway/src/common/state/TargetTable.test.ts
+++ b/packages/gateway/src/common/state/TargetTable.test.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { Emitter, ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
@@ -6,6 +6,7 @@
 import type { RecordDecoder } from '../services/Services.js';
 import { KeyedTable } from './KeyedTable.js';
 import { TargetTable } from './TargetTable.js';
+import type { ZoneChange } from './ZoneEvacuations.js';
 
 const unreadable = new ServiceError(ErrorKind.BadRequest, 'unreadable', { remedy: 'none' });
 
@@ -52,7 +53,10 @@
       table: records,
       decoder,
       log: new DecisionLog(clock, 'n', () => true),
-      evacuations: { isEvacuated: (zone) => evacuatedZones.has(zone) },
+      evacuations: {
+        isEvacuated: (zone) => evacuatedZones.has(zone),
+        onChange: new Emitter<ZoneChange>().event,
+      },
       hadRecentOutage: () => hadRecentOutage,
     });
   });
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -7,12 +7,12 @@
  * an outage the entries of live targets expire. Nor does a target in an evacuated zone, which is
  * neither draining nor leaving: what runs on it goes on, and it is used again afterwards.
  */
-import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, Emitter, type Event } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { RecordDecoder } from '../services/Services.js';
 import type { EpochRecord, KeyedTable } from './KeyedTable.js';
-import type { ZoneEvacuations } from './ZoneEvacuations.js';
+import type { ZoneChange, ZoneEvacuations } from './ZoneEvacuations.js';
 
 /**
  * How long a target whose entry was removed after an outage stays in use. Live targets renew their
@@ -31,7 +31,7 @@
   readonly table: KeyedTable;
   readonly decoder: RecordDecoder;
   readonly log: DecisionLog;
-  readonly evacuations: Pick<ZoneEvacuations, 'isEvacuated'>;
+  readonly evacuations: Pick<ZoneEvacuations, 'isEvacuated' | 'onChange'>;
   /** Whether this node or a peer recently observed an outage of the platform. */
   readonly hadRecentOutage: () => boolean;
 }
@@ -95,6 +95,11 @@
     return [...this._entries.values()].filter(({ availabilityZone }) => availabilityZone === zone);
   }
 
+  /** Fires when the targets of a zone stop or resume accepting requests because of an evacuation. */
+  public get onEvacuation(): Event<ZoneChange> {
+    return this._options.evacuations.onChange;
+  }
+
   /** Number of targets that are draining or leaving. */
   public get leavingCount(): number {
     return [...this._entries.values()].filter((entry) => entry.isDraining || this._isLeaving(entry))
--- a/packages/gateway/src/common/state/ZoneEvacuations.test.ts
+++ b/packages/gateway/src/common/state/ZoneEvacuations.test.ts
@@ -28,7 +28,9 @@
     });
     const countTargets = (zone: string): number => (zone === 'a' ? 2 : 0);
     evacuations = new ZoneEvacuations({ table, decoder, log, countTargets });
-    evacuations.onChange((zone) => changes.push(zone));
+    evacuations.onChange(({ isEvacuated, zone }) =>
+      changes.push(`${isEvacuated ? '+' : '-'}${zone}`),
+    );
   });
 
   function write(...records: readonly (readonly [key: string, value?: string])[]): void {
@@ -46,20 +48,20 @@
     expect(evacuations.zones).toEqual(['a', 'b']);
     write(['evacuate/a']);
     expect([evacuations.isEvacuated('a'), evacuations.isEvacuated('b')]).toEqual([false, true]);
-    expect(changes).toEqual(['a', 'b', 'a']);
+    expect(changes).toEqual(['+a', '+b', '-a']);
   });
 
   it('takes the last record of those that arrive together', () => {
     write(['evacuate/a', '{}']);
     write(['evacuate/a'], ['evacuate/a', '{}']);
     expect(evacuations.zones).toEqual(['a']);
-    expect(changes).toEqual(['a']);
+    expect(changes).toEqual(['+a']);
   });
 
   it('logs the same record again, and changes nothing', () => {
     write(['evacuate/a', '{}']);
     write(['evacuate/a', '{}']);
-    expect(changes).toEqual(['a']);
+    expect(changes).toEqual(['+a']);
     expect(lines.at(-1)).toContain('zone.unchanged');
   });
 
--- a/packages/gateway/src/common/state/ZoneEvacuations.ts
+++ b/packages/gateway/src/common/state/ZoneEvacuations.ts
@@ -21,11 +21,16 @@
   readonly countTargets: (zone: string) => number | undefined;
 }
 
+/** A zone was evacuated, or its evacuation ended. */
+export interface ZoneChange {
+  readonly zone: string;
+  readonly isEvacuated: boolean;
+}
+
 /** Holds which zones are evacuated. */
 export class ZoneEvacuations extends DisposableOwner {
   private readonly _zones = new Set<string>();
-  private readonly _onChange = this.register(new Emitter<string>());
-  /** Fires with a zone that was evacuated or whose evacuation ended. */
+  private readonly _onChange = this.register(new Emitter<ZoneChange>());
   public readonly onChange = this._onChange.event;
 
   constructor(private readonly _options: ZoneEvacuationsOptions) {
@@ -61,7 +66,7 @@
     }
     const changed = [...newest].filter(([zone, record]) => this._applyZone(zone, record));
     for (const [zone] of changed) {
-      this._onChange.fire(zone);
+      this._onChange.fire({ zone, isEvacuated: this.isEvacuated(zone) });
     }
   }
 
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -10,6 +10,7 @@
   isRepeatable,
 } from '../common/Execution.js';
 import type { TargetEntry } from '../common/Messages.js';
+import { evacuationRetryMs } from '../common/placement/EvacuatedTargets.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
 import { type BufferedOutcome, exchangeBuffered } from './BufferedExchange.js';
@@ -114,7 +115,7 @@
       if (target !== undefined || clock.now() >= waitUntil || signal.aborted) {
         return target;
       }
-      if (this._isRateLimited() || this._isPaused()) {
+      if (this._isRateLimited() || this._isPaused() || this._isEvacuated()) {
         return undefined;
       }
       await clock.sleep(TARGET_POLL_MS, signal);
@@ -171,6 +172,19 @@
     return retryAfterMs !== undefined;
   }
 
+  /** Whether all targets are in evacuated zones; sets the time to retry. */
+  private _isEvacuated(): boolean {
+    const { random, targets } = this._dependencies;
+    const { name } = this._request.service;
+    const evacuated = targets.evacuatedTargets(name);
+    const retryMs = evacuationRetryMs(targets.acceptingTargets(name), evacuated, random);
+    if (retryMs !== undefined) {
+      this._cause = `${evacuated.length} targets are in evacuated zones`;
+      this._retryAfterMs = retryMs;
+    }
+    return retryMs !== undefined;
+  }
+
   private async _sendToTarget(target: TargetEntry): Promise<BufferedOutcome> {
     const { clock, health } = this._dependencies;
     const { caller, deadlineAt, route } = this._request;
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -139,6 +139,13 @@
         retire(id);
       }),
     );
+    this.register(
+      targets.onEvacuation(({ isEvacuated, zone }) => {
+        for (const { address } of isEvacuated ? targets.targetsInZone(zone) : []) {
+          this._relayServer.retire(address);
+        }
+      }),
+    );
     this.register(
       targets.onChange(({ address, isDraining }) => {
         if (isDraining) {
