--- a/packages/gateway/src/common/state/TargetTable.test.ts
+++ b/packages/gateway/src/common/state/TargetTable.test.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
+import { Emitter, ErrorKind, ManualClock, ServiceError } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
@@ -6,6 +6,7 @@
 import type { RecordDecoder } from '../services/Services.js';
 import { KeyedTable } from './KeyedTable.js';
 import { TargetTable } from './TargetTable.js';
+import type { ZoneChange } from './ZoneEvacuations.js';
 
 const unreadable = new ServiceError(ErrorKind.BadRequest, 'unreadable', { remedy: 'none' });
 
@@ -38,18 +39,24 @@
   let records: KeyedTable;
   let targets: TargetTable;
   let hadRecentOutage: boolean;
+  let evacuatedZones: Set<string>;
   let offset: number;
 
   beforeEach(() => {
     clock = new ManualClock();
     records = new KeyedTable('targets');
     hadRecentOutage = false;
+    evacuatedZones = new Set();
     offset = 0;
     targets = new TargetTable({
       clock,
       table: records,
       decoder,
       log: new DecisionLog(clock, 'n', () => true),
+      evacuations: {
+        isEvacuated: (zone) => evacuatedZones.has(zone),
+        onChange: new Emitter<ZoneChange>().event,
+      },
       hadRecentOutage: () => hadRecentOutage,
     });
   });
@@ -79,6 +86,36 @@
     expect(targets.acceptingTargets('app')).toHaveLength(1);
   });
 
+  describe('in an evacuated zone', () => {
+    beforeEach(() => {
+      write('t1', ready);
+      evacuatedZones.add('a');
+    });
+
+    it('accepts no requests for a target, until the evacuation ends', () => {
+      expect(targets.acceptsRequests('t1')).toBe(false);
+      expect(targets.acceptingTargets('app')).toEqual([]);
+      evacuatedZones.clear();
+      expect(targets.acceptsRequests('t1')).toBe(true);
+    });
+
+    it('counts no target as leaving, so that what runs on it goes on', () => {
+      expect(targets.leavingCount).toBe(0);
+      expect(targets.find('t1')?.isDraining).toBe(false);
+    });
+
+    it('lists the targets that only the evacuation excludes', () => {
+      write('t2', '{"isDraining":true}');
+      expect(targets.evacuatedTargets('app').map(({ id }) => id)).toEqual(['t1']);
+      expect(targets.evacuatedTargets('other')).toEqual([]);
+    });
+
+    it('accepts none for a target that registers meanwhile', () => {
+      write('t3', ready);
+      expect(targets.acceptsRequests('t3')).toBe(false);
+    });
+  });
+
   describe('when an entry is removed', () => {
     it('removes the target immediately without a recent outage', () => {
       write('t1', ready);
