Answer 503 to unknown routes and keys while a newer configuration may be in force

After all hosts had started again, two of them answered 404 for a route of a version that had been confirmed 5 s before. A caller doesn't send a request again after 404 or 401.

A node answers 503 with Retry-After instead while a peer has reported a newer configuration that it lacks, or while neither the platform nor a connected poller has responded for 2 s. PlatformView.test and GatewayFront.test have the cases; those of the front failed before.

--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -159,6 +159,11 @@
     return this._options.clock.now() - this._outageReportedAt < OUTAGE_REPORT_TTL_MS;
   }
 
+  /** Whether a peer has reported records that a table lacks. */
+  public isBehind(table: KeyedTable): boolean {
+    return this._fetcher.isBehind(table);
+  }
+
   private get _duties(): PollingDuties {
     const { live, self } = this._options.membership;
     this._currentDuties ??= pollingDutiesOf(self.name, live);
--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -118,6 +118,42 @@
   const ALL = [true, true, true];
   const NONE = [false, false, false];
 
+  describe('the configuration of a node', () => {
+    beforeEach(async () => {
+      operatorLog.write('config', '1');
+      await start(3);
+    });
+
+    it('counts as current while the platform or a connected poller responds', async () => {
+      await clock.advance(10_000);
+      expect(views.map(({ mayBeOutdated }) => mayBeOutdated)).toEqual([false, false, false]);
+    });
+
+    it('may be outdated soon after the node lost the platform and its peers', async () => {
+      const lost = '127.0.0.1:3';
+      access[2] = Access.Refuses;
+      for (const peer of ['127.0.0.1:1', '127.0.0.1:2']) {
+        network.cut(peer, lost);
+        network.cut(lost, peer);
+      }
+      await clock.advance(APPLY_MS + 1_000);
+      expect(views.map(({ mayBeOutdated }) => mayBeOutdated)).toEqual([false, false, true]);
+    });
+
+    it('may be outdated once a peer reports a newer one, until that is in force', async () => {
+      access[2] = Access.Refuses;
+      network.cut('127.0.0.1:3', '127.0.0.1:1');
+      network.cut('127.0.0.1:3', '127.0.0.1:2');
+      operatorLog.write('config', '2');
+      await clock.advance(500);
+      expect(views[2]?.mayBeOutdated).toBe(true);
+      network.heal();
+      await clock.advance(APPLY_MS);
+      expect(versions()).toEqual([2, 2, 2]);
+      expect(views[2]?.mayBeOutdated).toBe(false);
+    });
+  });
+
   describe('the evacuation of a zone', () => {
     beforeEach(async () => {
       operatorLog.write('config', '1');
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -25,6 +25,8 @@
 
 /** The platform counts as disconnected after this time without a response; a late poll takes 2.2 s. */
 const CONNECTION_TIMEOUT_MS = 2_700;
+/** Longer than a poll without new records takes, and than reports of pollers are apart. */
+const UNCONFIRMED_AFTER_MS = 2_000;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
 /**
@@ -154,6 +156,17 @@
     return this._options.clock.now() - Math.max(lastResponseAt, this._relay.pollerConnectedAt);
   }
 
+  /**
+   * Whether a newer configuration may be in force than this node has: a peer has reported one, or
+   * neither the platform nor a connected poller has responded for a while. What the present one does
+   * not allow must not be denied for good then.
+   */
+  public get mayBeOutdated(): boolean {
+    return (
+      this.silenceMs > UNCONFIRMED_AFTER_MS || this._relay.isBehind(this._configurationRecords)
+    );
+  }
+
   /** Longest recent delay of a timer of this process, in ms. */
   public get timerDelayMs(): number {
     return this._timerDelay.recentMs;
--- a/packages/gateway/src/common/state/RecordFetcher.ts
+++ b/packages/gateway/src/common/state/RecordFetcher.ts
@@ -110,6 +110,12 @@
     }
   }
 
+  /** Whether a peer has reported records that the table lacks. */
+  public isBehind(table: KeyedTable): boolean {
+    const sources = this._topics.get(table.name)?.sources.values() ?? [];
+    return [...sources].some((progress) => isBehind(table, progress));
+  }
+
   private _stateOf(table: KeyedTable): TopicState {
     let state = this._topics.get(table.name);
     if (state === undefined) {
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -35,6 +35,8 @@
   readonly log: DecisionLog;
   readonly dialect: Dialect;
   readonly configuration: ConfigurationState;
+  /** Whether a newer configuration may be in force than this node has. */
+  readonly mayBeOutdated: () => boolean;
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -186,6 +186,8 @@
 /** Dependencies of the forwarders on one node, `n`; tests add targets and the configuration. */
 export class ForwardingFixture {
   public readonly dependencies: ForwardingDependencies;
+  /** Whether a newer configuration may be in force than the published one. */
+  public mayBeOutdated = false;
   private readonly _configurationRecords = new KeyedTable('configuration');
   private readonly _targetRecords = new KeyedTable('targets');
   private readonly _entries = new Map<string, TargetEntry>();
@@ -272,6 +274,7 @@
       ),
       upstream,
       answerBuffers: new AnswerBuffers(),
+      mayBeOutdated: () => this.mayBeOutdated,
     };
   }
 
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -41,6 +41,11 @@
     });
   }
 
+  /** Whether a newer configuration may be in force than the published one. */
+  public set mayBeOutdated(value: boolean) {
+    this._fixture.mayBeOutdated = value;
+  }
+
   /** Bytes of the large answers that are being buffered. */
   public get bufferedBytes(): number {
     return this._fixture.dependencies.answerBuffers.bytes;
--- a/packages/gateway/src/node/GatewayAnswers.ts
+++ b/packages/gateway/src/node/GatewayAnswers.ts
@@ -3,6 +3,13 @@
 
 /** Retry-After of a node that has no configuration yet. */
 const UNREADY_RETRY_AFTER_MS = 300;
+/** To a request that only the configuration in force at this node does not allow. */
+export const OUTDATED: GatewayAnswer = {
+  status: GatewayStatus.Refused,
+  kind: 'configuration-unconfirmed',
+  remedy: 'a newer configuration may be in force; send the request again',
+  retryAfterMs: UNREADY_RETRY_AFTER_MS,
+};
 /** Short, since other nodes are available: the caller only has to change the address. */
 const DRAINING_RETRY_AFTER_MS = 20;
 
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -81,6 +81,20 @@
       expect(harness.received).toEqual([]);
     });
 
+    it.each([
+      ['an unknown route', 'POST /none/ HTTP/1.1\r\nHost: test\r\nKey: k'],
+      ['an unknown key', 'POST /once/ HTTP/1.1\r\nHost: test\r\nKey: other'],
+    ])(
+      'is not denied for good while a newer configuration may allow it: %s',
+      async (_what, head) => {
+        harness.mayBeOutdated = true;
+        const answer = await harness.send(`${head}\r\nConnection: close\r\n\r\n`);
+        expect(answer).toContain('HTTP/1.1 503');
+        expect(answer).toMatch(/^retry-after:/im);
+        expect(harness.received).toEqual([]);
+      },
+    );
+
     it('is refused when its body is too large', async () => {
       await harness.addTarget('t1', 'app', respondWith(200));
       expect(await harness.post('/once/x', [], 'x'.repeat(2_000))).toContain('HTTP/1.1 413');
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -33,6 +33,7 @@
   HEADERS_TOO_LARGE,
   INTERNAL_ERROR,
   NO_ROUTE,
+  OUTDATED,
   UNKNOWN_KEY,
   UNREADY,
 } from './GatewayAnswers.js';
@@ -192,7 +193,7 @@
     receivedAt: number,
     signal: AbortSignal,
   ): Promise<Result<ForwardedRequest, Rejection>> {
-    const { configuration, dialect, random } = this._dependencies;
+    const { configuration, dialect, mayBeOutdated, random } = this._dependencies;
     const caller = dialect.parseCallerRequest(incoming.rawHeaders);
     const current = configuration.current ?? (await this._awaitConfiguration());
     if (current === undefined || this._state.isClosed()) {
@@ -204,12 +205,12 @@
     const path = incoming.url ?? '/';
     const route = configuration.findRoute(caller.host, withoutQuery(path));
     if (route === undefined) {
-      return reject(caller, NO_ROUTE);
+      return reject(caller, mayBeOutdated() ? OUTDATED : NO_ROUTE);
     }
     const workspace =
       caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
     if (workspace === undefined && configuration.needsKeys && !route.allowsAnonymous) {
-      return reject(caller, UNKNOWN_KEY);
+      return reject(caller, mayBeOutdated() ? OUTDATED : UNKNOWN_KEY);
     }
     const service = configuration.service(chooseService(route.shares, random.next()));
     if (service === undefined) {
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -301,6 +301,7 @@
       ...this._options,
       ...common,
       configuration,
+      mayBeOutdated: () => this._platform.mayBeOutdated,
       scheduler,
       budget,
       upstream,
