Count only whole events as progress of a stream, and keep slow but sound ones

Cause: a comment, an empty line or a field without data restarted the limit for the next event, counted as the first event and as the rest of a stream without a stated end, so a stalled stream that sent one now and then lasted until its deadline. And a stream whose events came steadily, but later than 1.5 s after each other, or whose prompt no other engine could prefill sooner, was started again elsewhere.

Change: EventStreamSplitter counts only events with data. StreamPace decides how long a stream may be silent: twice the shortest of its last three pauses if that is longer than the limit; a replacement is taken once the silence has lasted as long as its predicted first event.

--- a/packages/gateway/src/common/EventStreamSplitter.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.ts
@@ -9,6 +9,8 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = 'id:';
 const BYTE_ORDER_MARK = /^\xef\xbb\xbf/;
+/** The field without which receivers dispatch no event. */
+const DATA_FIELD = 'data';
 /** The fields of an event; a comment has an empty name. */
 const EVENT_FIELDS: ReadonlySet<string> = new Set(['', 'data', 'event', 'id', 'retry']);
 /** A line with another field. */
@@ -19,6 +21,7 @@
   private _partialEvent: Buffer = Buffer.alloc(0);
   private _lastEventId: string | undefined;
   private _eventCount = 0;
+  private _newEventCount = 0;
   private _isMalformed = false;
 
   constructor(lastEventId: string | undefined) {
@@ -35,17 +38,25 @@
     return this._partialEvent.length;
   }
 
-  /** Number of events that were received, from all sources, including those that were dropped. */
+  /**
+   * Number of events that were received, from all sources, including those that were dropped. A
+   * comment is no event.
+   */
   public get eventCount(): number {
     return this._eventCount;
   }
 
+  /** Number of events that were not dropped. */
+  public get newEventCount(): number {
+    return this._newEventCount;
+  }
+
   /** Whether the source sent text that is no event. It is not forwarded, nor is what follows it. */
   public get isMalformed(): boolean {
     return this._isMalformed;
   }
 
-  /** Consumes a chunk and returns the events that it completes. */
+  /** Consumes a chunk and returns the events and comments that it completes. */
   public push(chunk: Buffer): Buffer {
     const bytes =
       this._partialEvent.length === 0 ? chunk : Buffer.concat([this._partialEvent, chunk]);
@@ -62,8 +73,10 @@
       if (this._isMalformed) {
         break;
       }
-      this._eventCount++;
+      const count = lines.some(isData) ? 1 : 0;
+      this._eventCount += count;
       if (this._recordIfNew(lines)) {
+        this._newEventCount += count;
         forwarded.push(event);
       }
       start = end;
@@ -127,6 +140,10 @@
   return lines.length === 0 || (first !== -1 && isExtended && lines.slice(first).every(isKnown));
 }
 
+function isData(line: string): boolean {
+  return line.split(':', 1)[0] === DATA_FIELD;
+}
+
 function findEventId(lines: readonly string[]): string | undefined {
   return lines
     .find((line) => line.startsWith(ID_FIELD))
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -1,6 +1,6 @@
 /**
- * One exchange with a target that answers with an event stream. Complete events are forwarded to
- * the caller as they arrive, with backpressure. The exchange ends when the stream is complete or
+ * One exchange with a target that answers with an event stream. Complete events and comments are
+ * forwarded to the caller as they arrive, with backpressure; only events count as progress. The exchange ends when the stream is complete or
  * broken, when no event arrives in time and another target replaces this one, when the deadline
  * passes or when the caller disconnects.
  */
@@ -10,6 +10,7 @@
 import { findHeader } from '../common/HttpHeaders.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { StreamPace } from '../common/StreamPace.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { ConnectionHistory } from './ConnectionHistory.js';
 import {
@@ -66,6 +67,13 @@
   readonly longestPauseMs: number;
 }
 
+/** A target that sends no events, and may do so again. */
+export interface StreamSilence {
+  readonly execution: Execution;
+  /** How long the silence has lasted by now. */
+  readonly durationMs: () => number;
+}
+
 /** Options of an exchange with a streamed answer. */
 export interface StreamExchangeOptions extends ExchangeOptions {
   readonly splitter: EventStreamSplitter;
@@ -80,7 +88,7 @@
    * Called while the target is silent; resolves with whether another one replaces it. The signal
    * aborts when the target sends an event again or the exchange ends.
    */
-  readonly findReplacement: (execution: Execution, signal: AbortSignal) => Promise<boolean>;
+  readonly findReplacement: (silence: StreamSilence, signal: AbortSignal) => Promise<boolean>;
 }
 
 /** Sends the request and forwards the events of the answer. */
@@ -110,14 +118,14 @@
     this._abort(StreamEnd.Cancelled, CALLER_DISCONNECTED_CAUSE);
   };
 
-  private readonly _startedAt: number;
+  private readonly _pace: StreamPace;
   /** Whether the caller has received a part of the stream. */
   private readonly _isResumed: boolean;
   /** Events of the stream before this exchange. */
   private readonly _eventsBefore: number;
 
   constructor(private readonly _options: StreamExchangeOptions) {
-    this._startedAt = _options.clock.now();
+    this._pace = new StreamPace(_options.clock.now(), _options);
     this._isResumed = _options.response.isBegun;
     this._eventsBefore = _options.splitter.eventCount;
   }
@@ -133,7 +141,7 @@
         this._finish(StreamEnd.Cancelled, CALLER_DISCONNECTED_CAUSE);
         return;
       }
-      this._restartEventTimer(this._options.firstEventTimeoutMs);
+      this._restartEventTimer(this._pace.timeoutMs);
       signal.addEventListener('abort', this._onAbort, { once: true });
       this._exchange = upstream.send(target, connections, request, {
         findObstacle: this._options.findObstacle,
@@ -194,10 +202,13 @@
       return;
     }
     const { splitter } = this._options;
-    const events = splitter.push(chunk);
-    if (events.length > 0) {
+    const eventsBefore = splitter.newEventCount;
+    const forwarded = splitter.push(chunk);
+    if (splitter.newEventCount > eventsBefore) {
       this._recordEvent();
-      this._forwardEvents(events);
+    }
+    if (forwarded.length > 0) {
+      this._forward(forwarded);
     }
     if (splitter.isMalformed) {
       this._abort(StreamEnd.Broken, 'the stream holds text that is no event');
@@ -207,7 +218,7 @@
   }
 
   private _recordEvent(): void {
-    const { clock, onFirstEvent, nextEventTimeoutMs } = this._options;
+    const { clock, onFirstEvent } = this._options;
     const now = clock.now();
     if (this._lastEventAt === undefined) {
       this._firstEventAt = now;
@@ -216,20 +227,22 @@
       this._longestPauseMs = Math.max(this._longestPauseMs, now - this._lastEventAt);
     }
     this._lastEventAt = now;
-    this._restartEventTimer(nextEventTimeoutMs);
+    this._pace.recordEvent(now);
+    this._restartEventTimer(this._pace.timeoutMs);
   }
 
-  private _forwardEvents(events: Buffer): void {
+  private _forward(bytes: Buffer): void {
     const { response } = this._options;
     if (!response.isBegun) {
       response.beginStream(this._answer?.status ?? 0, this._headers);
     }
-    if (!response.write(events)) {
+    if (!response.write(bytes)) {
       // While the caller reads slowly, missing events are not the target's fault.
       this._stopWaiting();
       this._exchange?.pause();
       response.onDrain(() => {
-        this._restartEventTimer(this._options.nextEventTimeoutMs);
+        this._pace.resume(this._options.clock.now());
+        this._restartEventTimer(this._pace.timeoutMs);
         this._exchange?.resume();
       });
     }
@@ -275,13 +288,14 @@
     const { clock, findReplacement } = this._options;
     const search = new AbortController();
     this._search = search;
-    const isReplaced = await findReplacement(this._execution, search.signal);
+    const durationMs = (): number => this._pace.silenceMs(clock.now());
+    const silence = { execution: this._execution, durationMs };
+    const isReplaced = await findReplacement(silence, search.signal);
     if (search.signal.aborted) {
       return;
     }
     if (isReplaced) {
-      const silenceMs = clock.now() - (this._lastEventAt ?? this._startedAt);
-      this._abort(StreamEnd.Silent, `no event for ${Math.round(silenceMs)} ms`);
+      this._abort(StreamEnd.Silent, `no event for ${Math.round(durationMs())} ms`);
     } else {
       this._restartEventTimer(REPLACEMENT_RETRY_MS);
     }
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -12,6 +12,7 @@
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
+import { isReplacementFaster } from '../common/StreamPace.js';
 import type { BufferedAnswer } from './ExchangeOptions.js';
 import {
   admitAttempt,
@@ -27,7 +28,12 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
-import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
+import {
+  exchangeStream,
+  StreamEnd,
+  type StreamOutcome,
+  type StreamSilence,
+} from './StreamExchange.js';
 import { enginePriority, firstEventTimeoutMs, nextEventTimeoutMs } from './StreamLimits.js';
 import { answerUnserved } from './UnservedAnswer.js';
 
@@ -195,7 +201,7 @@
   /** Places and admits the next attempt while the engine of the current one is silent. */
   private async _findReplacement(
     current: PlacedPrompt,
-    execution: Execution,
+    { durationMs, execution }: StreamSilence,
     signal: AbortSignal,
   ): Promise<boolean> {
     const { route } = this._request;
@@ -211,7 +217,8 @@
     if (placed instanceof RefusedPrompt) {
       return false;
     }
-    if (signal.aborted || !this._admits(this._deliveredAttempts + counted)) {
+    const isWanted = !signal.aborted && isReplacementFaster(durationMs(), placed.firstEventMs);
+    if (!isWanted || !this._admits(this._deliveredAttempts + counted)) {
       placed.end();
       return false;
     }
@@ -297,7 +304,7 @@
       onFirstEvent: () => {
         placed.markGenerating();
       },
-      findReplacement: (execution, signal) => this._findReplacement(placed, execution, signal),
+      findReplacement: (silence, signal) => this._findReplacement(placed, silence, signal),
     });
   }
 
