Answer every accepted request during a planned stop, and keep some node serving

Cause: a node counted a request as ended before its answer was sent; it forwarded requests whose bodies were completed after it had begun to refuse; and it exited with requests, connections and half-read bodies as they were. Nodes that were stopped together refused together, so nobody served until the first was back, and refused callers kept all of them from ending.

Change: DrainSchedule decides from the membership what a draining node accepts: while no node is ready, half of the draining nodes of a zone go on to 4.8 s of 8 s, the others end early and are back by then; Retry-After is 20 ms while another node accepts, else 1 to 2 s. One second before SIGKILL the node stops to listen and answers what is left by what is known: 503 if it did not run, else 502; a stream that has begun breaks off. The directory names draining nodes that accept only while none is ready, for 2.5 s.

--- a/packages/gateway/src/common/CallerAddresses.ts
+++ b/packages/gateway/src/common/CallerAddresses.ts
@@ -11,10 +11,19 @@
 /** Callers use at most this many addresses of a response. */
 const MAX_ADDRESSES = 64;
 
-/** The addresses for a caller, without the URL scheme. */
-export function findAddresses(membership: Membership, query: AddressQuery): string[] {
+/**
+ * The addresses for a caller, without the URL scheme.
+ *
+ * @param substitutes nodes that are named while none is ready
+ */
+export function findAddresses(
+  membership: Membership,
+  query: AddressQuery,
+  substitutes: readonly Member[] = [],
+): string[] {
   // A suspected node is probably dead, and a caller that tries it loses a second.
-  const serving = membership.serving.filter(({ status }) => status === MemberStatus.Alive);
+  const ready = membership.serving.filter(({ status }) => status === MemberStatus.Alive);
+  const serving = ready.length > 0 ? ready : substitutes;
   const sameZone = serving.filter(
     ({ availabilityZone }) => availabilityZone === query.availabilityZone,
   );
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -4,6 +4,7 @@
 import type { Membership } from '@tanagerdyke/mesh';
 import { Hono } from 'hono';
 import { findAddresses } from '../common/CallerAddresses.js';
+import type { DrainingNodes } from '../common/DrainingNodes.js';
 import type { Dialect } from '../common/services/Services.js';
 
 const OK = 200;
@@ -15,6 +16,7 @@
 export interface ControlServerOptions {
   readonly dialect: Dialect;
   readonly membership: Membership;
+  readonly drainingNodes: DrainingNodes;
   readonly metrics: Metrics;
   readonly metricsPath: string;
   readonly isReady: () => boolean;
@@ -26,11 +28,15 @@
 
   constructor(options: ControlServerOptions) {
     super();
-    const { dialect, isReady, membership, metrics, metricsPath } = options;
+    const { dialect, drainingNodes, isReady, membership, metrics, metricsPath } = options;
     this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
     this._app.get(dialect.addressPath, (context) => {
       const query = new URL(context.req.url).searchParams;
-      const addresses = findAddresses(membership, dialect.parseAddressQuery(query));
+      const addresses = findAddresses(
+        membership,
+        dialect.parseAddressQuery(query),
+        drainingNodes.listed,
+      );
       const body = dialect.formatAddresses(addresses, ADDRESS_TTL_MS);
       return context.body(body, addresses.length === 0 ? UNAVAILABLE : OK, {
         'Content-Type': 'application/json',
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -86,6 +86,8 @@
   /** The answer had begun and was cut, so that it doesn't look complete. */
   Aborted = 'broken-off',
   CallerDisconnected = 'caller-left',
+  /** This node ended before the request did, and said so. */
+  Ended = 'node-ended',
 }
 
 /** Fields of the log record of a finished request. */
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -4,13 +4,14 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { closeServer, listenOnLoopback } from '@tanagerdyke/fakes';
-import { SystemClock } from '@tanagerdyke/kernel';
+import { type Clock, SystemClock } from '@tanagerdyke/kernel';
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
 import { GatewayFront } from './GatewayFront.js';
 import { directConnections } from './paths/DirectConnections.js';
 import { Upstream } from './Upstream.js';
 
 const HOST = '127.0.0.1';
+const DRAIN_RETRY_MS = 40;
 /** Id of requests for which the test gives none. */
 const ATTEMPT = 'a1';
 
@@ -22,10 +23,13 @@
   public readonly lines: string[] = [];
   public readonly received: string[] = [];
   public isDraining = false;
+  /** Whether the front refuses new requests. */
+  public isClosed = false;
+  public lastAnswerAt = Number.POSITIVE_INFINITY;
   private readonly _servers: Server[] = [];
   private readonly _upstream = new Upstream(directConnections(new SystemClock()));
   private readonly _fixture: ForwardingFixture;
-  private readonly _front: GatewayFront;
+  public readonly front: GatewayFront;
   private _port = 0;
 
   constructor(budgetAllowance?: number) {
@@ -35,12 +39,18 @@
       onLine: (line) => this.lines.push(line),
       ...(budgetAllowance !== undefined && { budgetAllowance }),
     });
-    this._front = new GatewayFront(this._fixture.dependencies, {
-      isClosed: () => false,
+    this.front = new GatewayFront(this._fixture.dependencies, {
+      isClosed: () => this.isClosed,
+      retryAfterMs: () => DRAIN_RETRY_MS,
       isDraining: () => this.isDraining,
+      lastAnswerAt: () => this.lastAnswerAt,
     });
   }
 
+  public get clock(): Clock {
+    return this._fixture.dependencies.clock;
+  }
+
   /** Bytes of the large answers that are being buffered. */
   public get bufferedBytes(): number {
     return this._fixture.dependencies.answerBuffers.bytes;
@@ -51,7 +61,7 @@
     const probe = createServer();
     this._port = await listenOnLoopback(probe);
     await closeServer(probe);
-    await this._front.listen(`${HOST}:${this._port}`);
+    await this.front.listen(`${HOST}:${this._port}`);
     if (isConfigured) {
       this.publishConfiguration();
     }
@@ -63,7 +73,7 @@
   }
 
   public async stop(): Promise<void> {
-    this._front.dispose();
+    this.front.dispose();
     this._upstream.dispose();
     await Promise.all(this._servers.map(closeServer));
   }
--- a/packages/gateway/src/node/GatewayAnswers.ts
+++ b/packages/gateway/src/node/GatewayAnswers.ts
@@ -3,8 +3,6 @@
 
 /** Retry-After of a node that has no configuration yet. */
 const UNREADY_RETRY_AFTER_MS = 300;
-/** Short, since other nodes are available: the caller only has to change the address. */
-const DRAINING_RETRY_AFTER_MS = 20;
 
 export const UNREADY: GatewayAnswer = {
   status: GatewayStatus.Refused,
@@ -12,11 +10,17 @@
   remedy: 'this node is starting; query the addresses again',
   retryAfterMs: UNREADY_RETRY_AFTER_MS,
 };
+/** Without the time to retry, which depends on whether another node accepts requests. */
 export const DRAINING: GatewayAnswer = {
   status: GatewayStatus.Refused,
   kind: 'draining',
   remedy: 'this node is shutting down; use another address',
-  retryAfterMs: DRAINING_RETRY_AFTER_MS,
+};
+/** To a request that may have run, of a node that ends. */
+export const ENDING: GatewayAnswer = {
+  status: GatewayStatus.Failed,
+  kind: 'draining',
+  remedy: 'this node ended before the answer; check the effect before sending the request again',
 };
 export const INTERNAL_ERROR: GatewayAnswer = {
   status: GatewayStatus.Failed,
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -16,6 +16,7 @@
   type ForwardingConfiguration,
   type RawHeaders,
 } from '../common/Messages.js';
+import { didNotRun } from '../common/Execution.js';
 import { fingerprintsOf } from '../common/quarantine/RequestFingerprint.js';
 import { chooseService } from '../common/RouteShares.js';
 import { BodyReader } from './BodyReader.js';
@@ -24,12 +25,14 @@
 import {
   type ForwardedRequest,
   type ForwardingDependencies,
+  RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
 import {
   BODY_TOO_LARGE,
   CALLER_DISCONNECTED,
   DRAINING,
+  ENDING,
   HEADERS_TOO_LARGE,
   INTERNAL_ERROR,
   NO_ROUTE,
@@ -53,14 +56,28 @@
 export interface FrontState {
   /** Whether new requests are refused. */
   readonly isClosed: () => boolean;
+  /** Time after which a request that is refused since the node drains may be sent again. */
+  readonly retryAfterMs: () => number;
   /** Whether connections close after their answer. */
   readonly isDraining: () => boolean;
+  /** Time on the clock by which every request must be answered; infinity while not draining. */
+  readonly lastAnswerAt: () => number;
+}
+
+/** A request that is not answered yet. */
+interface UnansweredRequest {
+  readonly response: CallerResponse;
+  /** Whether its body is complete, so that it is being forwarded. */
+  isForwarded: boolean;
+  /** Ends what is done for the request. */
+  readonly abort: AbortController;
 }
 
 /** Accepts callers' requests on one address. */
 export class GatewayFront extends DisposableOwner {
   private readonly _server: Server;
   private readonly _bodyReader = new BodyReader();
+  private readonly _unanswered = new Set<UnansweredRequest>();
   private _running = 0;
   private _lastRequestAt = Number.NEGATIVE_INFINITY;
 
@@ -86,12 +103,12 @@
     );
   }
 
-  /** Number of requests in flight. */
+  /** Number of requests whose answers have not been sent to their end. */
   public get running(): number {
     return this._running;
   }
 
-  /** Time on the clock at which the last request arrived. */
+  /** Time on the clock at which the last request arrived that was not refused for a drain. */
   public get lastRequestAt(): number {
     return this._lastRequestAt;
   }
@@ -105,6 +122,28 @@
     });
   }
 
+  /** Refuses the requests whose bodies are incomplete, so that their callers use another node. */
+  public refuseIncomplete(): void {
+    for (const { isForwarded, response } of this._unanswered) {
+      if (!isForwarded) {
+        response.sendGatewayAnswer(this._draining());
+      }
+    }
+  }
+
+  /** Accepts no further connections, and answers all requests by what is known of them. */
+  public close(): void {
+    this._server.close();
+    this.refuseIncomplete();
+    for (const { abort } of this._unanswered) {
+      abort.abort();
+    }
+  }
+
+  private _draining(): GatewayAnswer {
+    return { ...DRAINING, retryAfterMs: this._state.retryAfterMs() };
+  }
+
   private _applyLimits({ limits }: ForwardingConfiguration): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     this._server.headersTimeout = limits.headerTimeoutMs;
@@ -115,8 +154,15 @@
    * it ran, and other requests are not affected.
    */
   private async _handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const response = new CallerResponse(outgoing, this._state.isDraining);
+    // A connection that is closed while its caller still sends a body loses the answer.
+    const response = new CallerResponse(
+      outgoing,
+      () => this._state.isDraining() && incoming.complete,
+    );
     this._running++;
+    outgoing.once('close', () => {
+      this._running--;
+    });
     try {
       await this._serve(incoming, outgoing, response);
     } catch (error) {
@@ -125,8 +171,6 @@
         cause: describeCause(error),
       });
       response.sendGatewayAnswer(INTERNAL_ERROR);
-    } finally {
-      this._running--;
     }
   }
 
@@ -137,17 +181,23 @@
   ): Promise<void> {
     const { clock, log, metrics } = this._dependencies;
     const receivedAt = clock.now();
-    this._lastRequestAt = receivedAt;
-    const disconnected = new AbortController();
+    if (!this._state.isClosed()) {
+      this._lastRequestAt = receivedAt;
+    }
+    const abort = new AbortController();
+    const unanswered: UnansweredRequest = { response, isForwarded: false, abort };
+    this._unanswered.add(unanswered);
     outgoing.on('close', () => {
+      this._unanswered.delete(unanswered);
       if (!outgoing.writableFinished) {
-        disconnected.abort();
+        abort.abort();
       }
     });
     outgoing.on('error', () => {
-      disconnected.abort();
+      abort.abort();
     });
-    const admitted = await this._admit(incoming, response, receivedAt, disconnected.signal);
+    const admitted = await this._admit(incoming, response, receivedAt, abort.signal);
+    unanswered.isForwarded = admitted.isOk;
     const report = admitted.isOk ? await this._forward(admitted.value) : undefined;
     const { caller, request } = admitted.isOk
       ? { caller: admitted.value.caller, request: admitted.value }
@@ -169,11 +219,18 @@
     });
   }
 
-  private _forward(request: ForwardedRequest): Promise<RequestReport> {
+  private async _forward(request: ForwardedRequest): Promise<RequestReport> {
     this._dependencies.budget.recordRequest(request.service.name);
     const { engine } = request.service;
     const handler = FORWARDERS[request.route.kind];
-    return handler(this._dependencies, request, engine);
+    const report = await handler(this._dependencies, request, engine);
+    const { response, signal } = request;
+    if (signal.aborted && !response.isClosed) {
+      // The caller is still there: the node ends, and nobody else answers the request.
+      response.sendGatewayAnswer(didNotRun(report.execution) ? this._draining() : ENDING);
+      return { ...report, ending: RequestOutcome.Ended };
+    }
+    return report;
   }
 
   /**
@@ -196,7 +253,7 @@
     const caller = dialect.parseCallerRequest(incoming.rawHeaders);
     const current = configuration.current ?? (await this._awaitConfiguration());
     if (current === undefined || this._state.isClosed()) {
-      return reject(caller, current === undefined ? UNREADY : DRAINING);
+      return reject(caller, current === undefined ? UNREADY : this._draining());
     }
     if (headerBytesOf(incoming.rawHeaders) > current.limits.headerBytes) {
       return reject(caller, HEADERS_TOO_LARGE);
@@ -219,6 +276,9 @@
     if (body === undefined) {
       return reject(caller, signal.aborted ? CALLER_DISCONNECTED : BODY_TOO_LARGE);
     }
+    if (this._state.isClosed()) {
+      return reject(caller, this._draining());
+    }
     const method = incoming.method ?? 'GET';
     const { ownPart, sharedParts } = caller;
     const parts = ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
@@ -235,7 +295,7 @@
       service,
       workspace,
       receivedAt,
-      deadlineAt: receivedAt + timeoutMs,
+      deadlineAt: Math.min(receivedAt + timeoutMs, this._state.lastAnswerAt()),
       response,
       signal,
     });
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -18,7 +18,9 @@
 } from '@tanagerdyke/mesh';
 import type { buildConnector } from 'undici';
 import type { DecisionLog } from '../common/DecisionLog.js';
+import { drainPeersOf } from '../common/DrainPeers.js';
 import { type DrainActivity, DrainSchedule } from '../common/DrainSchedule.js';
+import { DrainingNodes } from '../common/DrainingNodes.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
 import type { TargetEntry } from '../common/Messages.js';
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
@@ -90,7 +92,8 @@
   private readonly _connections: TargetConnections;
   private readonly _controlServer: ControlServer;
   private _startedAt = Number.POSITIVE_INFINITY;
-  private _isDraining = false;
+  /** Undefined until the termination signal. */
+  private _drain: DrainSchedule | undefined;
   private _isClosed = false;
   /** Highest number of live nodes so far; a mass failure must not enlarge this node's shares. */
   private _maxLiveNodes = 1;
@@ -120,7 +123,7 @@
         pauses: this._pauses,
         rateLimits: this._rateLimits,
         relayAddress: settings.listen.relay,
-        isDraining: () => this._isDraining,
+        isDraining: () => this._drain !== undefined,
       }),
     );
     const activeRequests = this.register(new ActiveRequestTable(clock, name));
@@ -139,7 +142,9 @@
     );
     const state = {
       isClosed: () => this._isClosed,
-      isDraining: () => this._isDraining,
+      retryAfterMs: () => this._drain?.retryAfterMs(drainPeersOf(membership), random.next()) ?? 0,
+      lastAnswerAt: () => this._drain?.lastAnswerAt ?? Number.POSITIVE_INFINITY,
+      isDraining: () => this._drain !== undefined,
     };
     this._front = this.register(
       new GatewayFront(this._createForwardingDependencies(activeRequests, cells, channel), state),
@@ -148,6 +153,7 @@
       new ControlServer({
         dialect,
         membership,
+        drainingNodes: this.register(new DrainingNodes({ clock, membership })),
         metrics,
         metricsPath: settings.metricsPath,
         isReady: () => this.isReady,
@@ -158,7 +164,7 @@
 
   /** Whether callers should be directed to this node. */
   public get isReady(): boolean {
-    return this._platform.isReady && !this._isDraining;
+    return this._platform.isReady && this._drain === undefined;
   }
 
   /** Listens, joins the peers and starts to receive updates from the platform. */
@@ -180,22 +186,45 @@
 
   /**
    * Removes this node from the address responses immediately, accepts new requests for a limited
-   * time, waits for the requests in flight, and returns before the process would be killed.
+   * time, waits for the requests in flight, answers those that are left, and returns before the
+   * process would be killed.
    */
   public async drain(): Promise<void> {
     const { clock, log, settings } = this._options;
     const startedAt = clock.now();
     const schedule = new DrainSchedule(startedAt, settings.shutdownTimeoutMs);
-    this._isDraining = true;
-    this._membership.publish({ isReady: false, isDraining: true });
+    this._drain = schedule;
+    // Ready and draining is a node that drains and still accepts requests.
+    this._membership.publish({ isReady: this._platform.isReady, isDraining: true });
     log.write('node.draining', { running: this._front.running });
     while (!schedule.isOver(clock.now(), this._activity)) {
-      this._isClosed ||= !schedule.acceptsRequests(clock.now());
+      this._setClosed(!schedule.acceptsRequests(clock.now(), drainPeersOf(this._membership)));
       await clock.sleep(DRAIN_POLL_MS);
     }
+    const { running } = this._front;
+    this._setClosed(true);
+    this._front.close();
+    do {
+      await clock.sleep(DRAIN_POLL_MS);
+    } while (this._front.running > 0 && !schedule.mustExit(clock.now()));
     await this._membership.leave();
     const tookMs = Math.round(clock.now() - startedAt);
-    log.write('node.drained', { cut: this._front.running, tookMs });
+    log.write('node.drained', { ended: running, cut: this._front.running, tookMs });
+  }
+
+  /** Refuses new requests, or accepts them again since no other node does. */
+  private _setClosed(isClosed: boolean): void {
+    if (this._isClosed === isClosed) {
+      return;
+    }
+    this._isClosed = isClosed;
+    this._membership.publish({ isReady: !isClosed && this._platform.isReady });
+    this._options.log.write(isClosed ? 'node.closed' : 'node.reopened', {
+      running: this._front.running,
+    });
+    if (isClosed) {
+      this._front.refuseIncomplete();
+    }
   }
 
   /** Requests of this node's callers, and of others whose connections it relays. */
