Never take a second copy of an answer for that of a request or call without an id

Cause: a request without an id accepted any answer on a kept connection, so a target that wrote an earlier answer once more, late, answered the next caller with it. Answers of the store name neither topic nor offset: a second copy of one was applied as records of another topic, at offsets that the log does not have, or as a confirmed write.

Requests with an id, which ordinary callers send, keep connections as before.

--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -1,6 +1,7 @@
 /**
  * Connections to targets, with undici: one pool for each instance of a target, one request at a
- * time on a connection. An exchange reports when its request starts to be sent, since from then on
+ * time on a connection. A request without an id has a connection of its own, since an earlier answer
+ * that a faulty target writes once more could not be told from its own. An exchange reports when its request starts to be sent, since from then on
  * it may have run. Right before that, it asks whether the request may still be sent, as it may have
  * waited for a connection. Retries are the forwarders' task.
  */
@@ -18,6 +19,11 @@
 /** An idle connection is closed this long before its target would close it. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MIN_CONNECTIONS = 4;
+/** Connections for requests without an id, as a share of those with one, so that few exceed the limit. */
+const SINGLE_USE_SHARE = 0.15;
+/** Requests at a time on a connection that is kept, and on one that is closed after the first. */
+const KEPT_PIPELINING = 1;
+const SINGLE_USE_PIPELINING = 0;
 /** Times that a request is given another connection since the one that it got was retired. */
 const MAX_REASSIGNMENTS = 2;
 
@@ -94,23 +100,27 @@
   readonly watch: (address: string) => WatchedExchange;
 }
 
-/** The pool of an instance of a target, with the address of the target. */
-interface TargetPool {
+/** The pools of an instance of a target, with the address of the target. */
+interface TargetPools {
   readonly address: string;
-  readonly pool: Pool;
+  /** For requests with an id. */
+  readonly kept: Pool;
+  /** For requests without an id; each connection carries one of them. */
+  readonly singleUse: Pool;
 }
 
 /** Sends requests over the connection pools of all targets. */
 export class Upstream extends DisposableOwner implements RequestSender {
-  private readonly _pools = new Map<string, TargetPool>();
+  private readonly _pools = new Map<string, TargetPools>();
   private readonly _histories = new ConnectionHistories();
 
   constructor(private readonly _options: UpstreamOptions) {
     super();
     this.register(
       toDisposable(() => {
-        for (const { pool } of this._pools.values()) {
-          void pool.destroy();
+        for (const { kept, singleUse } of this._pools.values()) {
+          void kept.destroy();
+          void singleUse.destroy();
         }
       }),
     );
@@ -165,7 +175,7 @@
   private _dispatch(
     target: TargetEntry,
     connections: number,
-    { body, headers, method, path }: UpstreamRequest,
+    { attemptId, body, headers, method, path }: UpstreamRequest,
     exchange: PoolExchange,
   ): void {
     const dispatch: TargetDispatch = {
@@ -176,7 +186,8 @@
       exchange,
     };
     try {
-      this._pool(target, connections).dispatch(dispatch, exchange);
+      const { kept, singleUse } = this._poolsOf(target, connections);
+      (attemptId === undefined ? singleUse : kept).dispatch(dispatch, exchange);
     } catch (error) {
       // undici throws if it can't serialise the request; nothing has been sent in that case.
       exchange.onResponseError(
@@ -190,27 +201,40 @@
     const target = this._pools.get(key);
     this._pools.delete(key);
     if (target !== undefined) {
-      void target.pool.close();
+      void target.kept.close();
+      void target.singleUse.close();
     }
   }
 
-  private _pool(target: TargetEntry, connections: number): Pool {
+  private _poolsOf(target: TargetEntry, connections: number): TargetPools {
     const key = keyOf(target);
-    let pool = this._pools.get(key)?.pool;
-    if (pool === undefined) {
-      pool = new Pool(`http://${target.address}`, {
-        connections: Math.max(MIN_CONNECTIONS, connections),
-        pipelining: 1,
-        factory: (origin, options: Client.Options) =>
-          createTargetClient(origin, { ...options, connect: this._options.connect }),
-        keepAliveTimeout: KEEP_ALIVE_MS,
-        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
-      this._pools.set(key, { address: target.address, pool });
+    let pools = this._pools.get(key);
+    if (pools === undefined) {
+      pools = {
+        address: target.address,
+        kept: this._createPool(target, Math.max(MIN_CONNECTIONS, connections), KEPT_PIPELINING),
+        singleUse: this._createPool(
+          target,
+          Math.max(1, Math.floor(connections * SINGLE_USE_SHARE)),
+          SINGLE_USE_PIPELINING,
+        ),
+      };
+      this._pools.set(key, pools);
     }
-    return pool;
+    return pools;
+  }
+
+  private _createPool({ address }: TargetEntry, connections: number, pipelining: number): Pool {
+    return new Pool(`http://${address}`, {
+      connections,
+      pipelining,
+      factory: (origin, options: Client.Options) =>
+        createTargetClient(origin, { ...options, connect: this._options.connect }),
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
   }
 }
 
