--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -242,6 +242,18 @@
     });
   });
 
+  it('may have run a request that it carried when the other node ends before the answer', async () => {
+    // Guards against work that runs again elsewhere since a relay was restarted.
+    answer = () => {
+      relay.dispose();
+    };
+    const { error, isSent, status } = await send();
+    expect(error).toBeInstanceOf(RelayLinkError);
+    expect({ isSent, status }).toEqual({ isSent: true, status: undefined });
+    await clock.sleep(100);
+    expect(requests).toHaveLength(1);
+  });
+
   it('is closed at the target when the exchange is aborted', async () => {
     const closed = new Promise<void>((resolve) => {
       hooks.onClose = resolve;
