Count the memory held for callers, and limit their connections

Bodies kept an object for each piece, the count ended with the body's arrival, and connections, requests sent ahead and unread answers had no limit.

Every request is counted until its answer is sent (CallerMemory), bodies are received in merged segments and must make progress (BodyReader), and connections, header fields, requests ahead and unread answers are limited, on the control addresses too (CallerConnections). Early answers are followed by a bounded part of the body instead of a reset.

--- a/packages/gateway/src/node/AnswerBuffers.ts
+++ b/packages/gateway/src/node/AnswerBuffers.ts
@@ -3,7 +3,7 @@
  * targets that send without an end do not displace the answers of sound ones.
  */
 
-/** Limit of all large answers together; more could exceed the memory limit of a small host. */
+/** Limit of all large answers together unless another one is given. */
 const MAX_TOGETHER_BYTES = 32 * 1024 * 1024;
 /** A larger answer is treated as broken. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -14,6 +14,8 @@
 export class AnswerBuffers {
   private _bytes = 0;
 
+  constructor(private readonly _limitBytes = MAX_TOGETHER_BYTES) {}
+
   /** Bytes of all large answers. */
   public get bytes(): number {
     return this._bytes;
@@ -22,7 +24,7 @@
   /** Returns the count of one answer, which must be released when it is no longer buffered. */
   public open(): AnswerBuffer {
     return new AnswerBuffer((bytes) => {
-      const isAdmitted = bytes < 0 || this._bytes + bytes <= MAX_TOGETHER_BYTES;
+      const isAdmitted = bytes < 0 || this._bytes + bytes <= this._limitBytes;
       this._bytes += isAdmitted ? bytes : 0;
       return isAdmitted;
     });
--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -10,6 +10,8 @@
 const MS_PER_SECOND = 1_000;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
+/** A larger answer is written in pieces of this size, so that it is seen how fast it is read. */
+const PIECE_BYTES = 64 * 1024;
 
 /** HTTP statuses of the answers that the gateway itself generates. */
 export enum GatewayStatus {
@@ -17,6 +19,7 @@
   Unauthorized = 401,
   NotFound = 404,
   TooLarge = 413,
+  TooMany = 429,
   HeadersTooLarge = 431,
   Failed = 502,
   Refused = 503,
@@ -39,13 +42,21 @@
   private _mediaType: string | undefined;
   /** Bytes that the stream may still have; undefined if its length is not stated. */
   private _remainingBytes: number | undefined;
+  private _handedOver: Promise<void> = Promise.resolve();
 
   constructor(
     private readonly _response: ServerResponse,
     /** Whether to close the connection after the answer. */
     private readonly _closesConnection: () => boolean,
+    /** Called with the size of a buffered answer, which is held until the caller has read it. */
+    private readonly _onBuffered: (bytes: number) => void = () => undefined,
   ) {}
 
+  /** Resolves when everything was handed to the connection; not if the connection closes first. */
+  public get handedOver(): Promise<void> {
+    return this._handedOver;
+  }
+
   /** Whether the status and headers have been sent. */
   public get isBegun(): boolean {
     return this._response.headersSent;
@@ -56,21 +67,44 @@
   }
 
   /** Sends an answer of the gateway; aborts instead if another answer has begun. */
-  public sendGatewayAnswer({ kind, remedy, retryAfterMs, status }: GatewayAnswer): void {
+  public sendGatewayAnswer(answer: GatewayAnswer, closesConnection = false): void {
+    if (this._writeGatewayAnswer(answer, closesConnection)) {
+      this._response.end();
+    }
+  }
+
+  /**
+   * Sends an answer of the gateway before the body of the request has arrived, and closes the
+   * connection once `isDropped` resolves. A connection that is closed with unread bytes is reset, and
+   * the caller may lose the answer.
+   */
+  public sendEarly(answer: GatewayAnswer, isDropped: Promise<void>): void {
+    if (this._writeGatewayAnswer(answer, true)) {
+      void isDropped.then(() => {
+        this._response.end();
+      });
+    }
+  }
+
+  private _writeGatewayAnswer(
+    { kind, remedy, retryAfterMs, status }: GatewayAnswer,
+    closesConnection: boolean,
+  ): boolean {
     if (this.isClosed) {
-      return;
+      return false;
     }
     if (this.isBegun) {
       this.abort();
-      return;
+      return false;
     }
     const body = Buffer.from(JSON.stringify({ kind, remedy }));
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
     if (retryAfterMs !== undefined) {
       headers.push('Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(2));
     }
-    this._writeHead(status, headers);
-    this._response.end(body);
+    this._writeHead(status, headers, closesConnection);
+    this._response.write(body);
+    return true;
   }
 
   /** Sends a buffered answer of a target. */
@@ -88,7 +122,22 @@
       kept.push('Content-Length', String(body.length));
     }
     this._writeHead(status, kept);
-    this._response.end(body);
+    this._onBuffered(body.length);
+    this._handedOver = this._writePieces(body);
+  }
+
+  private async _writePieces(body: Buffer): Promise<void> {
+    let at = 0;
+    while (body.length - at > PIECE_BYTES) {
+      const isTaken = this._response.write(body.subarray(at, at + PIECE_BYTES));
+      at += PIECE_BYTES;
+      if (!isTaken) {
+        await new Promise<void>((resolve) => {
+          this._response.once('drain', resolve);
+        });
+      }
+    }
+    this._response.end(body.subarray(at));
   }
 
   /** Sends the status and headers of a streamed answer of a target. */
@@ -139,9 +188,9 @@
     this._response.destroy();
   }
 
-  private _writeHead(status: number, headers: string[]): void {
+  private _writeHead(status: number, headers: string[], closesConnection = false): void {
     this._response.sendDate = false;
-    if (this._closesConnection()) {
+    if (closesConnection || this._closesConnection()) {
       headers.push('Connection', 'close');
     }
     this._response.writeHead(status, headers);
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -1,15 +1,28 @@
-/** HTTP endpoints beside the front: readiness, addresses for callers, and metrics. */
-import { createAdaptorServer } from '@hono/node-server';
-import { DisposableOwner, type Metrics, toDisposable } from '@tanagerdyke/kernel';
+/**
+ * HTTP endpoints beside the front: readiness, addresses for callers, and metrics. Requests have no
+ * bodies; one that has is answered without it, and its connection is closed.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { getRequestListener } from '@hono/node-server';
+import { type Clock, DisposableOwner, type Metrics, toDisposable } from '@tanagerdyke/kernel';
 import type { Membership } from '@tanagerdyke/mesh';
 import { Hono } from 'hono';
+import type { ConnectionLimits } from '../common/callers/CallerLimits.js';
 import { findAddresses } from '../common/CallerAddresses.js';
+import type { DecisionLog } from '../common/DecisionLog.js';
 import type { Dialect } from '../common/services/Services.js';
+import { CallerConnections, MAX_FIELDS, SERVER_OPTIONS } from './CallerConnections.js';
+import { CallerResponse } from './CallerResponse.js';
+import { BODY_TOO_LARGE, TOO_MANY_FIELDS } from './GatewayAnswers.js';
 
 const OK = 200;
 const UNAVAILABLE = 503;
 /** How long callers cache addresses; short, so that they soon stop using a failed host. */
 const ADDRESS_TTL_MS = 2_000;
+/** How long, and how much, a body is read and dropped, so that the caller can read the answer. */
+const DROP_MS = 1_000;
+const MAX_DROPPED_BYTES = 256 * 1024;
+const MAX_DROPPED_PIECES = 4_096;
 
 /** State that the endpoints report, and their formats. */
 export interface ControlServerOptions {
@@ -18,14 +31,21 @@
   readonly metrics: Metrics;
   readonly metricsPath: string;
   readonly isReady: () => boolean;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Connections to all addresses together. */
+  readonly limits: ConnectionLimits;
 }
 
 /** Serves all control endpoints on each of its addresses. */
 export class ControlServer extends DisposableOwner {
   private readonly _app = new Hono();
+  private readonly _connections: CallerConnections;
 
-  constructor(options: ControlServerOptions) {
+  constructor(private readonly _options: ControlServerOptions) {
     super();
+    const options = _options;
+    this._connections = this.register(new CallerConnections(options));
     const { dialect, isReady, membership, metrics, metricsPath } = options;
     this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
     this._app.get(dialect.addressPath, (context) => {
@@ -42,13 +62,17 @@
   /** Listens on `IP:port`. Rejects if the address is in use. */
   public async listen(address: string): Promise<void> {
     const [hostname, port] = address.split(':');
-    const server = createAdaptorServer({ fetch: this._app.fetch });
+    const serve = getRequestListener(this._app.fetch);
+    const server = createServer(SERVER_OPTIONS, (incoming, outgoing) => {
+      if (this._admit(incoming, outgoing)) {
+        void serve(incoming, outgoing);
+      }
+    });
+    this._connections.attach(server);
     this.register(
       toDisposable(() => {
         server.close();
-        if ('closeAllConnections' in server) {
-          server.closeAllConnections();
-        }
+        server.closeAllConnections();
       }),
     );
     await new Promise<void>((resolve, reject) => {
@@ -56,4 +80,37 @@
       server.listen(Number(port), hostname, resolve);
     });
   }
+
+  /** Whether a request is within the limits; it is answered if not. */
+  private _admit(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
+    const { headers, rawHeaders, socket } = incoming;
+    if (!this._connections.admit(incoming, outgoing, () => undefined)) {
+      return false;
+    }
+    const hasBody =
+      Number(headers['content-length'] ?? 0) > 0 || headers['transfer-encoding'] !== undefined;
+    const hasTooManyFields = rawHeaders.length > MAX_FIELDS * 2;
+    if (!hasBody && !hasTooManyFields) {
+      return true;
+    }
+    this._connections.record(
+      'caller.refused',
+      hasBody ? 'body-at-control' : 'header-fields',
+      socket.remoteAddress,
+    );
+    const ended = this._options.clock.sleep(DROP_MS);
+    incoming.on('error', () => undefined);
+    let bytes = 0;
+    let pieces = 0;
+    incoming.on('data', (piece: Buffer) => {
+      bytes += piece.length;
+      pieces++;
+      if (bytes > MAX_DROPPED_BYTES || pieces > MAX_DROPPED_PIECES) {
+        this._connections.close(socket, 'body-at-control');
+      }
+    });
+    const answer = hasBody ? BODY_TOO_LARGE : TOO_MANY_FIELDS;
+    new CallerResponse(outgoing, () => true).sendEarly(answer, ended);
+    return false;
+  }
 }
--- a/packages/gateway/src/node/GatewayAnswers.ts
+++ b/packages/gateway/src/node/GatewayAnswers.ts
@@ -5,6 +5,8 @@
 const UNREADY_RETRY_AFTER_MS = 300;
 /** Short, since other nodes are available: the caller only has to change the address. */
 const DRAINING_RETRY_AFTER_MS = 20;
+/** Retry-After if callers hold all of the memory that they may; bodies that stop are closed by then. */
+const BUSY_RETRY_AFTER_MS = 1_000;
 
 export const UNREADY: GatewayAnswer = {
   status: GatewayStatus.Refused,
@@ -43,6 +45,29 @@
   kind: 'headers-too-large',
   remedy: 'send fewer or shorter headers',
 };
+export const TOO_MANY_FIELDS: GatewayAnswer = {
+  status: GatewayStatus.HeadersTooLarge,
+  kind: 'headers-too-large',
+  remedy: 'send fewer header fields',
+};
+export const NO_MEMORY: GatewayAnswer = {
+  status: GatewayStatus.Refused,
+  kind: 'node-busy',
+  remedy: 'the bodies of other requests take the memory of this node; send the request again',
+  retryAfterMs: BUSY_RETRY_AFTER_MS,
+};
+export const BODY_TOO_SLOW: GatewayAnswer = {
+  status: GatewayStatus.Refused,
+  kind: 'body-too-slow',
+  remedy: 'the body did not arrive in time; send the request again, with all of its body',
+  retryAfterMs: BUSY_RETRY_AFTER_MS,
+};
+export const TOO_MANY_PIECES: GatewayAnswer = {
+  status: GatewayStatus.TooMany,
+  kind: 'too-many-chunks',
+  remedy: 'send the body with a stated length, or in larger chunks',
+  retryAfterMs: BUSY_RETRY_AFTER_MS,
+};
 export const CALLER_DISCONNECTED: GatewayAnswer = {
   status: GatewayStatus.BadRequest,
   kind: 'cancelled',
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -9,6 +9,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { awaitEvent, describeCause, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
+import { type CallerLimits, callerLimits } from '../common/callers/CallerLimits.js';
+import { type CallerHolding, CallerMemory, HoldingState } from '../common/callers/CallerMemory.js';
 import {
   CallKind,
   type CallerRequest,
@@ -18,7 +20,8 @@
 } from '../common/Messages.js';
 import { fingerprintsOf } from '../common/quarantine/RequestFingerprint.js';
 import { chooseService } from '../common/RouteShares.js';
-import { BodyReader } from './BodyReader.js';
+import { BodyFailure, BodyReader, type BodyReception } from './BodyReader.js';
+import { CallerConnections, MAX_FIELDS, SERVER_OPTIONS } from './CallerConnections.js';
 import { CallerResponse, type GatewayAnswer } from './CallerResponse.js';
 import { forwardCall } from './CallForwarder.js';
 import {
@@ -28,26 +31,28 @@
 } from './ForwardedRequest.js';
 import {
   BODY_TOO_LARGE,
+  BODY_TOO_SLOW,
   CALLER_DISCONNECTED,
   DRAINING,
   HEADERS_TOO_LARGE,
   INTERNAL_ERROR,
+  NO_MEMORY,
   NO_ROUTE,
+  TOO_MANY_FIELDS,
+  TOO_MANY_PIECES,
   UNKNOWN_KEY,
   UNREADY,
 } from './GatewayAnswers.js';
 import { forwardStream } from './StreamForwarder.js';
 
-/** The HTTP parser rejects larger header blocks; the configured limit is lower. */
-const PARSER_HEADER_BYTES = 64 * 1024;
-/** How often connections are checked for their time limits. */
-const CHECK_INTERVAL_MS = 500;
 /** Added to the configured idle time, so that callers close idle connections first. */
 const IDLE_MARGIN_MS = 1_000;
 /** Size of a colon and a space, or of a line end. */
 const SEPARATOR_BYTES = 2;
 /** How long a request waits for the first configuration; changing the address takes longer. */
 const CONFIGURATION_WAIT_MS = 500;
+/** A body up to this size is read to its end after an early answer, and the connection is kept. */
+const MAX_KEPT_BODY_BYTES = 64 * 1024;
 
 /** Drain state of the node. */
 export interface FrontState {
@@ -60,19 +65,39 @@
 /** Accepts callers' requests on one address. */
 export class GatewayFront extends DisposableOwner {
   private readonly _server: Server;
-  private readonly _bodyReader = new BodyReader();
+  private readonly _memory: CallerMemory;
+  private readonly _bodyReader: BodyReader;
+  private readonly _connections: CallerConnections;
   private _running = 0;
   private _lastRequestAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly _dependencies: ForwardingDependencies,
     private readonly _state: FrontState,
+    limits: CallerLimits = callerLimits(DEFAULT_HOST),
   ) {
     super();
+    const { clock, metrics } = _dependencies;
+    const memory = new CallerMemory(limits.memory);
+    this._memory = memory;
+    this._bodyReader = new BodyReader({ clock, memory });
+    this._connections = this.register(
+      new CallerConnections({
+        ..._dependencies,
+        limits: limits.front,
+        onCheck: (elapsedMs) => {
+          memory.recordResident(process.memoryUsage.rss());
+          this._bodyReader.demandProgress(elapsedMs);
+        },
+      }),
+    );
+    metrics.gauge('tanager_caller_bytes', () => memory.bytes);
+    metrics.gauge('tanager_caller_connections', () => this._connections.count);
     this._server = createServer(
-      { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS },
+      SERVER_OPTIONS,
       (request, response) => void this._handleRequest(request, response),
     );
+    this._connections.attach(this._server);
     this.register(
       toDisposable(() => {
         this._server.close();
@@ -115,52 +140,91 @@
    * it ran, and other requests are not affected.
    */
   private async _handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    const response = new CallerResponse(outgoing, this._state.isDraining);
+    let onEnd = (): void => undefined;
+    const isAdmitted = this._connections.admit(incoming, outgoing, () => {
+      onEnd();
+    });
+    if (!isAdmitted) {
+      return;
+    }
+    const disconnected = new AbortController();
+    outgoing.on('error', () => {
+      disconnected.abort();
+    });
+    const arrival = this._open(incoming, outgoing, disconnected.signal);
+    onEnd = () => {
+      this._memory.release(arrival.holding);
+      if (!outgoing.writableFinished) {
+        disconnected.abort();
+      }
+    };
     this._running++;
     try {
-      await this._serve(incoming, outgoing, response);
+      await this._serve(arrival);
+      await orAborted(arrival.response.handedOver, disconnected.signal);
     } catch (error) {
       this._dependencies.log.write('request.defect', {
         path: incoming.url,
         cause: describeCause(error),
       });
-      response.sendGatewayAnswer(INTERNAL_ERROR);
+      arrival.response.sendGatewayAnswer(INTERNAL_ERROR);
     } finally {
       this._running--;
     }
   }
 
-  private async _serve(
+  /** Begins to receive the body, and counts what is held for the request. */
+  private _open(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
-    response: CallerResponse,
-  ): Promise<void> {
-    const { clock, log, metrics } = this._dependencies;
+    signal: AbortSignal,
+  ): RequestArrival {
+    const { clock, configuration, dialect } = this._dependencies;
+    const { socket } = incoming;
+    const caller = dialect.parseCallerRequest(incoming.rawHeaders);
+    const workspace =
+      caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
     const receivedAt = clock.now();
-    this._lastRequestAt = receivedAt;
-    const disconnected = new AbortController();
-    outgoing.on('close', () => {
-      if (!outgoing.writableFinished) {
-        disconnected.abort();
-      }
+    const holding = this._memory.open(
+      {
+        caller: workspace === undefined ? (socket.remoteAddress ?? '') : `key ${workspace.name}`,
+        connection: socket,
+        close: () => {
+          if (holding.state === HoldingState.Receiving) {
+            reception.fail(BodyFailure.NoMemory);
+          } else {
+            this._connections.close(socket, 'memory');
+          }
+        },
+      },
+      receivedAt,
+    );
+    const reception = this._bodyReader.open(incoming, holding, (reason) => {
+      this._connections.close(socket, reason);
     });
-    outgoing.on('error', () => {
-      disconnected.abort();
+    const response = new CallerResponse(outgoing, this._state.isDraining, (bytes) => {
+      holding.state = HoldingState.Unread;
+      this._memory.add(holding, bytes);
     });
-    const admitted = await this._admit(incoming, response, receivedAt, disconnected.signal);
+    return { incoming, caller, receivedAt, holding, reception, response, signal };
+  }
+
+  private async _serve(arrival: RequestArrival): Promise<void> {
+    const { clock, log, metrics } = this._dependencies;
+    const { caller, incoming, receivedAt } = arrival;
+    this._lastRequestAt = receivedAt;
+    const admitted = await this._admit(arrival);
+    const request = admitted.isOk ? admitted.value : undefined;
     const report = admitted.isOk ? await this._forward(admitted.value) : undefined;
-    const { caller, request } = admitted.isOk
-      ? { caller: admitted.value.caller, request: admitted.value }
-      : { caller: admitted.error.caller, request: undefined };
     if (admitted.isErr) {
-      response.sendGatewayAnswer(admitted.error.answer);
+      this._reject(arrival, admitted.error);
     }
-    const ending = report?.ending ?? `own-${admitted.isErr ? admitted.error.answer.status : 0}`;
+    const ending = report?.ending ?? `own-${admitted.isErr ? admitted.error.status : 0}`;
     const tookMs = Math.round(clock.now() - receivedAt);
     metrics.increment('tanager_requests_total', { ending, kind: request?.route.kind ?? 'none' });
     metrics.observe('tanager_request_ms', tookMs, { kind: request?.route.kind ?? 'none' });
     log.write('request.finished', {
-      request: request?.id ?? caller?.attemptId,
+      request: request?.id ?? caller.attemptId,
       ...(request === undefined ? { path: incoming.url } : describeRequest(request)),
       ...report,
       ending,
@@ -169,6 +233,21 @@
     });
   }
 
+  /** Answers a request that is not forwarded, whether or not its body has arrived. */
+  private _reject({ reception, response }: RequestArrival, answer: GatewayAnswer): void {
+    const { statedBytes = Number.POSITIVE_INFINITY } = reception;
+    if (reception.isComplete) {
+      response.sendGatewayAnswer(answer);
+    } else if (answer === BODY_TOO_SLOW) {
+      response.sendGatewayAnswer(answer, true);
+    } else if (statedBytes <= MAX_KEPT_BODY_BYTES && !this._state.isDraining()) {
+      response.sendGatewayAnswer(answer);
+      void reception.drop();
+    } else {
+      response.sendEarly(answer, reception.drop());
+    }
+  }
+
   private _forward(request: ForwardedRequest): Promise<RequestReport> {
     this._dependencies.budget.recordRequest(request.service.name);
     const { engine } = request.service;
@@ -186,48 +265,50 @@
   }
 
   /** Checks and buffers a request, and determines what it needs to be forwarded. */
-  private async _admit(
-    incoming: IncomingMessage,
-    response: CallerResponse,
-    receivedAt: number,
-    signal: AbortSignal,
-  ): Promise<Result<ForwardedRequest, Rejection>> {
-    const { configuration, dialect, random } = this._dependencies;
-    const caller = dialect.parseCallerRequest(incoming.rawHeaders);
+  private async _admit(arrival: RequestArrival): Promise<Result<ForwardedRequest, GatewayAnswer>> {
+    const { configuration, random } = this._dependencies;
+    const { caller, holding, incoming, receivedAt, reception, response, signal } = arrival;
+    const { rawHeaders } = incoming;
+    if (rawHeaders.length > MAX_FIELDS * 2) {
+      return this._refuse(incoming, 'header-fields', TOO_MANY_FIELDS);
+    }
     const current = configuration.current ?? (await this._awaitConfiguration());
     if (current === undefined || this._state.isClosed()) {
-      return reject(caller, current === undefined ? UNREADY : DRAINING);
+      return Result.err(current === undefined ? UNREADY : DRAINING);
     }
-    if (headerBytesOf(incoming.rawHeaders) > current.limits.headerBytes) {
-      return reject(caller, HEADERS_TOO_LARGE);
+    if (headerBytesOf(rawHeaders) > current.limits.headerBytes) {
+      return Result.err(HEADERS_TOO_LARGE);
     }
     const path = incoming.url ?? '/';
     const route = configuration.findRoute(caller.host, withoutQuery(path));
     if (route === undefined) {
-      return reject(caller, NO_ROUTE);
+      return Result.err(NO_ROUTE);
     }
     const workspace =
       caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
     if (workspace === undefined && configuration.needsKeys && !route.allowsAnonymous) {
-      return reject(caller, UNKNOWN_KEY);
+      return Result.err(UNKNOWN_KEY);
     }
     const service = configuration.service(chooseService(route.shares, random.next()));
     if (service === undefined) {
-      return reject(caller, UNREADY);
+      return Result.err(UNREADY);
     }
-    const body = await this._bodyReader.read(incoming, current.limits.bodyBytes, signal);
-    if (body === undefined) {
-      return reject(caller, signal.aborted ? CALLER_DISCONNECTED : BODY_TOO_LARGE);
+    const timeoutMs = Math.min(caller.remainingMs ?? route.timeoutMs, route.timeoutMs);
+    const deadlineAt = receivedAt + timeoutMs;
+    const read = await reception.read(current.limits.bodyBytes, deadlineAt, signal);
+    if (read.isErr) {
+      return this._refuse(incoming, read.error, BODY_ANSWERS[read.error]);
     }
+    holding.state = HoldingState.Running;
+    const body = read.value;
     const method = incoming.method ?? 'GET';
     const { ownPart, sharedParts } = caller;
     const parts = ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
-    const timeoutMs = Math.min(caller.remainingMs ?? route.timeoutMs, route.timeoutMs);
     return Result.ok({
       id: caller.attemptId ?? random.identifier(),
       method,
       path,
-      headers: incoming.rawHeaders,
+      headers: rawHeaders,
       body,
       caller,
       fingerprints: fingerprintsOf({ method, path, body, workspace: workspace?.name, parts }),
@@ -235,21 +316,64 @@
       service,
       workspace,
       receivedAt,
-      deadlineAt: receivedAt + timeoutMs,
+      deadlineAt,
       response,
       signal,
     });
   }
+
+  private _refuse(
+    { socket }: IncomingMessage,
+    reason: string,
+    answer: GatewayAnswer,
+  ): Result<ForwardedRequest, GatewayAnswer> {
+    if (answer !== CALLER_DISCONNECTED) {
+      this._connections.record('caller.refused', reason, socket.remoteAddress);
+    }
+    return Result.err(answer);
+  }
 }
 
-/** The answer to a request that is not forwarded. */
-interface Rejection {
-  readonly caller: CallerRequest | undefined;
-  readonly answer: GatewayAnswer;
+/** A request whose head has arrived. */
+interface RequestArrival {
+  readonly incoming: IncomingMessage;
+  readonly caller: CallerRequest;
+  readonly receivedAt: number;
+  readonly holding: CallerHolding;
+  readonly reception: BodyReception;
+  readonly response: CallerResponse;
+  /** Aborts when the caller disconnects. */
+  readonly signal: AbortSignal;
 }
 
-function reject(caller: CallerRequest, answer: GatewayAnswer): Result<ForwardedRequest, Rejection> {
-  return Result.err({ caller, answer });
+/** The answers to requests without a body that can be forwarded. */
+const BODY_ANSWERS: Readonly<Record<BodyFailure, GatewayAnswer>> = {
+  [BodyFailure.TooLarge]: BODY_TOO_LARGE,
+  [BodyFailure.NoMemory]: NO_MEMORY,
+  [BodyFailure.TooSlow]: BODY_TOO_SLOW,
+  [BodyFailure.Overdue]: BODY_TOO_SLOW,
+  [BodyFailure.TooManyPieces]: TOO_MANY_PIECES,
+  [BodyFailure.Disconnected]: CALLER_DISCONNECTED,
+};
+
+/** The host where nothing else is stated. */
+const DEFAULT_HOST = { memoryBytes: 350_000_000, maxDescriptors: 4_096 } as const;
+
+/** Resolves with the promise, or when the signal aborts. */
+function orAborted(promise: Promise<void>, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) {
+    return Promise.resolve();
+  }
+  const aborted = new Promise<void>((resolve) => {
+    signal.addEventListener(
+      'abort',
+      () => {
+        resolve();
+      },
+      { once: true },
+    );
+  });
+  return Promise.race([promise, aborted]);
 }
 
 type Forwarder = (
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -18,6 +18,7 @@
 } from '@tanagerdyke/mesh';
 import type { buildConnector } from 'undici';
 import type { DecisionLog } from '../common/DecisionLog.js';
+import { callerLimits } from '../common/callers/CallerLimits.js';
 import { type DrainActivity, DrainSchedule } from '../common/DrainSchedule.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
 import type { TargetEntry } from '../common/Messages.js';
@@ -84,7 +85,7 @@
   private readonly _nodeDirectory: NodeDirectory;
   private _quarantineReports: QuarantineReports | undefined;
   private readonly _front: GatewayFront;
-  private readonly _answerBuffers = new AnswerBuffers();
+  private readonly _answerBuffers: AnswerBuffers;
   private readonly _pauses: TargetPauses;
   private readonly _rateLimits: RateLimits;
   private readonly _connections: TargetConnections;
@@ -99,6 +100,8 @@
     super();
     const { clock, dialect, log, metrics, random, registry, settings, transport } = _options;
     const { name } = settings.node;
+    const limits = callerLimits(settings);
+    this._answerBuffers = new AnswerBuffers(limits.answerBytes);
     const membership = this._createMembership();
     this._membership = membership;
     this._platform = this.register(new PlatformView({ ..._options, membership }));
@@ -142,7 +145,11 @@
       isDraining: () => this._isDraining,
     };
     this._front = this.register(
-      new GatewayFront(this._createForwardingDependencies(activeRequests, cells, channel), state),
+      new GatewayFront(
+        this._createForwardingDependencies(activeRequests, cells, channel),
+        state,
+        limits,
+      ),
     );
     this._controlServer = this.register(
       new ControlServer({
@@ -151,6 +158,9 @@
         metrics,
         metricsPath: settings.metricsPath,
         isReady: () => this.isReady,
+        clock,
+        log,
+        limits: limits.control,
       }),
     );
     this._registerGauges();
