--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -18,6 +18,7 @@
 } from '@tanagerdyke/mesh';
 import type { buildConnector } from 'undici';
 import type { DecisionLog } from '../common/DecisionLog.js';
+import { callerLimits } from '../common/callers/CallerLimits.js';
 import { drainPeersOf } from '../common/DrainPeers.js';
 import { type DrainActivity, DrainSchedule } from '../common/DrainSchedule.js';
 import { DrainingNodes } from '../common/DrainingNodes.js';
@@ -86,7 +87,7 @@
   private readonly _nodeDirectory: NodeDirectory;
   private _quarantineReports: QuarantineReports | undefined;
   private readonly _front: GatewayFront;
-  private readonly _answerBuffers = new AnswerBuffers();
+  private readonly _answerBuffers: AnswerBuffers;
   private readonly _pauses: TargetPauses;
   private readonly _rateLimits: RateLimits;
   private readonly _connections: TargetConnections;
@@ -102,6 +103,8 @@
     super();
     const { clock, dialect, log, metrics, random, registry, settings, transport } = _options;
     const { name } = settings.node;
+    const limits = callerLimits(settings);
+    this._answerBuffers = new AnswerBuffers(limits.answerBytes);
     const membership = this._createMembership();
     this._membership = membership;
     this._platform = this.register(new PlatformView({ ..._options, membership }));
@@ -147,7 +150,11 @@
       isDraining: () => this._drain !== undefined,
     };
     this._front = this.register(
-      new GatewayFront(this._createForwardingDependencies(activeRequests, cells, channel), state),
+      new GatewayFront(
+        this._createForwardingDependencies(activeRequests, cells, channel),
+        state,
+        limits,
+      ),
     );
     this._controlServer = this.register(
       new ControlServer({
@@ -157,6 +164,9 @@
         metrics,
         metricsPath: settings.metricsPath,
         isReady: () => this.isReady,
+        clock,
+        log,
+        limits: limits.control,
       }),
     );
     this._registerGauges();
