--- /dev/null
+++ b/packages/gateway/src/common/placement/EngineSpeeds.ts
@@ -0,0 +1,132 @@
+/**
+ * Learns which engines are slower than others of their service. Load pattern: an engine that is cold
+ * or shares its machine answers at a fraction of the configured speed, and has free slots as often
+ * as the others, so that it gets as many prompts and answers them late. The time to the first event
+ * is compared with the predicted one, for prompts that met no queue. What all engines have in common
+ * is an error of the prediction and makes none of them slow.
+ *
+ * The estimate is bounded and lost within seconds without new samples, so that a slow engine gets
+ * fewer prompts than the others and still some.
+ */
+import type { Clock } from '@tanagerdyke/kernel';
+import { LRUCache } from 'lru-cache';
+import { DecayingMean } from './DecayingMean.js';
+
+const HALF_LIFE_MS = 15_000;
+/** Log of the largest factor by which one sample counts. */
+const MAX_STEP = Math.log(4);
+/** Samples as configured that an engine is assumed to have had. */
+const PRIOR_WEIGHT = 3;
+/** An engine this much slower than others is no slow one: passes start at different moments. */
+const TOLERANCE = 1.3;
+/** Most that an engine counts as slower, as an idle slow one is still better than a long queue. */
+const MAX_SLOWDOWN = 4;
+/** With fewer engines, the usual speed is not known. */
+const MIN_ENGINES = 3;
+/** The usual speed of a service is computed again after this time. */
+const USUAL_TTL_MS = 500;
+const MAX_ENGINES = 500;
+const MAX_PENDING = 2_000;
+/** A first event after this time is of an engine that failed. */
+const PENDING_TTL_MS = 10_000;
+
+interface SpeedRecord {
+  readonly service: string;
+  /** Log of the real time as a multiple of the predicted one. */
+  readonly excess: DecayingMean;
+}
+
+interface PendingEvent {
+  readonly service: string;
+  readonly target: string;
+  readonly predictedMs: number;
+  readonly at: number;
+}
+
+export class EngineSpeeds {
+  private readonly _records = new LRUCache<string, SpeedRecord>({ max: MAX_ENGINES });
+  private readonly _pending = new LRUCache<string, PendingEvent>({ max: MAX_PENDING });
+  /** By service: the mean excess of its middle engine. */
+  private _usual = new Map<string, number>();
+  private _usualAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly _clock: Clock) {}
+
+  /** Number of engines of which a speed is known. */
+  public get size(): number {
+    return this._records.size;
+  }
+
+  /** Records that a prompt was placed on an engine without a queue. */
+  public expectFirstEvent(key: string, service: string, target: string, predictedMs: number): void {
+    this._pending.set(key, { service, target, predictedMs, at: this._clock.now() });
+  }
+
+  /** Records that the first event of a prompt was received; ignored if none was expected. */
+  public recordFirstEvent(key: string): void {
+    const pending = this._pending.get(key);
+    if (pending !== undefined) {
+      this._pending.delete(key);
+      const tookMs = this._clock.now() - pending.at;
+      if (tookMs < PENDING_TTL_MS) {
+        this.record(pending.service, pending.target, pending.predictedMs, tookMs);
+      }
+    }
+  }
+
+  /** Records the time to the first event of a prompt that met no queue. */
+  public record(service: string, target: string, predictedMs: number, tookMs: number): void {
+    let record = this._records.get(target);
+    if (record === undefined) {
+      record = { service, excess: new DecayingMean(HALF_LIFE_MS, MAX_STEP) };
+      this._records.set(target, record);
+    }
+    const excess = Math.log(Math.max(1, tookMs) / Math.max(1, predictedMs));
+    record.excess.add(excess, this._clock.now());
+  }
+
+  /** Factor by which an engine is slower than others of its service; 1 when it is not. */
+  public slowdown(target: string): number {
+    const record = this._records.peek(target);
+    if (record === undefined) {
+      return 1;
+    }
+    const now = this._clock.now();
+    const usual = this._usualOf(record.service, now);
+    if (usual === undefined || record.excess.mean <= usual) {
+      return 1;
+    }
+    const weight = record.excess.weightAt(now);
+    const slower = ((record.excess.mean - usual) * weight) / (weight + PRIOR_WEIGHT);
+    return Math.min(MAX_SLOWDOWN, Math.max(1, Math.exp(slower) / TOLERANCE));
+  }
+
+  public remove(target: string): void {
+    this._records.delete(target);
+  }
+
+  private _usualOf(service: string, now: number): number | undefined {
+    if (now - this._usualAt >= USUAL_TTL_MS) {
+      this._usualAt = now;
+      this._usual = this._computeUsual();
+    }
+    return this._usual.get(service);
+  }
+
+  private _computeUsual(): Map<string, number> {
+    const byService = new Map<string, number[]>();
+    for (const { excess, service } of this._records.values()) {
+      const means = byService.get(service) ?? [];
+      means.push(excess.mean);
+      byService.set(service, means);
+    }
+    const usual = new Map<string, number>();
+    for (const [service, means] of byService) {
+      if (means.length >= MIN_ENGINES) {
+        means.sort((a, b) => a - b);
+        usual.set(service, means[Math.floor((means.length - 1) / 2)] ?? 0);
+      }
+    }
+    return usual;
+  }
+}
