Place prompts by the learned cost

Cause: rank, value and expected wait of a prompt were computed from the most output tokens that it states, and the end of running prompts from their ages, so that in a burst, whose prompts are all young, more prompts waited than could be served. All engines counted as fast as configured.

Change: the entry node estimates the answer and sends the estimate to the coordinator, in optional fields of the request to place; without them the stated maximum holds. Memory stays reserved for the stated maximum. The account has the expected end of each request, sent beside the tuples of a load update since earlier releases reject longer ones; the expected wait is computed from it and from the free slots. An engine that takes longer to the first event than others, as the account shows it, counts with its real speed. The predicted first event includes that speed, the comparison does not. Without history, all decisions are as before.

Prompts without an estimate are placed as before (test). Load tests of whole deployments: not run here.

--- a/packages/gateway/src/common/placement/ActiveRequestTable.ts
+++ b/packages/gateway/src/common/placement/ActiveRequestTable.ts
@@ -23,6 +23,8 @@
   readonly startedAt: number;
   /** When the first event of the answer is due. */
   readonly dueAt: number;
+  /** When the answer is expected to be complete; undefined when it is not estimated. */
+  readonly expectedEndAt?: number | undefined;
   /** Whether the prompt is prefilled and the primary generates the answer. */
   readonly isGenerating: boolean;
   /** Longest pause between two events that the route aims for. */
@@ -43,6 +45,12 @@
  */
 const PLACEMENT_DELAY_MS = 500;
 
+/** Identifies a request that began to generate. */
+export interface GeneratingRequest {
+  readonly node: string;
+  readonly id: string;
+}
+
 interface NodeRequests {
   readonly requests: Map<string, ActiveRequest>;
   lastUpdateAt: number;
@@ -57,6 +65,9 @@
    * node times out.
    */
   public readonly onChange = this._onChange.event;
+  private readonly _onGenerating = this.register(new Emitter<GeneratingRequest>());
+  /** Fires when the first event of a request is reported. */
+  public readonly onGenerating = this._onGenerating.event;
 
   constructor(
     private readonly _clock: Clock,
@@ -96,6 +107,9 @@
     const request = this._entryOf(node).requests.get(id);
     if (request !== undefined) {
       this.set(node, toGenerating(request));
+      if (!request.isGenerating) {
+        this._onGenerating.fire({ node, id });
+      }
     }
   }
 
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -17,6 +17,8 @@
 /** The load of one engine. */
 export interface EngineLoad {
   readonly entry: TargetEntry;
+  /** Factor by which it is slower than the profile states; its times include it. */
+  readonly slowdown: number;
   /** Requests whose primary is this engine, generating or still in prefill. */
   readonly primaryRequests: readonly ActiveRequest[];
   /** Number of requests with another primary that this engine prefills or holds a part of. */
@@ -43,6 +45,7 @@
   entries: readonly TargetEntry[],
   requests: readonly ActiveRequest[],
   now: number,
+  slowdownOf: (target: string) => number = () => 1,
 ): EngineLoad[] {
   const byTarget = new Map<string, ActiveRequest[]>();
   for (const request of requests) {
@@ -55,7 +58,9 @@
       }
     }
   }
-  return entries.map((entry) => computeLoad(profile, entry, byTarget.get(entry.id) ?? [], now));
+  return entries.map((entry) =>
+    computeLoad(profile, entry, byTarget.get(entry.id) ?? [], now, slowdownOf(entry.id)),
+  );
 }
 
 function computeLoad(
@@ -63,6 +68,7 @@
   entry: TargetEntry,
   requests: readonly ActiveRequest[],
   now: number,
+  slowdown: number,
 ): EngineLoad {
   const primaryRequests: ActiveRequest[] = [];
   const pending: ActiveRequest[] = [];
@@ -84,15 +90,16 @@
       pending.push(request);
     }
   }
-  const loadPassMs = passMs(profile, generating, contextTokens);
+  const loadPassMs = passMs(profile, generating, contextTokens) * slowdown;
   const unassisted = primaryRequests.filter(({ targets }) => targets.length === 1);
   return {
-    ...schedulePrefills(entry.id, pending, now),
+    ...schedulePrefills(entry.id, pending, now, slowdown),
     entry,
+    slowdown,
     primaryRequests,
     assistingPrefills: requests.length - primaryRequests.length,
     generating,
-    scheduleDelayMs: scheduleDelayMs(unassisted, loadPassMs, now),
+    scheduleDelayMs: scheduleDelayMs(unassisted, loadPassMs, now, slowdown),
     passMs: loadPassMs,
     memoryTokens,
   };
@@ -109,19 +116,20 @@
   target: string,
   requests: readonly ActiveRequest[],
   now: number,
+  slowdown: number,
 ): PrefillSchedule {
   const ordered = [...requests].sort((a, b) => a.startedAt - b.startedAt);
   const assisting = ordered.filter(({ targets }) => targets[0] !== target);
   const primary = ordered.filter(({ targets }) => targets[0] === target);
-  const backlogMs = Math.max(0, prefillEndAt(ordered) - now);
-  const assistingBacklogMs = Math.max(0, prefillEndAt(assisting) - now);
+  const backlogMs = Math.max(0, prefillEndAt(ordered, slowdown) - now);
+  const assistingBacklogMs = Math.max(0, prefillEndAt(assisting, slowdown) - now);
   // Primary requests are prefilled in the order of their start, so the time that is left for them
   // belongs to the latest ones. Going backwards, each takes its part until none is left.
   let primaryEndAt = now + backlogMs;
   let remainingBacklogMs = backlogMs - assistingBacklogMs;
   const primaryPrefills = primary.reverse().map((request) => {
     const endsAt = primaryEndAt;
-    const remainingMs = Math.min(request.partPrefillMs, remainingBacklogMs);
+    const remainingMs = Math.min(request.partPrefillMs * slowdown, remainingBacklogMs);
     primaryEndAt -= remainingMs;
     remainingBacklogMs -= remainingMs;
     return { request, endsAt };
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -13,10 +13,17 @@
 } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
+import { capacityWaitMs } from './CapacityWait.js';
+import type { CostEstimates } from './CostEstimates.js';
 import { isInCell, keyOfCell } from './EngineCells.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { prefillMs } from './EngineTiming.js';
-import { PlacementRefusal, type PromptRequest, RefusedPrompt } from './PlacementDecision.js';
+import {
+  expectedOutputTokens,
+  PlacementRefusal,
+  type PromptRequest,
+  RefusedPrompt,
+} from './PlacementDecision.js';
 import { placementJitter } from './PlacementJitter.js';
 import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
@@ -55,6 +62,7 @@
   readonly activeRequests: ActiveRequestTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
+  readonly costs: CostEstimates;
   readonly random: RandomSource;
 }
 
@@ -111,6 +119,11 @@
         }
       }),
     );
+    this.register(
+      _options.activeRequests.onGenerating((request) => {
+        _options.costs.speeds.recordFirstEvent(requestKey(request));
+      }),
+    );
   }
 
   /** Number of prompts that wait for capacity. */
@@ -219,19 +232,31 @@
     }
     if (placement !== undefined) {
       table.set(request.node, toActiveRequest(request, placement, clock.now()));
+      this._expectFirstEvent(request, placement);
       rateLimits.reserve(idsOf(placement.targets), requestKey(request));
     }
     return placement;
   }
 
+  private _expectFirstEvent(request: PromptRequest, placement: PromptPlacement): void {
+    const { configuredFirstEventMs, targets } = placement;
+    if (configuredFirstEventMs !== undefined) {
+      const { service } = request.cell;
+      const { speeds } = this._options.costs;
+      speeds.expectFirstEvent(requestKey(request), service, targets[0].id, configuredFirstEventMs);
+    }
+  }
+
   /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
   private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
-    const { activeRequests, clock } = this._options;
+    const { activeRequests, clock, costs } = this._options;
     const now = clock.now();
     const key = keyOfCell(request.cell);
     if (this._loads?.key !== key || now - this._loads.at > MAX_LOAD_AGE_MS) {
       const engines = this._enginesOf(request);
-      const loads = computeLoads(request.profile, engines, activeRequests.requests, now);
+      const { requests } = activeRequests;
+      const slowdownOf = (target: string): number => costs.slowdown(target);
+      const loads = computeLoads(request.profile, engines, requests, now, slowdownOf);
       this._loads = { key, at: now, loads };
     }
     return this._loads.loads;
@@ -261,6 +286,7 @@
     const prompt = {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
+      expectedOutputTokens: expectedOutputTokens(request),
       dueInMs: request.dueAt - clock.now(),
       deadlineInMs: request.deadlineAt - clock.now(),
       latencyTargetMs: request.latencyTargetMs,
@@ -285,23 +311,15 @@
     return idsOf(this._enginesOf(request)).filter((id) => !request.excluded.has(id));
   }
 
-  /**
-   * Time until `ahead` waiting prompts and this one get capacity. Active requests are half done in
-   * the mean, so they end within twice their mean age.
-   */
+  /** Time until `ahead` waiting prompts and this one get capacity. */
   private _capacityWaitMs(request: PromptRequest, ahead: number): number {
-    const { activeRequests, clock } = this._options;
-    const ids = new Set(this._enginesOf(request).map(({ id }) => id));
-    const active = activeRequests.requests.filter(({ targets: [primary = ''] }) =>
-      ids.has(primary),
+    const loads = this._loadsOf(request);
+    const active = loads.flatMap(({ primaryRequests }) => primaryRequests);
+    const freeSlots = loads.reduce(
+      (sum, { entry, primaryRequests }) => sum + Math.max(0, entry.slots - primaryRequests.length),
+      0,
     );
-    if (active.length === 0) {
-      return 0;
-    }
-    const now = clock.now();
-    const ages = active.reduce((sum, { startedAt }) => sum + (now - startedAt), 0);
-    const meanTimeMs = (2 * ages) / active.length;
-    return (ahead * meanTimeMs) / active.length;
+    return capacityWaitMs(active, ahead, freeSlots, this._options.clock.now());
   }
 
   private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
@@ -332,8 +350,8 @@
   placement: PromptPlacement,
   now: number,
 ): ActiveRequest {
-  const { dueAt, id, outputTokens, pauseTargetMs, promptTokens } = request;
-  const { partPrefillMs, reservedTokens, targets } = placement;
+  const { dueAt, expected, id, outputTokens, pauseTargetMs, promptTokens } = request;
+  const { firstEventMs, partPrefillMs, reservedTokens, targets } = placement;
   const isMemoryShared = reservedTokens > 0;
   return {
     id,
@@ -342,9 +360,11 @@
     partPrefillMs,
     startedAt: now,
     dueAt,
+    expectedEndAt:
+      expected?.generationMs === undefined ? undefined : now + firstEventMs + expected.generationMs,
     isGenerating: false,
     pauseTargetMs,
-    value: promptValue(promptTokens, outputTokens),
+    value: promptValue(promptTokens, expectedOutputTokens(request)),
     memoryTokens: isMemoryShared ? reservedTokens : promptTokens + outputTokens,
     contextTokens: isMemoryShared ? reservedTokens : promptTokens,
   };
--- a/packages/gateway/src/common/placement/EngineSpeeds.ts
+++ b/packages/gateway/src/common/placement/EngineSpeeds.ts
@@ -97,8 +97,9 @@
       return 1;
     }
     const weight = record.excess.weightAt(now);
-    const slower = ((record.excess.mean - usual) * weight) / (weight + PRIOR_WEIGHT);
-    return Math.min(MAX_SLOWDOWN, Math.max(1, Math.exp(slower) / TOLERANCE));
+    const ratio = Math.exp(((record.excess.mean - usual) * weight) / (weight + PRIOR_WEIGHT));
+    // Grows from 1 at the tolerance, until it meets the ratio.
+    return Math.max(1, Math.min(MAX_SLOWDOWN, ratio, (ratio / TOLERANCE) ** 2));
   }
 
   public remove(target: string): void {
--- a/packages/gateway/src/common/placement/EngineTiming.ts
+++ b/packages/gateway/src/common/placement/EngineTiming.ts
@@ -31,10 +31,11 @@
  * negative infinity when there are no requests.
  *
  * @param ordered requests in the order of their start
+ * @param slowdown factor by which the engine is slower than configured
  */
-export function prefillEndAt(ordered: readonly ActiveRequest[]): number {
+export function prefillEndAt(ordered: readonly ActiveRequest[], slowdown = 1): number {
   return ordered.reduce(
-    (end, { partPrefillMs, startedAt }) => Math.max(end, startedAt) + partPrefillMs,
+    (end, { partPrefillMs, startedAt }) => Math.max(end, startedAt) + partPrefillMs * slowdown,
     Number.NEGATIVE_INFINITY,
   );
 }
--- a/packages/gateway/src/common/placement/LoadCodec.test.ts
+++ b/packages/gateway/src/common/placement/LoadCodec.test.ts
@@ -1,7 +1,13 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import type { ActiveRequest } from './ActiveRequestTable.js';
-import { decodeRequest, encodeRequest, parseLoadUpdate } from './LoadCodec.js';
+import {
+  decodeRequest,
+  decodeRequests,
+  encodeRequest,
+  encodeRequests,
+  parseLoadUpdate,
+} from './LoadCodec.js';
 
 const request: ActiveRequest = {
   id: '1f',
@@ -25,6 +31,17 @@
     expect(decodeRequest(wire, 5_000)).toEqual({ ...request, startedAt: 4_900, dueAt: 5_300 });
   });
 
+  it('carry the expected ends beside the requests, so that earlier releases accept them', () => {
+    const estimated = { ...request, id: '2', expectedEndAt: 3_000 };
+    const encoded = encodeRequests([request, estimated], 1_000);
+    const update = parseLoadUpdate(JSON.parse(JSON.stringify({ node: 'n', ...encoded })));
+    expect(update?.works?.map((each) => each.length)).toEqual([10, 10]);
+    const decoded = decodeRequests(update ?? { node: '' }, 5_000);
+    expect(decoded.map(({ expectedEndAt }) => expectedEndAt)).toEqual([undefined, 7_000]);
+    expect(encodeRequests([request], 1_000)).not.toHaveProperty('ends');
+    expect(decodeRequests({ node: 'n', works: update?.works ?? [] }, 5_000)).toHaveLength(2);
+  });
+
   it('are accepted with all optional fields or none', () => {
     const valid = {
       node: 'n',
@@ -43,6 +60,8 @@
     'n',
     {},
     { node: 1 },
+    { node: 'n', ends: 5 },
+    { node: 'n', ends: ['1'] },
     { node: 'n', works: [[]] },
     { node: 'n', works: [['1', ['e'], 1, 2, 3, 4, 5, 6, 7, null]] },
     { node: 'n', began: [1] },
--- a/packages/gateway/src/common/placement/LoadCodec.ts
+++ b/packages/gateway/src/common/placement/LoadCodec.ts
@@ -31,6 +31,11 @@
   readonly node: string;
   /** Requests that started or changed, or that are repeated with the full state. */
   readonly works?: readonly WireRequest[];
+  /**
+   * Time until the end of each of `works` is expected, or `null`; absent when none is estimated, and
+   * in earlier releases, which would not accept a longer tuple.
+   */
+  readonly ends?: readonly (number | null)[];
   /** Ids of requests that began to generate. */
   readonly began?: readonly string[];
   /** Ids of requests that ended. */
@@ -44,15 +49,45 @@
   if (!isRecord(params)) {
     return undefined;
   }
-  const { all = [], began = [], ended = [], node, works = [] } = params;
+  const { all = [], began = [], ended = [], ends = [], node, works = [] } = params;
   const isValid =
     typeof node === 'string' &&
     [all, began, ended].every(isStringArray) &&
     Array.isArray(works) &&
-    works.every(isWireRequest);
+    works.every(isWireRequest) &&
+    Array.isArray(ends) &&
+    ends.every((each) => each === null || Number.isFinite(each));
   return isValid ? (params as unknown as WireLoadUpdate) : undefined;
 }
 
+/** Encodes requests, with their times relative to `now`. */
+export function encodeRequests(
+  requests: readonly ActiveRequest[],
+  now: number,
+): Pick<WireLoadUpdate, 'works' | 'ends'> {
+  const isEstimated = requests.some(({ expectedEndAt }) => expectedEndAt !== undefined);
+  return {
+    works: requests.map((request) => encodeRequest(request, now)),
+    ...(isEstimated && {
+      ends: requests.map(({ expectedEndAt }) =>
+        expectedEndAt === undefined ? null : Math.round(expectedEndAt - now),
+      ),
+    }),
+  };
+}
+
+/** Decodes the requests of an update, with their times on the clock of this node. */
+export function decodeRequests(
+  { ends = [], works = [] }: WireLoadUpdate,
+  now: number,
+): readonly ActiveRequest[] {
+  return works.map((wire, index) => {
+    const endsInMs = ends[index] ?? undefined;
+    const request = decodeRequest(wire, now);
+    return endsInMs === undefined ? request : { ...request, expectedEndAt: now + endsInMs };
+  });
+}
+
 /** Encodes a request, with its times relative to `now`. */
 export function encodeRequest(request: ActiveRequest, now: number): WireRequest {
   return [
--- a/packages/gateway/src/common/placement/LoadReporter.ts
+++ b/packages/gateway/src/common/placement/LoadReporter.ts
@@ -6,7 +6,12 @@
 import { chunksOf, type Clock, DisposableOwner, type Event } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser } from '@tanagerdyke/mesh';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
-import { decodeRequest, encodeRequest, parseLoadUpdate, type WireLoadUpdate } from './LoadCodec.js';
+import {
+  decodeRequests,
+  encodeRequests,
+  parseLoadUpdate,
+  type WireLoadUpdate,
+} from './LoadCodec.js';
 
 const LOAD_METHOD = 'load';
 /** Changes within this time are sent together. */
@@ -67,7 +72,7 @@
 
   /** Records that a request of this node began to generate, and reports it. */
   public markGenerating(request: ActiveRequest): void {
-    this._options.activeRequests.set(this._self, request);
+    this._options.activeRequests.markGenerating(this._self, request.id);
     if (this._changed.has(request.id)) {
       this._changed.set(request.id, request);
     } else {
@@ -141,16 +146,13 @@
     rest: Pick<WireLoadUpdate, 'began' | 'ended'> = {},
   ): void {
     const now = this._options.clock.now();
-    const [first = [], ...others] = chunksOf(
-      requests.map((request) => encodeRequest(request, now)),
-      REQUESTS_PER_DATAGRAM,
-    );
-    const firstUpdate = { ...(first.length > 0 && { works: first }), ...rest };
+    const [first = [], ...others] = chunksOf(requests, REQUESTS_PER_DATAGRAM);
+    const firstUpdate = { ...(first.length > 0 && encodeRequests(first, now)), ...rest };
     if (Object.keys(firstUpdate).length > 0) {
       this._send({ node: this._self, ...firstUpdate });
     }
     for (const chunk of others) {
-      this._send({ node: this._self, works: chunk });
+      this._send({ node: this._self, ...encodeRequests(chunk, now) });
     }
   }
 
@@ -165,8 +167,8 @@
     }
     const { activeRequests: table, clock } = this._options;
     const now = clock.now();
-    for (const request of update.works ?? []) {
-      table.set(update.node, decodeRequest(request, now));
+    for (const request of decodeRequests(update, now)) {
+      table.set(update.node, request);
     }
     for (const id of update.began ?? []) {
       table.markGenerating(update.node, id);
--- a/packages/gateway/src/common/placement/PlacementCodec.test.ts
+++ b/packages/gateway/src/common/placement/PlacementCodec.test.ts
@@ -29,6 +29,20 @@
     expect(parsed?.waitMs).toBe(600);
   });
 
+  it('carries the estimate of the answer, which earlier releases lack', () => {
+    const expected = { outputTokens: 400, generationMs: 900 };
+    const wire = encodeRequest({ ...request, expected }, 'a:1', 700, 100);
+    const parsed = parsePlacementRequest(sent(wire));
+    expect(decodeRequest(parsed ?? wireRequest, simpleProfile, 0).expected).toEqual(expected);
+    expect(wireRequest).not.toHaveProperty('expectedTokens');
+    expect(decodeRequest(wireRequest, simpleProfile, 0).expected).toBeUndefined();
+  });
+
+  it('never expects more than the stated maximum', () => {
+    const wire = { ...wireRequest, expectedTokens: 1e9 };
+    expect(decodeRequest(wire, simpleProfile, 0).expected?.outputTokens).toBe(request.outputTokens);
+  });
+
   it('fits one datagram with many excluded engines', () => {
     const many = new Set(Array.from({ length: 150 }, (_each, index) => `i-${index}0000000`));
     const wire = encodeRequest({ ...request, excluded: many, suspects: many }, 'a:1', 700, 100);
@@ -43,6 +57,8 @@
     ['a time without a value', { ...wireRequest, dueInMs: null }],
     ['engines that are no texts', { ...wireRequest, excluded: [1] }],
     ['a cell that is no text', { ...wireRequest, cell: 1 }],
+    ['an estimate that is no number', { ...wireRequest, expectedTokens: '5' }],
+    ['a negative estimate', { ...wireRequest, generationMs: -1 }],
   ])('is rejected if it is %s', (_condition, message) => {
     expect(parsePlacementRequest(sent(message))).toBeUndefined();
   });
--- a/packages/gateway/src/common/placement/PlacementCodec.ts
+++ b/packages/gateway/src/common/placement/PlacementCodec.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import {
+  type ExpectedAnswer,
   type PlacementRefusal,
   type PromptRequest,
   RefusedPrompt,
@@ -30,6 +31,9 @@
   readonly zone: string;
   readonly promptTokens: number;
   readonly outputTokens: number;
+  /** What the answer is expected to take; absent if nothing is learned, and in earlier releases. */
+  readonly expectedTokens?: number;
+  readonly generationMs?: number;
   readonly latencyTargetMs: number;
   readonly pauseTargetMs: number;
   readonly dueInMs: number;
@@ -88,6 +92,7 @@
   'deadlineInMs',
   'waitMs',
 ] as const;
+const OPTIONAL_REQUEST_NUMBERS = ['expectedTokens', 'generationMs'] as const;
 const PLACED_NUMBERS = ['reservedTokens', 'partPrefillMs', 'firstEventMs', 'loss', 'cost'] as const;
 
 const REFUSED_NUMBERS = ['engines', 'retryAfterMs', 'ahead'] as const;
@@ -107,6 +112,7 @@
     zone: request.availabilityZone,
     promptTokens: request.promptTokens,
     outputTokens: request.outputTokens,
+    ...encodeExpected(request.expected),
     latencyTargetMs: request.latencyTargetMs,
     pauseTargetMs: request.pauseTargetMs,
     dueInMs: Math.round(request.dueAt - now),
@@ -119,6 +125,26 @@
   };
 }
 
+function encodeExpected(
+  expected: ExpectedAnswer | undefined,
+): Pick<WirePlacementRequest, 'expectedTokens' | 'generationMs'> {
+  const { generationMs, outputTokens } = expected ?? {};
+  return {
+    ...(outputTokens !== undefined && { expectedTokens: Math.round(outputTokens) }),
+    ...(generationMs !== undefined && { generationMs: Math.round(generationMs) }),
+  };
+}
+
+function decodeExpected({
+  expectedTokens,
+  generationMs,
+  outputTokens,
+}: WirePlacementRequest): ExpectedAnswer | undefined {
+  return expectedTokens === undefined
+    ? undefined
+    : { outputTokens: Math.min(outputTokens, expectedTokens), generationMs };
+}
+
 /** Restores a request, with its times on the clock of this node. */
 export function decodeRequest(
   wire: WirePlacementRequest,
@@ -134,6 +160,7 @@
     profile,
     promptTokens: rest.promptTokens,
     outputTokens: rest.outputTokens,
+    expected: decodeExpected(wire),
     latencyTargetMs: rest.latencyTargetMs,
     pauseTargetMs: rest.pauseTargetMs,
     dueAt: now + dueInMs,
@@ -191,6 +218,9 @@
   const isValid =
     REQUEST_TEXTS.every((name) => typeof params[name] === 'string') &&
     REQUEST_NUMBERS.every((name) => Number.isFinite(params[name])) &&
+    OPTIONAL_REQUEST_NUMBERS.every(
+      (name) => params[name] === undefined || isFromZero(params[name]),
+    ) &&
     (params.cell === null || typeof params.cell === 'string') &&
     typeof params.isReturning === 'boolean' &&
     isStringArray(params.excluded) &&
@@ -221,6 +251,10 @@
   return isValid ? (params as unknown as WirePlacementAnswer) : undefined;
 }
 
+function isFromZero(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
 function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/packages/gateway/src/common/placement/PlacementDecision.ts
+++ b/packages/gateway/src/common/placement/PlacementDecision.ts
@@ -13,7 +13,10 @@
   readonly cell: EngineCell;
   readonly profile: EngineProfile;
   readonly promptTokens: number;
+  /** The most output tokens; memory is reserved for them. */
   readonly outputTokens: number;
+  /** What the answer is expected to take; undefined when the entry node states no estimate. */
+  readonly expected?: ExpectedAnswer | undefined;
   readonly latencyTargetMs: number;
   readonly pauseTargetMs: number;
   /** When the first event is due. */
@@ -30,6 +33,21 @@
   readonly suspects: ReadonlySet<string>;
 }
 
+/** What an answer is expected to take, by which time and value are computed. */
+export interface ExpectedAnswer {
+  readonly outputTokens: number;
+  /** Time from the first event to the end; undefined while nothing is learned. */
+  readonly generationMs: number | undefined;
+}
+
+/** Output tokens by which time and value are computed; without an estimate, the most. */
+export function expectedOutputTokens({
+  expected,
+  outputTokens,
+}: Pick<PromptRequest, 'expected' | 'outputTokens'>): number {
+  return expected?.outputTokens ?? outputTokens;
+}
+
 /** Why a prompt is not placed. */
 export enum PlacementRefusal {
   /** No engine of the service accepts requests. */
--- a/packages/gateway/src/common/placement/PlacementLoss.ts
+++ b/packages/gateway/src/common/placement/PlacementLoss.ts
@@ -10,7 +10,10 @@
 /** Size and time limits of a prompt, which decide its placement together with the loads. */
 export interface PromptRequirements {
   readonly promptTokens: number;
+  /** The most output tokens, for which memory is needed. */
   readonly outputTokens: number;
+  /** Output tokens by which the prompt is valued; those above when absent. */
+  readonly expectedOutputTokens?: number;
   /** Time left until the first event is due. */
   readonly dueInMs: number;
   /** Time left until the deadline of the caller. */
@@ -87,6 +90,15 @@
   return (promptTokens + OUTPUT_TOKEN_WEIGHT * outputTokens) / PROMPT_TOKENS_PER_VALUE;
 }
 
+/** The value that an answer in time to the prompt is expected to have. */
+export function expectedValue({
+  expectedOutputTokens,
+  outputTokens,
+  promptTokens,
+}: PromptRequirements): number {
+  return promptValue(promptTokens, expectedOutputTokens ?? outputTokens);
+}
+
 /** The share of its value that a prompt loses if its first event comes after `firstEventMs`. */
 export function lateLossShare(firstEventMs: number, prompt: PromptRequirements): number {
   const limitMs = Math.max(1, prompt.dueInMs);
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -7,6 +7,7 @@
 import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
 import { CoordinatorChannel } from './CoordinatorChannel.js';
+import { CostEstimates } from './CostEstimates.js';
 import { EngineScheduler } from './EngineScheduler.js';
 import { LoadReporter } from './LoadReporter.js';
 import { PlacementClient } from './PlacementClient.js';
@@ -57,7 +58,8 @@
       isKnown: (id) => this.appliesRateReports && this.engines.some((each) => each.id === id),
     });
     const { rateLimits, table: activeRequests } = this;
-    const common = { clock, random, targets, health, rateLimits, activeRequests, transport };
+    const costs = new CostEstimates({ clock, metrics: new Metrics() });
+    const common = { clock, random, targets, health, rateLimits, costs, activeRequests, transport };
     const scheduler = new EngineScheduler(common);
     new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
     const publisher = new LoadReporter({ ...common, channel, node: self.name });
--- a/packages/gateway/src/common/placement/PromptPlacer.test.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.test.ts
@@ -171,6 +171,30 @@
     });
   });
 
+  describe('an engine that is slower than configured', () => {
+    const slow = (id: string): number => (id === 'e0' ? 3 : 1);
+
+    it('gets a prompt when the others are busy for longer', () => {
+      const busy = [prefilling(['e1'], longPrompt, 2_000), prefilling(['e2'], longPrompt, 2_000)];
+      const loads = computeLoads(profile, engines(3), busy, 0, slow);
+      expect(idsOf(placePrompt(profile, short, loads))[0]).toBe('e0');
+      const idle = computeLoads(profile, engines(3), [], 0, slow);
+      expect(idsOf(placePrompt(profile, short, idle))).not.toContain('e0');
+    });
+
+    it('is compared by the time at configured speed, and only without a queue', () => {
+      const [load] = computeLoads(profile, engines(1), [], 0);
+      const [slowLoad] = computeLoads(profile, engines(1), [], 0, slow);
+      const placed = [load, slowLoad].map((each) =>
+        placePrompt(profile, short, each === undefined ? [] : [each]),
+      );
+      expect(placed[1]?.firstEventMs).toBeCloseTo(3 * (placed[0]?.firstEventMs ?? 0), 3);
+      expect(placed[1]?.configuredFirstEventMs).toBeCloseTo(placed[0]?.firstEventMs ?? 0, 3);
+      const queued = place(short, [prefilling(['e0'], longPrompt, 500)], 1);
+      expect(queued?.configuredFirstEventMs).toBeUndefined();
+    });
+  });
+
   describe('engines without capacity', () => {
     it('get no stream beyond their slots', () => {
       const requests = Array.from({ length: 11 }, () => generating('e0', short));
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -9,12 +9,12 @@
 import { type EngineLoad } from './EngineLoad.js';
 import { passMs, prefillMs } from './EngineTiming.js';
 import {
+  expectedValue,
   lateLossShare,
   pauseLoss,
   prefillDelayLoss,
   primaryLoss,
   type PromptRequirements,
-  promptValue,
 } from './PlacementLoss.js';
 
 /** The engines on which a prompt is prefilled and generated, with the expected effect. */
@@ -27,6 +27,11 @@
   readonly partPrefillMs: number;
   /** Expected time to the first event. */
   readonly firstEventMs: number;
+  /**
+   * Time to the first event by the configured speed, with which the real one can be compared;
+   * undefined if several engines have parts of the prompt, or other prompts are ahead of it.
+   */
+  readonly configuredFirstEventMs?: number | undefined;
   /** Value that is expected to be lost by late answers, to this prompt and to others. */
   readonly loss: number;
   /** The loss, and what generating on the primary costs other requests. */
@@ -96,7 +101,7 @@
   // With shared memory, the primary takes the place of one reader in the list that is sent to it,
   // since that list also names its own reservation.
   const maxEngines = input.isMemoryShared ? MAX_READERS : MAX_READERS + 1;
-  const value = promptValue(input.prompt.promptTokens, input.prompt.outputTokens);
+  const value = expectedValue(input.prompt);
   let best: PromptPlacement | undefined;
   for (const count of ENGINE_COUNTS) {
     if (count > input.engines.length || count > maxEngines) {
@@ -174,8 +179,8 @@
   const parts = [primary.asPrimary, ...readers.map(({ asReader }) => asReader)];
   const firstEventMs =
     Math.max(...parts.map(({ finishMs }) => finishMs)) +
-    passMs(profile, primary.load.generating + 1, prompt.promptTokens);
-  const value = promptValue(prompt.promptTokens, prompt.outputTokens);
+    passMs(profile, primary.load.generating + 1, prompt.promptTokens) * primary.load.slowdown;
+  const value = expectedValue(prompt);
   const loss =
     parts.reduce((sum, { otherRequestsLoss }) => sum + otherRequestsLoss, 0) +
     value * lateLossShare(firstEventMs, prompt) +
@@ -188,6 +193,7 @@
     reservedTokens,
     partPrefillMs,
     firstEventMs,
+    configuredFirstEventMs: count === 1 ? configuredMs(primary.load, firstEventMs) : undefined,
     loss,
     cost: loss + primary.asPrimary.primaryLoss,
     // A prompt that one engine can prefill within the latency target is never worth a refusal.
@@ -196,6 +202,15 @@
   };
 }
 
+/** Time to the first event at the configured speed; undefined if other prompts are ahead. */
+function configuredMs(load: EngineLoad, firstEventMs: number): number | undefined {
+  // A prompt waits for half a pass in the mean.
+  const passWaitMs = load.generating > 0 ? load.passMs / 2 : 0;
+  return load.backlogMs > 0 || load.scheduleDelayMs > 0
+    ? undefined
+    : (firstEventMs + passWaitMs) / load.slowdown;
+}
+
 /** Share of the engines that are busy; one without prefill counts by its share of used slots. */
 function busyShare(engines: readonly EvaluatedEngine[]): number {
   const busy = engines.reduce((sum, { load: { backlogMs, generating, entry } }) => {
@@ -238,26 +253,23 @@
   partPrefillMs: number,
   { profile, prompt }: PlacementInput,
 ): PartCandidate {
-  const value = promptValue(prompt.promptTokens, prompt.outputTokens);
+  const value = expectedValue(prompt);
+  const slowedPartMs = partPrefillMs * load.slowdown;
   const costOf = (
     backlogMs: number,
     otherRequestsLoss: number,
     partPrimaryLoss: number,
   ): PartCost => {
-    const pendingMs = backlogMs + load.scheduleDelayMs + partPrefillMs;
+    const pendingMs = backlogMs + load.scheduleDelayMs + slowedPartMs;
     const finishMs = prefillFinishMs(profile, load, pendingMs);
     const ownLoss = value * lateLossShare(finishMs + load.passMs, prompt);
     const totalLoss = otherRequestsLoss + ownLoss + partPrimaryLoss;
     return { finishMs, otherRequestsLoss, primaryLoss: partPrimaryLoss, totalLoss };
   };
-  const pausesLoss = pauseLoss(load, partPrefillMs);
+  const pausesLoss = pauseLoss(load, slowedPartMs);
   return {
     load,
-    asReader: costOf(
-      load.assistingBacklogMs,
-      pausesLoss + prefillDelayLoss(load, partPrefillMs),
-      0,
-    ),
+    asReader: costOf(load.assistingBacklogMs, pausesLoss + prefillDelayLoss(load, slowedPartMs), 0),
     asPrimary: costOf(load.backlogMs, pausesLoss, lossAsPrimary),
   };
 }
@@ -268,6 +280,6 @@
   if (load.generating === 0) {
     return pendingMs * (1 + profile.stepMs / chunkMs);
   }
-  const passes = 1 + Math.floor(pendingMs / (chunkMs * profile.stride));
+  const passes = 1 + Math.floor(pendingMs / (chunkMs * load.slowdown * profile.stride));
   return pendingMs + passes * load.passMs;
 }
--- a/packages/gateway/src/common/placement/PromptQueue.test.ts
+++ b/packages/gateway/src/common/placement/PromptQueue.test.ts
@@ -41,6 +41,18 @@
     expect(idsInOrder(queue).indexOf('single')).toBeLessThan(2);
   });
 
+  it('ranks prompts by the answer that is expected, not by the one that they state', () => {
+    const expected = { outputTokens: 100, generationMs: undefined };
+    const queue = queueOf({ id: 'stated' }, { id: 'brief', workspace: 'x', expected });
+    expect(idsInOrder(queue)).toEqual(['brief', 'stated']);
+    const slow = { outputTokens: 100, generationMs: 5_000 };
+    queue.add({
+      request: promptRequest({ id: 'slow', workspace: 'y', expected: slow }),
+      arrivedAt: 0,
+    });
+    expect(idsInOrder(queue)).toEqual(['brief', 'stated', 'slow']);
+  });
+
   it('puts a caller that returns before new ones', () => {
     const queue = queueOf({ id: 'new', workspace: 'a' }, { id: 'again', isReturning: true });
     expect(idsInOrder(queue)).toEqual(['again', 'new']);
--- a/packages/gateway/src/common/placement/PromptQueue.ts
+++ b/packages/gateway/src/common/placement/PromptQueue.ts
@@ -6,7 +6,7 @@
  * prompt grows with its wait, so that none starves.
  */
 import { prefillMs } from './EngineTiming.js';
-import type { PromptRequest } from './PlacementDecision.js';
+import { expectedOutputTokens, type PromptRequest } from './PlacementDecision.js';
 import { LATE_VALUE_SHARE, promptValue } from './PlacementLoss.js';
 
 /** The rank of a prompt doubles with each wait of this length. */
@@ -66,9 +66,11 @@
 
 /** Value per millisecond of engine time, raised by the wait. */
 function rankOf({ arrivedAt, request }: WaitingPrompt, now: number): number {
-  const { outputTokens, profile, promptTokens } = request;
+  const { expected, profile, promptTokens } = request;
+  const outputTokens = expectedOutputTokens(request);
   const wholePrefillMs = prefillMs(profile, promptTokens);
-  const generationMs = (outputTokens * profile.stepMs) / profile.slots;
+  const wholeGenerationMs = expected?.generationMs ?? outputTokens * profile.stepMs;
+  const generationMs = wholeGenerationMs / profile.slots;
   const isLate = now + wholePrefillMs > request.dueAt;
   const value = promptValue(promptTokens, outputTokens) * (isLate ? LATE_VALUE_SHARE : 1);
   const returning = request.isReturning ? RETURNING_FACTOR : 1;
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -18,6 +18,7 @@
 } from './EngineScheduler.js';
 import type { CoordinatorAnswer } from './PlacementClient.js';
 import {
+  type ExpectedAnswer,
   PlacementRefusal,
   type PromptRequest,
   RefusedPrompt,
@@ -53,7 +54,10 @@
   readonly service: string;
   readonly profile: EngineProfile;
   readonly promptTokens: number;
+  /** The most output tokens; memory is reserved for them. */
   readonly outputTokens: number;
+  /** What the answer is expected to take; undefined while nothing is learned. */
+  readonly expected?: ExpectedAnswer | undefined;
   readonly latencyTargetMs: number;
   readonly pauseTargetMs: number;
   /** When the first event is due, on the clock of this node. */
--- a/packages/gateway/src/common/placement/ScheduleDelay.ts
+++ b/packages/gateway/src/common/placement/ScheduleDelay.ts
@@ -17,11 +17,13 @@
  * none is overdue.
  *
  * @param requests all requests that run on this engine alone
+ * @param slowdown factor by which the engine is slower than configured
  */
 export function scheduleDelayMs(
   requests: readonly ActiveRequest[],
   passMs: number,
   now: number,
+  slowdown = 1,
 ): number {
   const ordered = [...requests].sort((a, b) => a.startedAt - b.startedAt);
   const short = ordered.filter(({ partPrefillMs }) => partPrefillMs <= SHORT_PREFILL_MS);
@@ -38,5 +40,8 @@
   const pendingUpToOldest = ordered.filter(
     ({ isGenerating, startedAt }) => !isGenerating && startedAt <= oldest.startedAt,
   );
-  return Math.max(0, now - prefillEndAt(pendingUpToOldest) - passMs - FIRST_EVENT_GRACE_MS);
+  return Math.max(
+    0,
+    now - prefillEndAt(pendingUpToOldest, slowdown) - passMs - FIRST_EVENT_GRACE_MS,
+  );
 }
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -28,6 +28,7 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
+import { recordCallCost } from './RequestCost.js';
 import { answerUnserved } from './UnservedAnswer.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -246,6 +247,7 @@
     }
     if (!isFailure && !head.isNotRun) {
       this._dependencies.quarantine.recordAnswer(possibleCausesOf(this._request));
+      recordCallCost(this._dependencies, this._request, clock.now() - sentAt);
       return this._forwardAnswer(outcome.answer, RequestOutcome.Answered);
     }
     this._cause = `status ${head.status}`;
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,6 +13,7 @@
   TargetEntry,
   TargetService,
 } from '../common/Messages.js';
+import type { CostEstimates } from '../common/placement/CostEstimates.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -38,6 +39,7 @@
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
+  readonly costs: CostEstimates;
   readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
@@ -103,6 +105,8 @@
   /** Time to the first event that the placement predicted, and the prefill time of each engine. */
   readonly expectedMs?: number;
   readonly partMs?: number;
+  /** Output tokens that were expected when the prompt was placed. */
+  readonly expectedTokens?: number | undefined;
   readonly placementCost?: number;
   /** Name of the node that decided the last placement. */
   readonly placedBy?: string | undefined;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -14,6 +14,7 @@
   type TargetEntry,
 } from '../common/Messages.js';
 import { type ActiveRequest, ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
+import { CostEstimates } from '../common/placement/CostEstimates.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import {
   type ActiveRequestPublisher,
@@ -54,7 +55,9 @@
   };
   return {
     publish: keep,
-    markGenerating: keep,
+    markGenerating: ({ id }) => {
+      activeRequests.markGenerating('n', id);
+    },
     remove: (id) => {
       activeRequests.remove('n', id);
     },
@@ -233,6 +236,7 @@
       health,
       pauses,
       rateLimits,
+      costs: new CostEstimates({ clock, metrics }),
       availabilityZone: ZONE,
       liveNodes,
     };
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -24,6 +24,7 @@
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
 import { CellDirectory } from '../common/placement/CellDirectory.js';
 import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
+import { CostEstimates } from '../common/placement/CostEstimates.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import { FailureReports } from '../common/placement/FailureReports.js';
 import { LoadReporter } from '../common/placement/LoadReporter.js';
@@ -234,6 +235,7 @@
     this.register(new FailureReports({ broadcast, health, node }));
     this.register(new LeavingReports({ broadcast, targets }));
     const { _pauses: pauses, _rateLimits: rateLimits } = this;
+    const costs = new CostEstimates(this._options);
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     const quarantine = this.register(new CrashQuarantine(this._options));
@@ -254,6 +256,7 @@
           upstream.closeTarget(entry);
           health.remove(entry.id);
           rateLimits.remove(entry.id);
+          costs.speeds.remove(entry.id);
         }
       }),
     );
@@ -266,7 +269,7 @@
     );
     const common = {
       ...{ clock, random, targets, health, pauses },
-      ...{ rateLimits, availabilityZone, liveNodes },
+      ...{ rateLimits, costs, availabilityZone, liveNodes },
     };
     const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
     this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -8,6 +8,7 @@
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { canRetryElsewhere, combineExecutions, Execution } from '../common/Execution.js';
 import type { EngineProfile } from '../common/Messages.js';
+import type { CostEstimate, CostRequest } from '../common/placement/CostEstimates.js';
 import { RefusedPrompt } from '../common/placement/PlacementDecision.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
@@ -27,6 +28,7 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
+import { costRequestOf } from './RequestCost.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
 import { enginePriority, firstEventTimeoutMs, nextEventTimeoutMs } from './StreamLimits.js';
 import { answerUnserved } from './UnservedAnswer.js';
@@ -73,6 +75,8 @@
   /** Placement of the next attempt, while the engine of the current one is silent. */
   private _replacement: PlacedPrompt | undefined;
   private _retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+  private readonly _costRequest: CostRequest;
+  private readonly _estimate: CostEstimate;
 
   constructor(
     private readonly _dependencies: ForwardingDependencies,
@@ -80,6 +84,8 @@
     private readonly _profile: EngineProfile,
   ) {
     this._splitter = new EventStreamSplitter(_request.caller.lastEventId);
+    this._costRequest = costRequestOf(_request);
+    this._estimate = _dependencies.costs.estimate(this._costRequest);
   }
 
   public async run(): Promise<RequestReport> {
@@ -233,6 +239,7 @@
       profile: this._profile,
       promptTokens: caller.promptTokens,
       outputTokens: caller.outputTokens,
+      expected: this._estimate,
       latencyTargetMs: route.latencyTargetMs,
       pauseTargetMs: route.pauseTargetMs,
       dueAt: receivedAt + route.latencyTargetMs,
@@ -312,6 +319,7 @@
       if (outcome.firstEventAt !== undefined) {
         this._dependencies.quarantine.recordAnswer(possibleCausesOf(this._request));
       }
+      this._recordCost(outcome);
       this._request.response.end();
       return this._report(RequestOutcome.Answered);
     }
@@ -324,6 +332,20 @@
       : this._finishUnserved();
   }
 
+  /** Records what the answer took, if all of it came from one attempt. */
+  private _recordCost({ firstEventAt }: StreamOutcome): void {
+    const { clock, costs } = this._dependencies;
+    const isWhole = this._attempts === 1 && this._request.caller.lastEventId === undefined;
+    if (isWhole && firstEventAt !== undefined) {
+      costs.record({
+        request: this._costRequest,
+        estimate: this._estimate,
+        events: this._splitter.eventCount,
+        generationMs: clock.now() - firstEventAt,
+      });
+    }
+  }
+
   /**
    * Excludes the engine at fault from this request. If it broke off, sent no event in time or was
    * reported by another engine, it also becomes suspect: other requests avoid it for a while.
@@ -411,6 +433,7 @@
       firstEventMs,
       longestPauseMs: Math.round(this._longestPauseMs),
       expectedMs: Math.round(this._placement?.firstEventMs ?? 0),
+      expectedTokens: Math.round(this._estimate.outputTokens),
       partMs: Math.round(this._placement?.partPrefillMs ?? 0),
       placedBy: this._placement?.decidedBy,
       placementCost: Math.round((this._placement?.cost ?? 0) * 100) / 100,
