Compute the load of engines without intermediate objects

Cause: a decision for one prompt on 150 engines with 500 active requests took 2.4 ms in the median. Spreading the schedule into the load of an engine made all reads of loads slow, and lists were sorted for engines without pending prefill.

Change: loads are created as one literal, an engine without pending prefill needs no schedule, only an overdue prompt leads to the schedule delay, and the busy share of the engines is computed only where a net loss is possible. Decisions are the same.

--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -47,15 +47,10 @@
   now: number,
   slowdownOf: (target: string) => number = () => 1,
 ): EngineLoad[] {
-  const byTarget = new Map<string, ActiveRequest[]>();
+  const byTarget = new Map<string, ActiveRequest[]>(entries.map(({ id }) => [id, []]));
   for (const request of requests) {
     for (const target of request.targets) {
-      const group = byTarget.get(target);
-      if (group === undefined) {
-        byTarget.set(target, [request]);
-      } else {
-        group.push(request);
-      }
+      byTarget.get(target)?.push(request);
     }
   }
   return entries.map((entry) =>
@@ -91,22 +86,41 @@
     }
   }
   const loadPassMs = passMs(profile, generating, contextTokens) * slowdown;
-  const unassisted = primaryRequests.filter(({ targets }) => targets.length === 1);
+  const isPending = pending.length > 0;
+  const { assistingBacklogMs, backlogMs, primaryPrefills } = isPending
+    ? schedulePrefills(entry.id, pending, now, slowdown)
+    : IDLE;
+  const delayMs = isPending ? delayOf(primaryRequests, loadPassMs, now, slowdown) : 0;
   return {
-    ...schedulePrefills(entry.id, pending, now, slowdown),
     entry,
     slowdown,
     primaryRequests,
     assistingPrefills: requests.length - primaryRequests.length,
     generating,
-    scheduleDelayMs: scheduleDelayMs(unassisted, loadPassMs, now, slowdown),
+    primaryPrefills,
+    backlogMs,
+    assistingBacklogMs,
+    scheduleDelayMs: delayMs,
     passMs: loadPassMs,
     memoryTokens,
   };
 }
 
+function delayOf(
+  primaryRequests: readonly ActiveRequest[],
+  loadPassMs: number,
+  now: number,
+  slowdown: number,
+): number {
+  const unassisted = primaryRequests.filter(({ targets }) => targets.length === 1);
+  return scheduleDelayMs(unassisted, loadPassMs, now, slowdown);
+}
+
 type PrefillSchedule = Pick<EngineLoad, 'primaryPrefills' | 'backlogMs' | 'assistingBacklogMs'>;
 
+/** The schedule of an engine without pending prefill, as most are. */
+const IDLE: PrefillSchedule = { primaryPrefills: [], backlogMs: 0, assistingBacklogMs: 0 };
+
 /**
  * Schedules the pending prefill of an engine. An engine prefills parts for other primaries before
  * those of its own requests, whichever came first. A part whose time is over counts as prefilled,
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -186,8 +186,6 @@
     value * lateLossShare(firstEventMs, prompt) +
     value * READER_LOSS_SHARE * (count - 1);
   const wholePrefillMs = partPrefillMs * count;
-  const opportunityLoss =
-    (wholePrefillMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(engines);
   return {
     targets: [primary.load.entry, ...readers.map(({ load }) => load.entry)],
     reservedTokens,
@@ -198,7 +196,8 @@
     cost: loss + primary.asPrimary.primaryLoss,
     // A prompt that one engine can prefill within the latency target is never worth a refusal.
     isNetLoss:
-      wholePrefillMs > prompt.latencyTargetMs && loss + opportunityLoss > NET_LOSS_FACTOR * value,
+      wholePrefillMs > prompt.latencyTargetMs &&
+      loss + opportunityLoss(wholePrefillMs, engines) > NET_LOSS_FACTOR * value,
   };
 }
 
@@ -211,6 +210,11 @@
     : (firstEventMs + passWaitMs) / load.slowdown;
 }
 
+/** Value that other prompts would gain from the engine time. */
+function opportunityLoss(wholePrefillMs: number, engines: readonly EvaluatedEngine[]): number {
+  return (wholePrefillMs / MS_PER_SECOND) * BUSY_VALUE_PER_SECOND * busyShare(engines);
+}
+
 /** Share of the engines that are busy; one without prefill counts by its share of used slots. */
 function busyShare(engines: readonly EvaluatedEngine[]): number {
   const busy = engines.reduce((sum, { load: { backlogMs, generating, entry } }) => {
--- a/packages/gateway/src/common/placement/ScheduleDelay.ts
+++ b/packages/gateway/src/common/placement/ScheduleDelay.ts
@@ -25,6 +25,15 @@
   now: number,
   slowdown = 1,
 ): number {
+  const mayBeOverdue = requests.some(
+    ({ isGenerating, partPrefillMs, startedAt }) =>
+      !isGenerating &&
+      partPrefillMs <= SHORT_PREFILL_MS &&
+      now - startedAt > partPrefillMs * slowdown + passMs + FIRST_EVENT_GRACE_MS,
+  );
+  if (!mayBeOverdue) {
+    return 0;
+  }
   const ordered = [...requests].sort((a, b) => a.startedAt - b.startedAt);
   const short = ordered.filter(({ partPrefillMs }) => partPrefillMs <= SHORT_PREFILL_MS);
   // A later prompt that generates shows that the engine is not stuck. Older ones are disregarded,
