--- a/packages/gateway/src/common/placement/DecayingMean.ts
+++ b/packages/gateway/src/common/placement/DecayingMean.ts
@@ -3,8 +3,11 @@
  * that a single odd value has little effect. Used with logarithms, so that steps are factors.
  */
 
-/** Samples beyond this weight replace older ones, so that the mean follows a change. */
-const MAX_WEIGHT = 30;
+/**
+ * Samples beyond this weight replace older ones, so that the mean follows a change. At 30, answers
+ * that changed three seconds before a burst were still estimated by the earlier ones in it.
+ */
+const MAX_WEIGHT = 10;
 
 export class DecayingMean {
   private _mean = 0;
