--- a/packages/gateway/src/common/placement/ScheduleDelay.ts
+++ b/packages/gateway/src/common/placement/ScheduleDelay.ts
@@ -17,12 +17,23 @@
  * none is overdue.
  *
  * @param requests all requests that run on this engine alone
+ * @param slowdown factor by which the engine is slower than configured
  */
 export function scheduleDelayMs(
   requests: readonly ActiveRequest[],
   passMs: number,
   now: number,
+  slowdown = 1,
 ): number {
+  const mayBeOverdue = requests.some(
+    ({ isGenerating, partPrefillMs, startedAt }) =>
+      !isGenerating &&
+      partPrefillMs <= SHORT_PREFILL_MS &&
+      now - startedAt > partPrefillMs * slowdown + passMs + FIRST_EVENT_GRACE_MS,
+  );
+  if (!mayBeOverdue) {
+    return 0;
+  }
   const ordered = [...requests].sort((a, b) => a.startedAt - b.startedAt);
   const short = ordered.filter(({ partPrefillMs }) => partPrefillMs <= SHORT_PREFILL_MS);
   // A later prompt that generates shows that the engine is not stuck. Older ones are disregarded,
@@ -38,5 +49,8 @@
   const pendingUpToOldest = ordered.filter(
     ({ isGenerating, startedAt }) => !isGenerating && startedAt <= oldest.startedAt,
   );
-  return Math.max(0, now - prefillEndAt(pendingUpToOldest) - passMs - FIRST_EVENT_GRACE_MS);
+  return Math.max(
+    0,
+    now - prefillEndAt(pendingUpToOldest, slowdown) - passMs - FIRST_EVENT_GRACE_MS,
+  );
 }
