Keep requests within the regions that their route and workspace allow

Cause: allowed_regions of routes and workspaces were decoded and had no effect.

Change: filterCandidates is the one function that restricts the targets of a request; calls, second attempts, prompts and resumed streams use it. A coordinator is told of the engines that a prompt may not reach. If these are more than a request to it can name, the entry node decides itself. Connections through nodes of other regions are in pools of their own, so that a request with allowed regions uses none of them. The region of a caller is not known, so only the allowed regions count for relays.

Measured: the tests of placement, paths, relays, forwarders and the adapter pass.

--- a/packages/gateway/src/common/paths/RelayChoice.test.ts
+++ b/packages/gateway/src/common/paths/RelayChoice.test.ts
@@ -35,6 +35,17 @@
     return choiceOf(self);
   }
 
+  it('uses only nodes of the allowed regions, also when all of them failed', () => {
+    members = members.map((each, index) => ({ ...each, region: index % 3 === 0 ? 'r0' : 'r1' }));
+    const choice = choiceOfFirst();
+    for (let round = 0; round < 200; round++) {
+      const chosen = choice.choose('t:1', 'b', ['r0']);
+      expect(new Set(chosen.map(({ region }) => region))).toEqual(new Set(['r0']));
+      choice.recordFailure(chosen[0] ?? memberOf('n', '127.0.0.1:1'));
+    }
+    expect(choice.choose('t:1', 'b', [])).toEqual([]);
+  });
+
   it('prefers a node in the zone of the target, then one in another zone', () => {
     const choice = choiceOfFirst();
     for (let round = 0; round < 20; round++) {
--- a/packages/gateway/src/common/paths/RelayChoice.ts
+++ b/packages/gateway/src/common/paths/RelayChoice.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock, RandomSource } from '@tanagerdyke/kernel';
 import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
+import { type AllowedRegions, isRegionAllowed } from '../placement/AllowedRegions.js';
 
 /** How long a node is avoided after it could not relay a connection. */
 const AVOIDANCE_MS = 2_000;
@@ -25,9 +26,16 @@
 
   constructor(private readonly _options: RelayChoiceOptions) {}
 
-  /** Nodes to try in this order; the first is in the zone of the target if possible. */
-  public choose(address: string, targetZone: string | undefined): readonly Member[] {
-    const remaining = this._usableMembers(address);
+  /**
+   * Nodes to try in this order; the first is in the zone of the target if possible. All are in an
+   * allowed region.
+   */
+  public choose(
+    address: string,
+    targetZone: string | undefined,
+    allowed?: AllowedRegions,
+  ): readonly Member[] {
+    const remaining = this._usableMembers(address, allowed);
     const chosen: Member[] = [];
     const usedZones = new Set<string>();
     while (remaining.length > 0 && chosen.length < MAX_CHOICES) {
@@ -59,11 +67,12 @@
   }
 
   /** Ready nodes that did not fail recently, or all ready ones if each of them did. */
-  private _usableMembers(address: string): Member[] {
+  private _usableMembers(address: string, allowed: AllowedRegions): Member[] {
     const { clock, membership } = this._options;
     const now = clock.now();
     const ready = membership.live.filter(
-      ({ name, state, status }) =>
+      ({ name, region, state, status }) =>
+        isRegionAllowed(region, allowed) &&
         name !== membership.self.name &&
         status === MemberStatus.Alive &&
         state.isReady &&
--- a/packages/gateway/src/common/placement/PlacementCodec.ts
+++ b/packages/gateway/src/common/placement/PlacementCodec.ts
@@ -16,7 +16,7 @@
 export const CANCEL_METHOD = 'place.cancel';
 
 /** Most engine ids that a list of a request may have, to fit one datagram. */
-const MAX_LISTED_ENGINES = 20;
+export const MAX_LISTED_ENGINES = 20;
 
 /** A prompt to be placed; times are relative to the time of sending. */
 export interface WirePlacementRequest {
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -26,6 +26,7 @@
   public readonly rateLimits: RateLimits;
   /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
+  public readonly regionByZone = new Map<string, string>();
   private readonly _evacuatedZones = new Set<string>();
   private readonly _onEvacuation = new Emitter<ZoneChange>();
   public profile: EngineProfile | undefined = simpleProfile;
@@ -90,6 +91,7 @@
       },
       node: self.name,
       availabilityZone: self.availabilityZone,
+      regionByZone: this.regionByZone,
     });
   }
 
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -5,8 +5,9 @@
  */
 import type { Clock, RandomSource } from '@tanagerdyke/kernel';
 import type { Member } from '@tanagerdyke/mesh';
-import type { EngineProfile } from '../Messages.js';
+import type { EngineProfile, TargetEntry } from '../Messages.js';
 import { type ActiveRequest, toGenerating } from './ActiveRequestTable.js';
+import { type AllowedRegions, filterCandidates } from './AllowedRegions.js';
 import { chooseCells } from './CellChoice.js';
 import { cellsOf, type EngineCell, isInCell } from './EngineCells.js';
 import {
@@ -17,6 +18,7 @@
   toActiveRequest,
 } from './EngineScheduler.js';
 import { evacuationRetryMs } from './EvacuatedTargets.js';
+import { MAX_LISTED_ENGINES } from './PlacementCodec.js';
 import type { CoordinatorAnswer } from './PlacementClient.js';
 import {
   PlacementRefusal,
@@ -36,6 +38,8 @@
  * moment ago with the same decision, so a process that restarts must not use the same ids again.
  */
 const PROCESS_RANGE = ID_RADIX ** 4;
+/** Retry time while no engine that accepts requests is in an allowed region. */
+const NO_ENGINE_RETRY_MS = 1_500;
 /** Times that a coordinator is asked again because it chose an engine that can't be used. */
 const MAX_UNUSABLE_CHOICES = 2;
 
@@ -67,6 +71,8 @@
   readonly isReturning: boolean;
   /** Ids of engines that failed this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Regions whose engines may get the prompt; all without. */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** A placed prompt, which counts as an active request until `end` is called. */
@@ -115,6 +121,8 @@
   /** Name and zone of this node. */
   readonly node: string;
   readonly availabilityZone: string;
+  /** Region of each availability zone. */
+  readonly regionByZone: ReadonlyMap<string, string>;
 }
 
 /** A decision, with the request as it was decided. */
@@ -140,24 +148,34 @@
     signal: AbortSignal,
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { availabilityZone, pauses, random, targets } = this._options;
-    const engines = targets.acceptingTargets(prompt.service);
+    const all = targets.acceptingTargets(prompt.service);
     const evacuated = targets.evacuatedTargets(prompt.service);
-    const evacuationMs = evacuationRetryMs(engines, evacuated, random);
+    const engines = this._allowedOf(all, prompt);
+    const evacuationMs = evacuationRetryMs(engines, this._allowedOf(evacuated, prompt), random);
     if (evacuationMs !== undefined) {
       return new RefusedPrompt(PlacementRefusal.Evacuated, 0, evacuationMs);
     }
+    if (engines.length === 0 && all.length > 0) {
+      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
+    }
     const retryAfterMs = pauses.retryAfterMs(engines.map(({ id }) => id));
     if (retryAfterMs !== undefined) {
       return new RefusedPrompt(PlacementRefusal.Paused, engines.length, retryAfterMs);
     }
     // An evacuation must not divide the engines anew: the coordinators of other cells have no account.
-    const allCells = cellsOf(prompt.service, [...engines, ...evacuated]);
+    const allCells = cellsOf(prompt.service, [...all, ...evacuated]);
     const usable = allCells.filter((cell) => engines.some((engine) => isInCell(cell, engine)));
     const cells = chooseCells(usable.length > 0 ? usable : allCells, availabilityZone, random);
     let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
     for (const cell of cells) {
-      const decided = await this._decide(this._toRequest(prompt, cell), waitUntil, signal);
-      const { decision } = decided;
+      const forbidden = this._forbiddenOf(prompt, cell);
+      const request = this._toRequest(prompt, cell, forbidden);
+      // A coordinator is told of so many engines only, and would choose others that are forbidden.
+      const decided =
+        forbidden.length > MAX_LISTED_ENGINES
+          ? await this._decideHere(request, waitUntil, signal, AccountState.Partial)
+          : await this._decide(request, waitUntil, signal);
+      const decision = this._withoutForbidden(decided, prompt);
       if (!(decision instanceof RefusedPrompt)) {
         return this._publish(decided.request, decision, decided.by);
       }
@@ -169,7 +187,46 @@
     return refused;
   }
 
-  private _toRequest(prompt: PromptToPlace, cell: EngineCell): PromptRequest {
+  private _allowedOf(
+    engines: readonly TargetEntry[],
+    { allowedRegions }: PromptToPlace,
+  ): readonly TargetEntry[] {
+    return filterCandidates(engines, allowedRegions, this._options.regionByZone);
+  }
+
+  /** Refuses a placement on an engine that is forbidden, and began to accept requests meanwhile. */
+  private _withoutForbidden(
+    { decision, request }: Decided,
+    prompt: PromptToPlace,
+  ): PromptPlacement | RefusedPrompt {
+    if (decision instanceof RefusedPrompt) {
+      return decision;
+    }
+    const { targets } = decision;
+    if (this._allowedOf(targets, prompt).length === targets.length) {
+      return decision;
+    }
+    this._options.publisher.remove(request.id);
+    return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
+  }
+
+  /** Ids of the engines of a cell that are in no allowed region. */
+  private _forbiddenOf(prompt: PromptToPlace, cell: EngineCell): readonly string[] {
+    if (prompt.allowedRegions === undefined) {
+      return [];
+    }
+    const engines = this._options.targets.acceptingTargets(cell.service);
+    const allowed = new Set(this._allowedOf(engines, prompt));
+    return engines
+      .filter((engine) => isInCell(cell, engine) && !allowed.has(engine))
+      .map(({ id }) => id);
+  }
+
+  private _toRequest(
+    prompt: PromptToPlace,
+    cell: EngineCell,
+    forbidden: readonly string[],
+  ): PromptRequest {
     const { availabilityZone, health, node, pauses, targets } = this._options;
     const suspects = targets
       .acceptingTargets(cell.service)
@@ -182,7 +239,8 @@
       availabilityZone,
       cell,
       // The decision is that of a coordinator, which has no record of this node's pauses.
-      excluded: new Set([...prompt.excluded, ...pauses.pausedIds]),
+      // The engines that are forbidden come first, as a coordinator is told of so many only.
+      excluded: new Set([...forbidden, ...prompt.excluded, ...pauses.pausedIds]),
       suspects: new Set(suspects),
     };
   }
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -17,6 +17,8 @@
 import type { BufferedAnswer } from './ExchangeOptions.js';
 import {
   admitAttempt,
+  candidatesOf,
+  evacuatedCandidatesOf,
   type ForwardedRequest,
   type ForwardingDependencies,
   isOverdue,
@@ -141,9 +143,9 @@
   }
 
   private _untriedTargets(): readonly TargetEntry[] {
-    return this._dependencies.targets
-      .acceptingTargets(this._request.service.name)
-      .filter(({ id }) => !this._triedTargets.includes(id));
+    return candidatesOf(this._dependencies, this._request).filter(
+      ({ id }) => !this._triedTargets.includes(id),
+    );
   }
 
   /**
@@ -174,10 +176,9 @@
 
   /** Whether all targets are in evacuated zones; sets the time to retry. */
   private _isEvacuated(): boolean {
-    const { random, targets } = this._dependencies;
-    const { name } = this._request.service;
-    const evacuated = targets.evacuatedTargets(name);
-    const retryMs = evacuationRetryMs(targets.acceptingTargets(name), evacuated, random);
+    const accepting = candidatesOf(this._dependencies, this._request);
+    const evacuated = evacuatedCandidatesOf(this._dependencies, this._request);
+    const retryMs = evacuationRetryMs(accepting, evacuated, this._dependencies.random);
     if (retryMs !== undefined) {
       this._cause = `${evacuated.length} targets are in evacuated zones`;
       this._retryAfterMs = retryMs;
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,6 +13,7 @@
   TargetEntry,
   TargetService,
 } from '../common/Messages.js';
+import { allowedRegionsOf, filterCandidates } from '../common/placement/AllowedRegions.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -46,6 +47,8 @@
   readonly upstream: RequestSender;
   readonly answerBuffers: AnswerBuffers;
   readonly availabilityZone: string;
+  /** Region of each availability zone. */
+  readonly regionByZone: ReadonlyMap<string, string>;
   /** Number of gateway nodes that divide the connections of a target among them. */
   readonly liveNodes: () => number;
 }
@@ -111,6 +114,24 @@
 /** Node.js timers may fire up to this much early. */
 const TIMER_TOLERANCE_MS = 2;
 
+/** Which targets of the service of a request it may reach, of those that accept requests. */
+export function candidatesOf(
+  { regionByZone, targets }: ForwardingDependencies,
+  { route, service, workspace }: ForwardedRequest,
+): readonly TargetEntry[] {
+  const allowed = allowedRegionsOf(route, workspace);
+  return filterCandidates(targets.acceptingTargets(service.name), allowed, regionByZone);
+}
+
+/** Those of its targets that only an evacuation keeps from it. */
+export function evacuatedCandidatesOf(
+  { regionByZone, targets }: ForwardingDependencies,
+  { route, service, workspace }: ForwardedRequest,
+): readonly TargetEntry[] {
+  const allowed = allowedRegionsOf(route, workspace);
+  return filterCandidates(targets.evacuatedTargets(service.name), allowed, regionByZone);
+}
+
 /** Whether the deadline of a request has passed. */
 export function isOverdue(
   dependencies: ForwardingDependencies,
@@ -220,6 +241,7 @@
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
   const { body, caller, deadlineAt, headers, method, path, service, signal, workspace } = request;
+  const relayRegions = allowedRegionsOf(request.route, workspace);
   const causes = possibleCausesOf(request);
   const check = new SendCheck(dependencies, { target, countedTargets, rateKey, causes });
   const { clock, dialect, quarantine, upstream } = dependencies;
@@ -238,7 +260,11 @@
     upstream,
     target,
     connections: connectionLimit(dependencies, service),
-    request: { method, path, headers: forwardedHeaders, body, attemptId: caller.attemptId },
+    request: {
+      ...{ method, path, body, relayRegions },
+      headers: forwardedHeaders,
+      attemptId: caller.attemptId,
+    },
     findObstacle: () => check.findObstacle(),
     onAnswerHead: (answer, isMatched) => {
       if (isMatched && !answer.isMisdirected) {
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -35,6 +35,11 @@
 import type { RequestSender } from './Upstream.js';
 
 const ZONE = 'a';
+/** Region of each zone of the test targets. */
+const REGION_BY_ZONE: ReadonlyMap<string, string> = new Map([
+  ['a', 'north'],
+  ['b', 'south'],
+]);
 const CONFIGURATION_KEY = 'configuration';
 const EVACUATION_PREFIX = 'evacuate/';
 
@@ -245,6 +250,7 @@
       pauses,
       rateLimits,
       availabilityZone: ZONE,
+      regionByZone: REGION_BY_ZONE,
       liveNodes,
     };
     this.dependencies = {
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -226,6 +226,7 @@
   ): ForwardingDependencies {
     const { clock, random, settings, transport } = this._options;
     const { configuration, targets } = this._platform;
+    const { regionByZone } = settings;
     const { availabilityZone, name: node } = settings.node;
     const health = this.register(new TargetHealth(clock, () => this._connections.cutOffSince));
     const broadcast = this.register(
@@ -266,7 +267,7 @@
     );
     const common = {
       ...{ clock, random, targets, health, pauses },
-      ...{ rateLimits, availabilityZone, liveNodes },
+      ...{ rateLimits, availabilityZone, regionByZone, liveNodes },
     };
     const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
     this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -18,6 +18,8 @@
   readonly sharedParts?: readonly string[];
   readonly promptTokens?: number;
   readonly body?: Buffer;
+  /** Of the route; all regions by default. */
+  readonly allowedRegions?: readonly string[];
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -30,7 +32,7 @@
   options: SimulatedRequestOptions,
 ): ForwardedRequest {
   const { body = BODY, id = 'r1', maxAttempts, promptTokens = 1_000 } = options;
-  const { sharedParts = [], signal } = options;
+  const { allowedRegions, sharedParts = [], signal } = options;
   const route = configuration.routes.find((each) => each.kind === kind);
   const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
   if (route === undefined || service === undefined) {
@@ -54,7 +56,7 @@
       ownPart: undefined,
     },
     fingerprints: fingerprintsOf({ ...content, workspace: undefined, parts: sharedParts }),
-    route: { ...route, maxAttempts },
+    route: { ...route, maxAttempts, allowedRegions },
     service,
     workspace: undefined,
     receivedAt: clock.now(),
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -8,6 +8,7 @@
 import { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { canRetryElsewhere, combineExecutions, Execution } from '../common/Execution.js';
 import type { EngineProfile } from '../common/Messages.js';
+import { allowedRegionsOf } from '../common/placement/AllowedRegions.js';
 import { RefusedPrompt } from '../common/placement/PlacementDecision.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
@@ -240,6 +241,7 @@
       workspace: workspace?.name ?? '',
       isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
       excluded: new Set([...this._excludedEngines, ...alsoExcluded]),
+      allowedRegions: allowedRegionsOf(route, workspace),
     };
     return scheduler.place(prompt, waitUntil, signal);
   }
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -7,6 +7,7 @@
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
+import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { ConnectionHistories, type ConnectionHistory } from './ConnectionHistory.js';
 import { createTargetClient, type TargetConnection, type TargetDispatch } from './TargetClient.js';
@@ -29,6 +30,8 @@
   readonly body: Buffer;
   /** The caller's id of the request; undefined if it sent none. */
   readonly attemptId?: string | undefined;
+  /** Regions whose nodes may relay the request; all without. */
+  readonly relayRegions?: AllowedRegions;
 }
 
 /**
@@ -90,12 +93,18 @@
 export interface UpstreamOptions {
   /** Opens a connection to a target. */
   readonly connect: buildConnector.connector;
+  /**
+   * Opens connections through nodes of the allowed regions only; not needed if `connect` leads
+   * through no node.
+   */
+  readonly connectWithin?: (allowed: AllowedRegions) => buildConnector.connector;
   /** Watches a request that is being sent to the target with this address. */
   readonly watch: (address: string) => WatchedExchange;
 }
 
-/** The pool of an instance of a target, with the address of the target. */
+/** One pool of an instance of a target, with the address of the target. */
 interface TargetPool {
+  readonly instance: string;
   readonly address: string;
   readonly pool: Pool;
 }
@@ -142,12 +151,17 @@
 
   /** Addresses of the targets that requests were sent to. */
   public get addresses(): readonly string[] {
-    return [...this._pools.values()].map(({ address }) => address);
+    return [...new Set([...this._pools.values()].map(({ address }) => address))];
   }
 
   /** Closes the connections of a target after its exchanges in flight have ended. */
   public closeTarget(target: TargetEntry): void {
-    this._close(keyOf(target));
+    const instance = instanceOf(target);
+    for (const [key, pool] of this._pools) {
+      if (pool.instance === instance) {
+        this._close(key);
+      }
+    }
   }
 
   /**
@@ -165,7 +179,7 @@
   private _dispatch(
     target: TargetEntry,
     connections: number,
-    { body, headers, method, path }: UpstreamRequest,
+    { body, headers, method, path, relayRegions }: UpstreamRequest,
     exchange: PoolExchange,
   ): void {
     const dispatch: TargetDispatch = {
@@ -176,7 +190,7 @@
       exchange,
     };
     try {
-      this._pool(target, connections).dispatch(dispatch, exchange);
+      this._pool(target, connections, relayRegions).dispatch(dispatch, exchange);
     } catch (error) {
       // undici throws if it can't serialise the request; nothing has been sent in that case.
       exchange.onResponseError(
@@ -194,28 +208,38 @@
     }
   }
 
-  private _pool(target: TargetEntry, connections: number): Pool {
-    const key = keyOf(target);
+  private _connectorFor(relayRegions: AllowedRegions): buildConnector.connector {
+    const { connect, connectWithin } = this._options;
+    return relayRegions === undefined ? connect : (connectWithin?.(relayRegions) ?? connect);
+  }
+
+  private _pool(target: TargetEntry, connections: number, relayRegions: AllowedRegions): Pool {
+    const instance = instanceOf(target);
+    // A connection through another node must carry no request that its region may not have.
+    const key = relayRegions === undefined ? instance : `${instance} ${relayRegions.join()}`;
     let pool = this._pools.get(key)?.pool;
     if (pool === undefined) {
       pool = new Pool(`http://${target.address}`, {
         connections: Math.max(MIN_CONNECTIONS, connections),
         pipelining: 1,
         factory: (origin, options: Client.Options) =>
-          createTargetClient(origin, { ...options, connect: this._options.connect }),
+          createTargetClient(origin, {
+            ...options,
+            connect: this._connectorFor(relayRegions),
+          }),
         keepAliveTimeout: KEEP_ALIVE_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
       });
-      this._pools.set(key, { address: target.address, pool });
+      this._pools.set(key, { instance, address: target.address, pool });
     }
     return pool;
   }
 }
 
 /** Includes the start time, so that a target restarted under its id and address gets a new pool. */
-function keyOf({ address, id, startedAt }: TargetEntry): string {
+function instanceOf({ address, id, startedAt }: TargetEntry): string {
   return `${id}@${address}@${startedAt ?? ''}`;
 }
 
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -130,7 +130,11 @@
       },
     });
     const watch = { recordBytes: (): void => undefined, dispose: (): void => undefined };
-    upstream = new Upstream({ connect: connector.connect, watch: () => watch });
+    upstream = new Upstream({
+      connect: connector.connect,
+      connectWithin: (regions) => connector.connectWithin(regions),
+      watch: () => watch,
+    });
   });
 
   afterEach(async () => {
@@ -140,13 +144,16 @@
     await closeServer(targetServer);
   });
 
-  function send(onExchange?: (exchange: Exchange) => void): Promise<Outcome> {
+  function send(
+    onExchange?: (exchange: Exchange) => void,
+    relayRegions?: readonly string[],
+  ): Promise<Outcome> {
     return new Promise((resolve) => {
       const state = { isSent: false, status: undefined as number | undefined, body: '' };
       const exchange = upstream.send(
         target,
         4,
-        { method: 'POST', path: '/x', headers: ['Own', 'v'], body: BODY },
+        { method: 'POST', path: '/x', headers: ['Own', 'v'], body: BODY, relayRegions },
         {
           findObstacle: () => undefined,
           onSendStart: () => {
@@ -190,6 +197,15 @@
     expect(lines.filter((line) => line.includes('target.relayed'))).toHaveLength(1);
   });
 
+  it('carries no request that may not pass through the region of the other node', async () => {
+    answer = wholeAnswer;
+    await send();
+    requests = [];
+    expect(await send(undefined, ['elsewhere'])).toMatchObject({ isSent: false });
+    expect(requests).toEqual([]);
+    expect(await send(undefined, ['elsewhere', 'r'])).toMatchObject({ status: 200 });
+  });
+
   it('is not opened when the own link connects at once', async () => {
     isOwnLinkCut = false;
     answer = wholeAnswer;
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -61,6 +61,7 @@
     this.upstream = this.register(
       new Upstream({
         connect: this._connector.connect,
+        connectWithin: (regions) => this._connector.connectWithin(regions),
         watch: (address) => monitor.watch(address),
       }),
     );
--- a/packages/gateway/src/node/paths/TargetConnector.ts
+++ b/packages/gateway/src/node/paths/TargetConnector.ts
@@ -20,6 +20,7 @@
 import { limitAnswerHead } from './AnswerHeadLimit.js';
 import { detectResets, openSocket, readLine } from './OpenSocket.js';
 import { encodeRelayRequest, MAX_LINE_BYTES, RELAY_OPENED } from './RelayFrames.js';
+import type { AllowedRegions } from '../../common/placement/AllowedRegions.js';
 import { RelayRefusal } from './RelayServer.js';
 import { RelayedSocket, RelayLinkError } from './RelayedSocket.js';
 
@@ -90,19 +91,26 @@
     );
   }
 
-  /** The connector for undici. */
-  public readonly connect: buildConnector.connector = ({ hostname, port }, callback) => {
-    void this._open(`${hostname}:${port}`).then((opened) => {
-      if (opened.isErr) {
-        callback(new Error(opened.error), null);
-      } else {
-        limitAnswerHead(opened.value);
-        // undici uses only what a duplex stream has, and `ref` and `unref`.
-        callback(null, opened.value as Socket);
-      }
-    });
+  /** The connector for undici, for requests that any node may relay. */
+  public readonly connect: buildConnector.connector = (target, callback) => {
+    this.connectWithin(undefined)(target, callback);
   };
 
+  /** A connector that uses nodes of the allowed regions only, besides the own link. */
+  public connectWithin(allowed: AllowedRegions): buildConnector.connector {
+    return ({ hostname, port }, callback) => {
+      void this._open(`${hostname}:${port}`, allowed).then((opened) => {
+        if (opened.isErr) {
+          callback(new Error(opened.error), null);
+        } else {
+          limitAnswerHead(opened.value);
+          // undici uses only what a duplex stream has, and `ref` and `unref`.
+          callback(null, opened.value as Socket);
+        }
+      });
+    };
+  }
+
   /** Opens a connection on the own link only, to find out whether it works; closes it at once. */
   public async probe(address: string, timeoutMs: number): Promise<boolean> {
     const { clock, openOwnLink = openSocket } = this._options;
@@ -114,10 +122,13 @@
     return opened.isOk;
   }
 
-  private async _open(address: string): Promise<Result<TargetSocket, string>> {
+  private async _open(
+    address: string,
+    allowed: AllowedRegions,
+  ): Promise<Result<TargetSocket, string>> {
     const stop = new AbortController();
     const own = this._openOwn(address, stop.signal);
-    const relayed = this._openRelayed(address, own, stop.signal);
+    const relayed = this._openRelayed(address, allowed, own, stop.signal);
     const first = await firstOpened(own, relayed);
     stop.abort();
     return first;
@@ -146,6 +157,7 @@
 
   private async _openRelayed(
     address: string,
+    allowed: AllowedRegions,
     own: Promise<Result<TargetSocket, string>>,
     signal: AbortSignal,
   ): Promise<Result<TargetSocket, string>> {
@@ -156,7 +168,7 @@
     }
     let cause = 'no other node is ready';
     let unreachable = 0;
-    for (const member of choice.choose(address, zoneOf(address))) {
+    for (const member of choice.choose(address, zoneOf(address), allowed)) {
       const isLate = clock.now() - startedAt >= CONNECT_TIMEOUT_MS;
       if (isAborted(signal) || isLate || unreachable >= MAX_UNREACHABLE) {
         break;
