--- a/packages/gateway/src/common/placement/LearnedPlacement.test.ts
+++ b/packages/gateway/src/common/placement/LearnedPlacement.test.ts
@@ -10,7 +10,7 @@
 import { CostEstimates } from './CostEstimates.js';
 import { AccountState, EngineScheduler } from './EngineScheduler.js';
 import type { PromptRequest } from './PlacementDecision.js';
-import { engineEntry, promptRequest } from './PlacementFixtures.js';
+import { engineEntry, promptRequest, targetSource } from './PlacementFixtures.js';
 import { promptValue } from './PlacementLoss.js';
 import type { PromptPlacement } from './PromptPlacer.js';
 import { RateLimits } from './RateLimits.js';
@@ -34,7 +34,7 @@
       clock,
       costs,
       random: new SeededRandom(1),
-      targets: { acceptingTargets: () => engines },
+      targets: targetSource(() => engines),
       activeRequests: table,
       health: new TargetHealth(clock),
       rateLimits: new RateLimits({
--- a/packages/gateway/src/common/placement/PlacementFixtures.ts
+++ b/packages/gateway/src/common/placement/PlacementFixtures.ts
@@ -1,5 +1,8 @@
 /** An engine profile, target entries and a short prompt for placement tests. Not shipped. */
+import { Emitter } from '@tanagerdyke/kernel';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
+import type { ZoneChange } from '../state/ZoneEvacuations.js';
+import type { TargetSource } from './EngineScheduler.js';
 import type { PromptRequest } from './PlacementDecision.js';
 import type { PromptRequirements } from './PlacementLoss.js';
 
@@ -41,6 +44,15 @@
   };
 }
 
+/** Targets of which none is in an evacuated zone. */
+export function targetSource(engines: () => readonly TargetEntry[]): TargetSource {
+  return {
+    acceptingTargets: engines,
+    evacuatedTargets: () => [],
+    onEvacuation: new Emitter<ZoneChange>().event,
+  };
+}
+
 /** A request to place the short prompt, with changes. */
 export function promptRequest(changes: Partial<PromptRequest> = {}): PromptRequest {
   return {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,3 +16,4 @@
 export * from './node/paths/AnswerHeadLimit.js';
 export * from './node/StandardOutput.js';
 export * from './node/TimedCall.js';
+export type { ZoneChange } from './common/state/ZoneEvacuations.js';
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -8,6 +8,7 @@
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
+import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { ConnectionHistories, type ConnectionHistory } from './ConnectionHistory.js';
 import { createTargetClient, type TargetConnection, type TargetDispatch } from './TargetClient.js';
@@ -35,6 +36,8 @@
   readonly body: Buffer;
   /** The caller's id of the request; undefined if it sent none. */
   readonly attemptId?: string | undefined;
+  /** Regions whose nodes may relay the request; all without. */
+  readonly relayRegions?: AllowedRegions;
 }
 
 /**
@@ -96,12 +99,18 @@
 export interface UpstreamOptions {
   /** Opens a connection to a target. */
   readonly connect: buildConnector.connector;
+  /**
+   * Opens connections through nodes of the allowed regions only; not needed if `connect` leads
+   * through no node.
+   */
+  readonly connectWithin?: (allowed: AllowedRegions) => buildConnector.connector;
   /** Watches a request that is being sent to the target with this address. */
   readonly watch: (address: string) => WatchedExchange;
 }
 
-/** The pools of an instance of a target, with the address of the target. */
+/** The pools of an instance of a target, for requests that may pass the same regions. */
 interface TargetPools {
+  readonly instance: string;
   readonly address: string;
   /** For requests with an id. */
   readonly kept: Pool;
@@ -152,12 +161,17 @@
 
   /** Addresses of the targets that requests were sent to. */
   public get addresses(): readonly string[] {
-    return [...this._pools.values()].map(({ address }) => address);
+    return [...new Set([...this._pools.values()].map(({ address }) => address))];
   }
 
   /** Closes the connections of a target after its exchanges in flight have ended. */
   public closeTarget(target: TargetEntry): void {
-    this._close(keyOf(target));
+    const instance = instanceOf(target);
+    for (const [key, pool] of this._pools) {
+      if (pool.instance === instance) {
+        this._close(key);
+      }
+    }
   }
 
   /**
@@ -175,7 +189,7 @@
   private _dispatch(
     target: TargetEntry,
     connections: number,
-    { attemptId, body, headers, method, path }: UpstreamRequest,
+    { attemptId, body, headers, method, path, relayRegions }: UpstreamRequest,
     exchange: PoolExchange,
   ): void {
     const dispatch: TargetDispatch = {
@@ -186,7 +200,7 @@
       exchange,
     };
     try {
-      const { kept, singleUse } = this._poolsOf(target, connections);
+      const { kept, singleUse } = this._poolsOf(target, connections, relayRegions);
       (attemptId === undefined ? singleUse : kept).dispatch(dispatch, exchange);
     } catch (error) {
       // undici throws if it can't serialise the request; nothing has been sent in that case.
@@ -206,40 +220,66 @@
     }
   }
 
-  private _poolsOf(target: TargetEntry, connections: number): TargetPools {
-    const key = keyOf(target);
+  private _poolsOf(
+    target: TargetEntry,
+    connections: number,
+    relayRegions: AllowedRegions,
+  ): TargetPools {
+    const instance = instanceOf(target);
+    // A connection through another node must carry no request that its region may not have.
+    const key = relayRegions === undefined ? instance : `${instance} ${relayRegions.join()}`;
     let pools = this._pools.get(key);
     if (pools === undefined) {
+      const connect = this._connectorFor(relayRegions);
       pools = {
+        instance,
         address: target.address,
-        kept: this._createPool(target, Math.max(MIN_CONNECTIONS, connections), KEPT_PIPELINING),
-        singleUse: this._createPool(
-          target,
-          Math.max(1, Math.floor(connections * SINGLE_USE_SHARE)),
-          SINGLE_USE_PIPELINING,
-        ),
+        kept: createPool(target, {
+          connect,
+          connections: Math.max(MIN_CONNECTIONS, connections),
+          pipelining: KEPT_PIPELINING,
+        }),
+        singleUse: createPool(target, {
+          connect,
+          connections: Math.max(1, Math.floor(connections * SINGLE_USE_SHARE)),
+          pipelining: SINGLE_USE_PIPELINING,
+        }),
       };
       this._pools.set(key, pools);
     }
     return pools;
   }
 
-  private _createPool({ address }: TargetEntry, connections: number, pipelining: number): Pool {
-    return new Pool(`http://${address}`, {
-      connections,
-      pipelining,
-      factory: (origin, options: Client.Options) =>
-        createTargetClient(origin, { ...options, connect: this._options.connect }),
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+  private _connectorFor(relayRegions: AllowedRegions): buildConnector.connector {
+    const { connect, connectWithin } = this._options;
+    return relayRegions === undefined ? connect : (connectWithin?.(relayRegions) ?? connect);
   }
 }
 
+interface PoolOptions {
+  readonly connect: buildConnector.connector;
+  readonly connections: number;
+  readonly pipelining: number;
+}
+
+function createPool(
+  { address }: TargetEntry,
+  { connect, connections, pipelining }: PoolOptions,
+): Pool {
+  return new Pool(`http://${address}`, {
+    connections,
+    pipelining,
+    factory: (origin, options: Client.Options) =>
+      createTargetClient(origin, { ...options, connect }),
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
 /** Includes the start time, so that a target restarted under its id and address gets a new pool. */
-function keyOf({ address, id, startedAt }: TargetEntry): string {
+function instanceOf({ address, id, startedAt }: TargetEntry): string {
   return `${id}@${address}@${startedAt ?? ''}`;
 }
 
--- a/packages/standins/src/common/measure/PlacementReplay.ts
+++ b/packages/standins/src/common/measure/PlacementReplay.ts
@@ -17,9 +17,16 @@
   RefusedPrompt,
   type TargetEntry,
   TargetHealth,
+  type ZoneChange,
 } from '@tanagerdyke/gateway';
 import { EnginePriority } from '@tanagerdyke/contracts';
-import { ManualClock, Metrics, type RandomSource, SeededRandom } from '@tanagerdyke/kernel';
+import {
+  Emitter,
+  ManualClock,
+  Metrics,
+  type RandomSource,
+  SeededRandom,
+} from '@tanagerdyke/kernel';
 import { DEFAULT_PROFILE, EngineEmulator } from '../EngineEmulator.js';
 
 const ENGINES = 4;
@@ -123,7 +130,11 @@
     this._scheduler = new EngineScheduler({
       clock: this._clock,
       random: this._random,
-      targets: { acceptingTargets: () => targets },
+      targets: {
+        acceptingTargets: () => targets,
+        evacuatedTargets: () => [],
+        onEvacuation: new Emitter<ZoneChange>().event,
+      },
       activeRequests: this._table,
       health: new TargetHealth(this._clock),
       rateLimits: new RateLimits({ clock: this._clock, log, metrics: this._metrics, countNodes }),
