Keep the request rate of cold targets in each second

When a zone returns, all its targets are cold and look the emptiest to every node at the same moment.

ColdTargets keeps until when each instance is cold, by its records, its answers, reports of other nodes and the time since its first record. RateLimits has it as a second source of a limit, with a pace of its own that makes up for 150 ms. The first coordinator of a cell may use the whole rate, its standby a quarter, and all nodes that decide alone a quarter in turns that end unused, so the sum holds without messages. TargetTable reports each entry that was read, as the stated time changes with every record while the entry counts as the same.

--- a/packages/gateway/src/common/placement/ActiveRequestTable.ts
+++ b/packages/gateway/src/common/placement/ActiveRequestTable.ts
@@ -48,6 +48,12 @@
   lastUpdateAt: number;
 }
 
+/** A request that was set for the first time. */
+export interface StartedRequest {
+  readonly node: string;
+  readonly request: ActiveRequest;
+}
+
 /** Holds the active requests of every node that this node has a record of. */
 export class ActiveRequestTable extends DisposableOwner {
   private readonly _nodes = new Map<string, NodeRequests>();
@@ -58,6 +64,10 @@
    */
   public readonly onChange = this._onChange.event;
 
+  private readonly _onStart = this.register(new Emitter<StartedRequest>());
+  /** Fires with a request that was unknown. */
+  public readonly onStart = this._onStart.event;
+
   constructor(
     private readonly _clock: Clock,
     /** Name of this node, whose requests never time out. */
@@ -86,8 +96,12 @@
   /** Adds or replaces a request of a node. */
   public set(node: string, request: ActiveRequest): void {
     const entry = this._entryOf(node);
+    const isNew = !entry.requests.has(request.id);
     entry.requests.set(request.id, request);
     entry.lastUpdateAt = this._clock.now();
+    if (isNew) {
+      this._onStart.fire({ node, request });
+    }
     this._onChange.fire();
   }
 
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -13,7 +13,7 @@
 } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
-import { isInCell, keyOfCell } from './EngineCells.js';
+import { type EngineCell, isInCell, keyOfCell } from './EngineCells.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { prefillMs } from './EngineTiming.js';
 import { PlacementRefusal, type PromptRequest, RefusedPrompt } from './PlacementDecision.js';
@@ -21,7 +21,7 @@
 import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
-import type { RateLimits } from './RateLimits.js';
+import { RateDecider, type RateLimits } from './RateLimits.js';
 import { RetrySchedule } from './RetrySchedule.js';
 import type { TargetHealth } from './TargetHealth.js';
 
@@ -56,6 +56,8 @@
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
   readonly random: RandomSource;
+  /** Whether this node is the first coordinator of a cell, as far as it can tell. */
+  readonly isFirstCoordinator: (cell: EngineCell) => boolean;
 }
 
 /** How far a decision can rely on the account. */
@@ -111,6 +113,11 @@
         }
       }),
     );
+    this.register(
+      _options.activeRequests.onStart(({ node, request: { id, startedAt, targets } }) => {
+        _options.rateLimits.countStarted(targets, requestKey({ id, node }), startedAt);
+      }),
+    );
   }
 
   /** Number of prompts that wait for capacity. */
@@ -133,9 +140,11 @@
     if (decision !== undefined) {
       return Promise.resolve(decision);
     }
-    // Nodes that decide alone would all send a waiting prompt at the moment that a limit allows one.
-    const mayWait = account === AccountState.Complete || this._rateWaitMs(request, ahead) === 0;
-    if (!mayWait || now + this._expectedWaitMs(request, ahead) >= waitUntil) {
+    const decider = this._deciderOf(request, account);
+    const mayWait =
+      account === AccountState.Complete ||
+      this._options.rateLimits.permitsWaiting(this._usableIds(request), ahead, decider);
+    if (!mayWait || now + this._expectedWaitMs(request, ahead, decider) >= waitUntil) {
       return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
     }
     return new Promise((resolve) => {
@@ -213,17 +222,28 @@
     if (loads.length === 0) {
       return undefined;
     }
-    const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
+    const decider = this._deciderOf(request, account);
+    const eligible = loads.filter(
+      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id, decider),
+    );
+    const placement = this._place(request, eligible, RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
       return this._refuse(request, PlacementRefusal.NetLoss, 0);
     }
     if (placement !== undefined) {
       table.set(request.node, toActiveRequest(request, placement, clock.now()));
-      rateLimits.reserve(idsOf(placement.targets), requestKey(request));
+      rateLimits.reserve(idsOf(placement.targets), requestKey(request), decider);
     }
     return placement;
   }
 
+  private _deciderOf({ cell }: PromptRequest, account: AccountState): RateDecider {
+    if (account === AccountState.Partial) {
+      return RateDecider.Alone;
+    }
+    return this._options.isFirstCoordinator(cell) ? RateDecider.Shared : RateDecider.Standby;
+  }
+
   /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
   private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
     const { activeRequests, clock } = this._options;
@@ -245,13 +265,10 @@
 
   private _place(
     request: PromptRequest,
-    loads: readonly EngineLoad[],
+    eligible: readonly EngineLoad[],
     randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
-    const { clock, health, rateLimits } = this._options;
-    const eligible = loads.filter(
-      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id),
-    );
+    const { clock, health } = this._options;
     const healthy = eligible.filter(
       ({ entry: { id } }) =>
         !request.suspects.has(id) &&
@@ -272,13 +289,16 @@
   }
 
   /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
-  private _expectedWaitMs(request: PromptRequest, ahead: number): number {
-    return Math.max(this._capacityWaitMs(request, ahead), this._rateWaitMs(request, ahead));
+  private _expectedWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
+    return Math.max(
+      this._capacityWaitMs(request, ahead),
+      this._rateWaitMs(request, ahead, decider),
+    );
   }
 
-  private _rateWaitMs(request: PromptRequest, ahead: number): number {
+  private _rateWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
     const { rateLimits } = this._options;
-    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead) : 0;
+    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead, decider) : 0;
   }
 
   private _usableIds(request: PromptRequest): readonly string[] {
--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -3,9 +3,11 @@
 import { Metrics } from '@tanagerdyke/kernel';
 import { type Member, ZoneBroadcast } from '@tanagerdyke/mesh';
 import { DecisionLog } from '../DecisionLog.js';
-import type { EngineProfile, TargetEntry } from '../Messages.js';
+import type { EngineProfile, TargetEntry, WarmUp } from '../Messages.js';
 import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
+import { ColdReports } from './ColdReports.js';
+import { ColdTargets } from './ColdTargets.js';
 import { CoordinatorChannel } from './CoordinatorChannel.js';
 import { EngineScheduler } from './EngineScheduler.js';
 import { LoadReporter } from './LoadReporter.js';
@@ -23,9 +25,17 @@
   public readonly table: ActiveRequestTable;
   public readonly prompts: PromptScheduler;
   public readonly rateLimits: RateLimits;
+  public readonly coldTargets: ColdTargets;
+  public readonly membership: FixedMembership;
   /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
   public profile: EngineProfile | undefined = simpleProfile;
+  /** What the engines tolerate while they are cold. */
+  public warmUp: WarmUp | undefined;
+  /** The most nodes that were live at the same time. */
+  public maxNodes: number;
+  /** Whether other nodes ask this one if it is a coordinator. */
+  public hasJoined = true;
   /** Whether the node applies reports about rates, which earlier builds don't. */
   public appliesRateReports = true;
 
@@ -38,6 +48,8 @@
     const { clock, random } = network;
     const transport = network.join(self.peerAddress);
     const membership = new FixedMembership(self, members);
+    this.membership = membership;
+    this.maxNodes = members.length;
     const cells = new CellDirectory(membership);
     const channel = new CoordinatorChannel({ clock, transport, membership, cells });
     const health = new TargetHealth(clock);
@@ -45,26 +57,44 @@
     this.engines = engines;
     this.table = new ActiveRequestTable(clock, self.name);
     const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
+    const metrics = new Metrics();
+    this.coldTargets = new ColdTargets({
+      clock,
+      log,
+      metrics,
+      findTarget: (id) => this.engines.find((each) => each.id === id),
+      findService: (name) => {
+        const { profile: engine, warmUp } = this;
+        return { name, maxConnections: 1, warmUp, engine };
+      },
+    });
     this.rateLimits = new RateLimits({
       clock,
+      random,
       log,
-      metrics: new Metrics(),
-      countNodes: () => ({ live: members.length, max: members.length }),
+      metrics,
+      countNodes: () => ({ live: membership.live.length, max: this.maxNodes }),
+      coldTargets: this.coldTargets,
     });
+    const broadcast = new ZoneBroadcast({ clock, transport, membership });
+    new ColdReports({ broadcast, coldTargets: this.coldTargets });
     new RateLimitReports({
-      broadcast: new ZoneBroadcast({ clock, transport, membership }),
+      broadcast,
       rateLimits: this.rateLimits,
       isKnown: (id) => this.appliesRateReports && this.engines.some((each) => each.id === id),
     });
     const { rateLimits, table: activeRequests } = this;
     const common = { clock, random, targets, health, rateLimits, activeRequests, transport };
-    const scheduler = new EngineScheduler(common);
+    const scheduler = new EngineScheduler({
+      ...common,
+      isFirstCoordinator: (cell) => cells.isFirst(cell),
+    });
     new PlacementServer({ ...common, scheduler, findProfile: () => this.profile });
     const publisher = new LoadReporter({ ...common, channel, node: self.name });
     publisher.start();
     this.prompts = new PromptScheduler({
       ...common,
-      pauses: new TargetPauses({ clock, random, log, metrics: new Metrics() }),
+      pauses: new TargetPauses({ clock, random, log, metrics }),
       scheduler,
       publisher,
       cells,
@@ -74,7 +104,7 @@
         log,
         findEngine: (id) => this.engines.find((each) => each.id === id),
       }),
-      isCoordinated: () => true,
+      isCoordinated: () => this.hasJoined,
       onPlaced: (cell) => {
         channel.recordUse(cell);
       },
--- a/packages/gateway/src/common/placement/RateLimits.test.ts
+++ b/packages/gateway/src/common/placement/RateLimits.test.ts
@@ -25,6 +25,8 @@
       clock,
       log: new DecisionLog(clock, node, () => true),
       metrics: new Metrics(),
+      random: new SeededRandom(1),
+      coldTargets: { find: () => undefined, hasCold: false },
       countNodes: () => ({ live, max: 4 }),
     });
   }
--- a/packages/gateway/src/common/placement/RateLimits.ts
+++ b/packages/gateway/src/common/placement/RateLimits.ts
@@ -1,12 +1,21 @@
 /**
- * Keeps the request rates to which targets limit all nodes together, as their answers state them.
+ * Keeps the request rates to which targets limit all nodes together, as their answers state them or
+ * because they are cold. If both apply to a target, both are kept.
  * Load pattern: each node sends a target less than it stated, and all of them together several
  * times as much. So each node counts the requests of all nodes: those that it sends, those that it
- * places for others, and those that others report. A limit is in force until the target sends an
- * answer without one.
+ * places for others, and those that others report. A stated limit is in force until the target sends
+ * an answer without one, and that of a cold target until it is warm.
  */
-import { type Clock, DisposableOwner, Emitter, type Metrics } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  Emitter,
+  type Metrics,
+  type RandomSource,
+} from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
+import { ColdRate, type ColdShare } from './ColdRate.js';
+import type { ColdLimit } from './ColdTargets.js';
 import { RequestRate } from './RequestRate.js';
 import { RetrySchedule } from './RetrySchedule.js';
 
@@ -14,6 +23,32 @@
 const STATEMENT_REPEAT_MS = 1_000;
 /** Longer than the time from a decision to the last report of its request. */
 const REQUEST_ID_TTL_MS = 5_000;
+/**
+ * Time by which the count of the coordinator that placed a prompt on a cold target may differ from
+ * that of the node that sends it.
+ */
+const COUNT_TOLERANCE_MS = 100;
+/** Requests that started longer ago are repeated reports, which were counted by other coordinators. */
+const MAX_START_AGE_MS = 250;
+/** Longest time for which a node decides to wait for a cold target without a coordinator. */
+const MAX_COLD_WAIT_MS = 100;
+/** Number of nodes that is assumed by one that has not joined any others yet. */
+const ASSUMED_NODES = 100;
+/**
+ * Part of the nodes below which those that this one can reach have turns at a cold target, as there
+ * may be many groups of nodes that do not reach each other.
+ */
+const MIN_REACHABLE_SHARE = 0.25;
+
+/** Who decides on the requests that are sent to a target. */
+export enum RateDecider {
+  /** One node for all, or nodes that see what the others send. */
+  Shared = 'shared',
+  /** The standby of a coordinator, which may decide as well. */
+  Standby = 'standby',
+  /** Each node by itself, without the requests of others. */
+  Alone = 'alone',
+}
 
 /** The numbers of nodes by which a limit is divided when nodes can't reach each other. */
 export interface NodeCounts {
@@ -26,7 +61,16 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
+  readonly random: RandomSource;
   readonly countNodes: () => NodeCounts;
+  readonly coldTargets: ColdLimits;
+}
+
+/** The limits of cold targets; see `ColdTargets`. */
+export interface ColdLimits {
+  /** `undefined` when the target is warm. */
+  find(target: string): ColdLimit | undefined;
+  readonly hasCold: boolean;
 }
 
 /** What a target states: the requests per second that it takes, or `undefined` for no limit. */
@@ -43,12 +87,19 @@
 }
 
 interface LimitedTarget {
-  readonly rate: RequestRate;
-  reportedAt: number;
+  /** The limit that the target states. */
+  stated: StatedLimit | undefined;
+  /** The pace while the target is cold. */
+  cold: ColdRate | undefined;
   /** By id: when the request was counted. */
   readonly counted: Map<string, number>;
 }
 
+interface StatedLimit {
+  readonly rate: RequestRate;
+  reportedAt: number;
+}
+
 /** Holds the limits of all targets that state one, and decides who may get a request. */
 export class RateLimits extends DisposableOwner {
   private readonly _limited = new Map<string, LimitedTarget>();
@@ -62,20 +113,23 @@
 
   constructor(private readonly _options: RateLimitsOptions) {
     super();
-    _options.metrics.gauge('tanager_targets_rate_limited', () => this._limited.size);
+    _options.metrics.gauge(
+      'tanager_targets_rate_limited',
+      () => [...this._limited.values()].filter(({ stated }) => stated !== undefined).length,
+    );
   }
 
   /** Records what an answer to this node states. */
   public recordStatement(statement: RateStatement): void {
     const { target, requestsPerSecond } = statement;
     const now = this._options.clock.now();
-    const previous = this._limited.get(target);
+    const previous = this._limited.get(target)?.stated;
     const isChanged = this.applyStatement(statement);
     const isDue = previous !== undefined && now - previous.reportedAt >= STATEMENT_REPEAT_MS;
     if (isChanged || (requestsPerSecond !== undefined && isDue)) {
-      const limited = this._limited.get(target);
-      if (limited !== undefined) {
-        limited.reportedAt = now;
+      const stated = this._limited.get(target)?.stated;
+      if (stated !== undefined) {
+        stated.reportedAt = now;
       }
       this._onStatement.fire(statement);
     }
@@ -84,55 +138,77 @@
   /** Applies what a target stated to any node; returns whether that changes its limit. */
   public applyStatement({ requestsPerSecond, target }: RateStatement): boolean {
     const { clock, log } = this._options;
-    const limited = this._limited.get(target);
-    if (limited?.rate.requestsPerSecond === requestsPerSecond) {
+    const limited = this._find(target);
+    const stated = limited?.stated;
+    if (stated?.rate.requestsPerSecond === requestsPerSecond) {
       return false;
     }
     log.write('target.rate-limit', { target, requestsPerSecond: requestsPerSecond ?? 'none' });
-    if (requestsPerSecond === undefined) {
-      this._limited.delete(target);
-    } else if (limited === undefined) {
-      const now = clock.now();
-      const rate = new RequestRate(requestsPerSecond, now);
-      this._limited.set(target, { rate, reportedAt: now, counted: new Map() });
-    } else {
-      limited.rate.requestsPerSecond = requestsPerSecond;
+    if (stated !== undefined && requestsPerSecond !== undefined) {
+      stated.rate.requestsPerSecond = requestsPerSecond;
+      return true;
     }
+    const now = clock.now();
+    this._set(target, {
+      counted: limited?.counted ?? new Map<string, number>(),
+      cold: limited?.cold,
+      stated:
+        requestsPerSecond === undefined
+          ? undefined
+          : { rate: new RequestRate(requestsPerSecond, now), reportedAt: now },
+    });
     return true;
   }
 
   /** Whether any target limits its requests. */
   public get hasLimits(): boolean {
-    return this._limited.size > 0;
+    return this._limited.size > 0 || this._options.coldTargets.hasCold;
   }
 
   /** Whether the target may get a request now. */
-  public permits(target: string): boolean {
-    const limited = this._limited.get(target);
-    return (
-      limited === undefined || limited.rate.waitMs(this._options.clock.now(), this._share()) === 0
-    );
+  public permits(target: string, decider = RateDecider.Shared): boolean {
+    const limited = this._find(target);
+    return limited === undefined || this._waitMs(limited, decider) === 0;
   }
 
   /**
    * Time until one of the targets may get a request after `ahead` others; 0 when one of them has no
    * limit, or when there are none.
    */
-  public waitMs(targets: readonly string[], ahead = 0): number {
+  public waitMs(targets: readonly string[], ahead = 0, decider = RateDecider.Shared): number {
     const limited = this._allLimited(targets);
-    const now = this._options.clock.now();
-    const share = this._share();
-    const waits = limited.map(({ rate }) => rate.waitMs(now, share));
-    return limited.length === 0 ? 0 : Math.min(...waits) + ahead * this.intervalMs(targets);
+    const waits = limited.map((each) => this._waitMs(each, decider));
+    return limited.length === 0
+      ? 0
+      : Math.min(...waits) + ahead * this.intervalMs(targets, decider);
   }
 
   /** Time between two requests to the targets together; 0 when one of them has no limit. */
-  public intervalMs(targets: readonly string[]): number {
+  public intervalMs(targets: readonly string[], decider = RateDecider.Shared): number {
     const share = this._share();
-    const rates = this._allLimited(targets).map(({ rate }) => 1 / rate.intervalMs(share));
+    const coldShare = this._coldShare(decider);
+    const rates = this._allLimited(targets).map(({ cold, stated }) => {
+      return 1 / Math.max(stated?.rate.intervalMs(share) ?? 0, cold?.intervalMs(coldShare) ?? 0);
+    });
     return rates.length === 0 ? 0 : 1 / rates.reduce((sum, rate) => sum + rate, 0);
   }
 
+  /**
+   * Whether a request that no coordinator decides may wait for one of the targets after `ahead`
+   * others. All nodes would send a request that waits for a stated limit at the same moment. Cold
+   * targets have a short interval, and a node that decides alone has turns of its own at them.
+   */
+  public permitsWaiting(targets: readonly string[], ahead: number, decider: RateDecider): boolean {
+    const limited = this._allLimited(targets);
+    const isAnyCold = limited.some(
+      ({ cold, stated }) => cold !== undefined && stated === undefined,
+    );
+    if (!isAnyCold) {
+      return this.waitMs(targets, ahead) === 0;
+    }
+    return decider === RateDecider.Alone || this.waitMs(targets, ahead) <= MAX_COLD_WAIT_MS;
+  }
+
   /** Time after which a refused caller of the service should retry, in turn with the others. */
   public nextTurnMs(service: string, targets: readonly string[]): number {
     let turns = this._turns.get(service);
@@ -146,9 +222,19 @@
   }
 
   /** Counts a request that this node places and another one, or this one, will send. */
-  public reserve(targets: readonly string[], request: string): void {
+  public reserve(targets: readonly string[], request: string, decider = RateDecider.Shared): void {
     for (const target of targets) {
       this.countRequest({ target, request });
+      this._recordPlaced(target, decider);
+    }
+  }
+
+  /** Counts a request that a node reports to coordinators, for those of its targets that are cold. */
+  public countStarted(targets: readonly string[], request: string, startedAt: number): void {
+    if (this._options.clock.now() - startedAt < MAX_START_AGE_MS) {
+      for (const target of targets.filter((each) => this._find(each)?.cold !== undefined)) {
+        this.countRequest({ target, request });
+      }
     }
   }
 
@@ -157,14 +243,13 @@
    * now; a request that was counted when it was placed is always admitted.
    */
   public admit(targets: readonly string[], request: string): boolean {
-    const isAdmitted = targets.every(
-      (target) => this._limited.get(target)?.counted.has(request) === true || this.permits(target),
-    );
+    const isAdmitted = targets.every((target) => {
+      const limited = this._find(target);
+      return limited === undefined || limited.counted.has(request) || this._isDue(limited);
+    });
     if (isAdmitted) {
-      for (const target of targets.filter((each) => this._limited.has(each))) {
-        this.countRequest({ target, request });
-        this._options.metrics.increment('tanager_rate_limited_requests_total');
-        this._onRequest.fire({ target, request });
+      for (const target of targets) {
+        this._count(target, request);
       }
     }
     return isAdmitted;
@@ -176,14 +261,14 @@
    */
   public confirm(targets: readonly string[], request: string): boolean {
     const uncounted = targets.filter(
-      (target) => this._limited.get(target)?.counted.has(request) === false,
+      (target) => this._find(target)?.counted.has(request) === false,
     );
     return uncounted.length === 0 || this.admit(uncounted, request);
   }
 
   /** Counts a request of any node, once by its id. */
   public countRequest({ request, target }: SentRequest): void {
-    const limited = this._limited.get(target);
+    const limited = this._find(target);
     if (limited === undefined || limited.counted.has(request)) {
       return;
     }
@@ -195,7 +280,8 @@
       limited.counted.delete(id);
     }
     limited.counted.set(request, now);
-    limited.rate.count(now, this._share());
+    limited.stated?.rate.count(now, this._share());
+    limited.cold?.count(now, this._coldShare(RateDecider.Shared).reachable);
   }
 
   /** Removes the limit of a target that is gone. */
@@ -203,9 +289,94 @@
     this._limited.delete(target);
   }
 
+  /** Counts a request that this node is about to send, and reports it unless coordinators do. */
+  private _count(target: string, request: string): void {
+    const limited = this._find(target);
+    if (limited === undefined) {
+      return;
+    }
+    this.countRequest({ target, request });
+    this._recordPlaced(target, RateDecider.Shared);
+    this._options.metrics.increment('tanager_rate_limited_requests_total');
+    const isCoordinated = this._options.coldTargets.find(target)?.isCoordinated === true;
+    if (limited.stated !== undefined || !isCoordinated) {
+      this._onRequest.fire({ target, request });
+    }
+  }
+
+  private _recordPlaced(target: string, decider: RateDecider): void {
+    const now = this._options.clock.now();
+    this._limited.get(target)?.cold?.recordPlaced(now, this._coldShare(decider));
+  }
+
+  /** The limits of a target, with that for cold ones as far as it is cold now. */
+  private _find(target: string): LimitedTarget | undefined {
+    const { clock, coldTargets, random } = this._options;
+    const limited = this._limited.get(target);
+    const coldLimit = coldTargets.find(target);
+    if (coldLimit === undefined) {
+      return limited?.cold === undefined
+        ? limited
+        : this._set(target, { ...limited, cold: undefined });
+    }
+    const { requestsPerSecond } = coldLimit;
+    if (limited?.cold !== undefined) {
+      limited.cold.requestsPerSecond = requestsPerSecond;
+      return limited;
+    }
+    return this._set(target, {
+      stated: limited?.stated,
+      counted: limited?.counted ?? new Map<string, number>(),
+      cold: new ColdRate(requestsPerSecond, clock.now(), random.next()),
+    });
+  }
+
+  /** Replaces the limits of a target; it has none when neither applies. */
+  private _set(target: string, limited: LimitedTarget): LimitedTarget | undefined {
+    if (limited.stated === undefined && limited.cold === undefined) {
+      this._limited.delete(target);
+      return undefined;
+    }
+    this._limited.set(target, limited);
+    return limited;
+  }
+
+  private _waitMs({ cold, stated }: LimitedTarget, decider: RateDecider): number {
+    const now = this._options.clock.now();
+    return Math.max(
+      stated?.rate.waitMs(now, this._share()) ?? 0,
+      cold?.waitMs(now, this._coldShare(decider)) ?? 0,
+    );
+  }
+
+  /** Whether a request may be sent that this node or a coordinator has decided to send. */
+  private _isDue({ cold, stated }: LimitedTarget): boolean {
+    const now = this._options.clock.now();
+    // Turns are those of the node that decided.
+    const share = { ...this._coldShare(RateDecider.Shared), turns: undefined };
+    return (
+      (stated?.rate.waitMs(now, this._share()) ?? 0) === 0 &&
+      (cold?.waitMs(now, share) ?? 0) <= COUNT_TOLERANCE_MS
+    );
+  }
+
+  private _coldShare(decider: RateDecider): ColdShare {
+    const { live, max } = this._options.countNodes();
+    const share = this._share();
+    // Nodes notice at different moments that they can't reach each other. The square leaves room for
+    // those that have not noticed it and use the whole rate.
+    const reachable = share ** 2;
+    const isStandby = decider === RateDecider.Standby;
+    if (decider === RateDecider.Alone) {
+      const nodes = live > 1 ? max : Math.max(max, ASSUMED_NODES);
+      return { reachable, isStandby, turns: 1 / nodes };
+    }
+    return { reachable, isStandby, turns: share < MIN_REACHABLE_SHARE ? share : undefined };
+  }
+
   /** The limits of the targets, or none when one of them has no limit. */
   private _allLimited(targets: readonly string[]): readonly LimitedTarget[] {
-    const limited = targets.map((target) => this._limited.get(target));
+    const limited = targets.map((target) => this._find(target));
     const known = limited.filter((each) => each !== undefined);
     return known.length === limited.length ? known : [];
   }
--- a/packages/gateway/src/common/placement/RequestRate.ts
+++ b/packages/gateway/src/common/placement/RequestRate.ts
@@ -1,9 +1,10 @@
 /**
  * Paces the requests to a target that limits their rate, by the generic cell rate algorithm. After a
- * pause, as many requests may follow each other at once as the limit allows in `MAX_CREDIT_MS`.
+ * pause, as many requests may follow each other at once as the limit allows in the time of which
+ * unused requests may be made up for.
  */
 
-/** Time of which unused requests may be made up for. */
+/** Time of which unused requests may be made up for, if the target states its limit itself. */
 const MAX_CREDIT_MS = 1_000;
 /** A target that gets no request can't state that its limit has ended. */
 const MIN_REQUESTS_PER_SECOND = 0.1;
@@ -17,6 +18,7 @@
   constructor(
     public requestsPerSecond: number,
     now: number,
+    private readonly _maxCreditMs = MAX_CREDIT_MS,
   ) {
     this._dueAt = now;
   }
@@ -33,6 +35,6 @@
 
   /** Counts a request that was sent, whether or not it was due. */
   public count(now: number, share: number): void {
-    this._dueAt = Math.max(this._dueAt, now - MAX_CREDIT_MS) + this.intervalMs(share);
+    this._dueAt = Math.max(this._dueAt, now - this._maxCreditMs) + this.intervalMs(share);
   }
 }
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -24,6 +24,13 @@
 /** Identifies one instance of a target, of those that had its id. */
 export type TargetInstance = Pick<TargetEntry, 'id' | 'startedAt'>;
 
+/** An entry as it was just read, whether or not it differs from the one before. */
+export interface ReadEntry {
+  readonly entry: TargetEntry;
+  /** Whether the node read it at its start, with the first snapshot or before it. */
+  readonly isInitial: boolean;
+}
+
 export interface TargetTableOptions {
   readonly clock: Clock;
   readonly table: KeyedTable;
@@ -47,6 +54,11 @@
   /** Fires with an entry that was added, changed or removed; a removed one is marked draining. */
   public readonly onChange = this._onChange.event;
 
+  private readonly _onRead = this.register(new Emitter<ReadEntry>());
+  /** Fires with each readable entry, before `onChange`. */
+  public readonly onRead = this._onRead.event;
+  private _isLoaded = false;
+
   constructor(private readonly _options: TargetTableOptions) {
     super();
     this.register(
@@ -54,6 +66,7 @@
         for (const record of records) {
           this._applyRecord(record);
         }
+        this._isLoaded = _options.table.hasSnapshot;
       }),
     );
   }
@@ -179,6 +192,7 @@
     const previous = this._entries.get(id);
     this._removalDueAt.delete(id);
     this._entries.set(id, entry);
+    this._onRead.fire({ entry, isInitial: !this._isLoaded });
     if (previous === undefined || !isSame(previous, entry)) {
       const { address, isDraining, service, startedAt } = entry;
       log.write('target.known', {
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -10,6 +10,7 @@
   isRepeatable,
 } from '../common/Execution.js';
 import type { TargetEntry } from '../common/Messages.js';
+import { RateDecider } from '../common/placement/RateLimits.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
 import { type BufferedOutcome, exchangeBuffered } from './BufferedExchange.js';
@@ -146,13 +147,13 @@
   }
 
   /**
-   * Whether all targets limit their requests and take none now; sets the time to retry. The call
-   * does not wait: all nodes with waiting calls would send one at the same moment.
+   * Whether all targets limit their requests and take none soon; sets the time to retry. The call
+   * waits for cold targets only, and not for long.
    */
   private _isRateLimited(): boolean {
     const { rateLimits } = this._dependencies;
     const ids = this._untriedTargets().map(({ id }) => id);
-    if (rateLimits.waitMs(ids) === 0) {
+    if (rateLimits.permitsWaiting(ids, 0, RateDecider.Shared)) {
       return false;
     }
     this._cause = `${ids.length} targets limit the rate of their requests`;
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -13,6 +13,7 @@
   TargetEntry,
   TargetService,
 } from '../common/Messages.js';
+import type { ColdTargets } from '../common/placement/ColdTargets.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -38,6 +39,7 @@
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
+  readonly coldTargets: ColdTargets;
   readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -12,8 +12,10 @@
   type ForwardingConfiguration,
   type ForwardRoute,
   type TargetEntry,
+  type WarmUp,
 } from '../common/Messages.js';
 import { type ActiveRequest, ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
+import { ColdTargets } from '../common/placement/ColdTargets.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import {
   type ActiveRequestPublisher,
@@ -176,6 +178,10 @@
   readonly onLine?: (line: string) => void;
   /** Size of the retry budget, which is not replenished. */
   readonly budgetAllowance?: number;
+  /** What the targets of all services tolerate while they are cold. */
+  readonly warmUp?: WarmUp;
+  /** Differs between nodes that take part in one test. */
+  readonly seed?: number;
   /** Refuses every reservation by default. */
   readonly engineReservations?: EngineReservations;
 }
@@ -193,8 +199,10 @@
     engineReservations = noReservations,
     onLine,
     upstream,
+    warmUp,
+    seed = 1,
   }: ForwardingFixtureOptions) {
-    const random = new SeededRandom(1);
+    const random = new SeededRandom(seed);
     const log = new DecisionLog(clock, 'n', (line) => {
       onLine?.(line);
       return true;
@@ -219,11 +227,26 @@
     const liveNodes = (): number => 1;
     const health = new TargetHealth(clock);
     const metrics = new Metrics();
+    const coldTargets = new ColdTargets({
+      clock,
+      log,
+      metrics,
+      findTarget: (id) => targets.find(id),
+      findService: (name) => {
+        const service = configuration.services.find((each) => each.name === name);
+        return service === undefined ? undefined : { ...service, warmUp };
+      },
+    });
+    targets.onRead((read) => {
+      coldTargets.applyEntry(read);
+    });
     const rateLimits = new RateLimits({
       clock,
+      random,
       log,
       metrics,
       countNodes: () => ({ live: 1, max: 1 }),
+      coldTargets,
     });
     const pauses = new TargetPauses({ clock, random, log, metrics });
     const common = {
@@ -233,6 +256,7 @@
       health,
       pauses,
       rateLimits,
+      coldTargets,
       availabilityZone: ZONE,
       liveNodes,
     };
@@ -246,7 +270,11 @@
       scheduler: new PromptScheduler({
         ...common,
         node: 'n',
-        scheduler: new EngineScheduler({ ...common, activeRequests }),
+        scheduler: new EngineScheduler({
+          ...common,
+          activeRequests,
+          isFirstCoordinator: () => true,
+        }),
         publisher: publisherTo(activeRequests),
         cells: { coordinatorsOf: () => [{ name: 'n', peerAddress: '' }] },
         isCoordinated: () => true,
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -23,6 +23,8 @@
 import type { TargetEntry } from '../common/Messages.js';
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
 import { CellDirectory } from '../common/placement/CellDirectory.js';
+import { ColdReports } from '../common/placement/ColdReports.js';
+import { ColdTargets } from '../common/placement/ColdTargets.js';
 import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
 import { EngineScheduler } from '../common/placement/EngineScheduler.js';
 import { FailureReports } from '../common/placement/FailureReports.js';
@@ -87,6 +89,7 @@
   private readonly _answerBuffers = new AnswerBuffers();
   private readonly _pauses: TargetPauses;
   private readonly _rateLimits: RateLimits;
+  private readonly _coldTargets: ColdTargets;
   private readonly _connections: TargetConnections;
   private readonly _controlServer: ControlServer;
   private _startedAt = Number.POSITIVE_INFINITY;
@@ -108,10 +111,12 @@
       }),
     );
     this._pauses = this.register(new TargetPauses(_options));
+    this._coldTargets = this._createColdTargets();
     const countNodes = (): NodeCounts => {
       return { live: membership.live.length, max: this._countNodesForShares() };
     };
-    this._rateLimits = this.register(new RateLimits({ ..._options, countNodes }));
+    const { _coldTargets: coldTargets } = this;
+    this._rateLimits = this.register(new RateLimits({ ..._options, countNodes, coldTargets }));
     this._connections = this.register(
       new TargetConnections({
         ..._options,
@@ -119,6 +124,7 @@
         targets: this._platform.targets,
         pauses: this._pauses,
         rateLimits: this._rateLimits,
+        coldTargets,
         relayAddress: settings.listen.relay,
         isDraining: () => this._isDraining,
       }),
@@ -219,6 +225,23 @@
     return this.register(new SwimMembership({ clock, random, transport, timeLine, seeds, self }));
   }
 
+  private _createColdTargets(): ColdTargets {
+    const { configuration, targets } = this._platform;
+    const coldTargets = this.register(
+      new ColdTargets({
+        ...this._options,
+        findTarget: (id) => targets.find(id),
+        findService: (name) => configuration.service(name),
+      }),
+    );
+    this.register(
+      targets.onRead((read) => {
+        coldTargets.applyEntry(read);
+      }),
+    );
+    return coldTargets;
+  }
+
   private _createForwardingDependencies(
     activeRequests: ActiveRequestTable,
     cells: CellDirectory,
@@ -233,9 +256,10 @@
     );
     this.register(new FailureReports({ broadcast, health, node }));
     this.register(new LeavingReports({ broadcast, targets }));
-    const { _pauses: pauses, _rateLimits: rateLimits } = this;
+    const { _coldTargets: coldTargets, _pauses: pauses, _rateLimits: rateLimits } = this;
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
+    this.register(new ColdReports({ broadcast, coldTargets }));
     const quarantine = this.register(new CrashQuarantine(this._options));
     this._quarantineReports = this.register(
       new QuarantineReports({
@@ -254,6 +278,7 @@
           upstream.closeTarget(entry);
           health.remove(entry.id);
           rateLimits.remove(entry.id);
+          coldTargets.remove(entry);
         }
       }),
     );
@@ -266,9 +291,15 @@
     );
     const common = {
       ...{ clock, random, targets, health, pauses },
-      ...{ rateLimits, availabilityZone, liveNodes },
+      ...{ rateLimits, coldTargets, availabilityZone, liveNodes },
     };
-    const engineScheduler = this.register(new EngineScheduler({ ...common, activeRequests }));
+    const engineScheduler = this.register(
+      new EngineScheduler({
+        ...common,
+        activeRequests,
+        isFirstCoordinator: (cell) => cells.isFirst(cell),
+      }),
+    );
     this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
     this.register(
       new PlacementServer({
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -9,6 +9,7 @@
 import type { DecisionLog } from '../../common/DecisionLog.js';
 import { RelayChoice } from '../../common/paths/RelayChoice.js';
 import { TargetPaths } from '../../common/paths/TargetPaths.js';
+import type { ColdTargets } from '../../common/placement/ColdTargets.js';
 import type { RateLimits } from '../../common/placement/RateLimits.js';
 import type { TargetPauses } from '../../common/placement/TargetPauses.js';
 import { recordStatements } from '../../common/placement/TargetStatements.js';
@@ -29,6 +30,7 @@
   readonly targets: TargetTable;
   readonly pauses: TargetPauses;
   readonly rateLimits: RateLimits;
+  readonly coldTargets: ColdTargets;
   readonly dialect: Pick<Dialect, 'parseTargetAnswer'>;
   /** `IP:port` at which this node relays connections; all nodes use the same port. */
   readonly relayAddress: string;
