--- a/packages/gateway/src/common/placement/PlacementNode.ts
+++ b/packages/gateway/src/common/placement/PlacementNode.ts
@@ -1,9 +1,10 @@
 /** The placement components of one node, connected as in a gateway node. Not shipped. */
 import { FixedMembership, type MemoryNetwork } from '@tanagerdyke/fakes';
-import { Metrics } from '@tanagerdyke/kernel';
+import { Emitter, Metrics } from '@tanagerdyke/kernel';
 import { type Member, ZoneBroadcast } from '@tanagerdyke/mesh';
 import { DecisionLog } from '../DecisionLog.js';
 import type { EngineProfile, TargetEntry, WarmUp } from '../Messages.js';
+import type { ZoneChange } from '../state/ZoneEvacuations.js';
 import { ActiveRequestTable } from './ActiveRequestTable.js';
 import { CellDirectory } from './CellDirectory.js';
 import { ColdReports } from './ColdReports.js';
@@ -29,6 +30,8 @@
   public readonly membership: FixedMembership;
   /** Engines that accept requests, by the records of this node. */
   public engines: readonly TargetEntry[];
+  private readonly _evacuatedZones = new Set<string>();
+  private readonly _onEvacuation = new Emitter<ZoneChange>();
   public profile: EngineProfile | undefined = simpleProfile;
   /** What the engines tolerate while they are cold. */
   public warmUp: WarmUp | undefined;
@@ -56,7 +59,14 @@
     const log = new DecisionLog(clock, self.name, () => true);
     this.engines = engines;
     this.table = new ActiveRequestTable(clock, self.name);
-    const targets = { acceptingTargets: (): readonly TargetEntry[] => this.engines };
+    const isEvacuated = (engine: TargetEntry): boolean =>
+      this._evacuatedZones.has(engine.availabilityZone);
+    const targets = {
+      acceptingTargets: (): readonly TargetEntry[] =>
+        this.engines.filter((each) => !isEvacuated(each)),
+      evacuatedTargets: (): readonly TargetEntry[] => this.engines.filter(isEvacuated),
+      onEvacuation: this._onEvacuation.event,
+    };
     const metrics = new Metrics();
     this.coldTargets = new ColdTargets({
       clock,
@@ -102,7 +112,7 @@
         clock,
         transport,
         log,
-        findEngine: (id) => this.engines.find((each) => each.id === id),
+        findEngine: (id) => targets.acceptingTargets().find((each) => each.id === id),
       }),
       isCoordinated: () => this.hasJoined,
       onPlaced: (cell) => {
@@ -112,4 +122,14 @@
       availabilityZone: self.availabilityZone,
     });
   }
+
+  /** Evacuates a zone at this node, or ends its evacuation. */
+  public evacuate(zone: string, isEvacuated = true): void {
+    if (isEvacuated) {
+      this._evacuatedZones.add(zone);
+    } else {
+      this._evacuatedZones.delete(zone);
+    }
+    this._onEvacuation.fire({ zone, isEvacuated });
+  }
 }
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -1,6 +1,6 @@
 /**
- * A node's copy of the platform's state: the configuration in force and the targets. Updates come
- * from the platform itself and from peers.
+ * A node's copy of the platform's state: the configuration in force, the evacuated zones and the
+ * targets. Updates come from the platform itself and from peers.
  */
 import {
   type Clock,
@@ -21,9 +21,12 @@
 import { configurationSuccession, targetSuccession } from './RecordSuccessions.js';
 import { TargetTable } from './TargetTable.js';
 import { TopicFollower } from './TopicFollower.js';
+import { ZoneEvacuations } from './ZoneEvacuations.js';
 
 /** The platform counts as disconnected after this time without a response; a late poll takes 2.2 s. */
 const CONNECTION_TIMEOUT_MS = 2_700;
+/** Longer than a poll without new records takes, and than reports of pollers are apart. */
+const UNCONFIRMED_AFTER_MS = 2_000;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
 /**
@@ -47,7 +50,9 @@
 /** Owns the tables, the followers of the platform's topics and the relay between nodes. */
 export class PlatformView extends DisposableOwner {
   public readonly configuration: ConfigurationState;
+  public readonly evacuations: ZoneEvacuations;
   public readonly targets: TargetTable;
+  private readonly _configurationRecords: KeyedTable;
   private readonly _targetRecords: KeyedTable;
   private readonly _followers: readonly TopicFollower[];
   private readonly _relay: PeerRelay;
@@ -75,20 +80,31 @@
       configurationTopic.name,
       configurationSuccession(decoder),
     );
+    this._configurationRecords = configurationRecords;
     this._targetRecords = this._createTable(targetTopic.name, targetSuccession(decoder));
     this.configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
+    this.evacuations = this.register(
+      new ZoneEvacuations({
+        table: configurationRecords,
+        decoder,
+        log,
+        countTargets: (zone) =>
+          this._targetRecords.hasSnapshot ? this.targets.targetsInZone(zone).length : undefined,
+      }),
+    );
     this.targets = this.register(
       new TargetTable({
         clock,
         table: this._targetRecords,
         decoder,
         log,
+        evacuations: this.evacuations,
         hadRecentOutage: () => this._hadRecentOutage() || this._relay.isOutageReported,
       }),
     );
-    for (const event of [this.configuration.onChange, this._targetRecords.onChange]) {
+    for (const table of [configurationRecords, this._targetRecords]) {
       this.register(
-        event(() => {
+        table.onChange(() => {
           if (this.isReady) {
             this._onUpdate.fire();
           }
@@ -112,9 +128,13 @@
     );
   }
 
-  /** Whether a configuration and the targets are loaded, so that requests can be routed. */
+  /**
+   * Whether the configuration, the evacuated zones and the targets are loaded, so that requests can
+   * be routed. A configuration without a snapshot of its topic does not show which zones are evacuated.
+   */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this._targetRecords.hasSnapshot;
+    const tables = [this._configurationRecords, this._targetRecords];
+    return this.configuration.current !== undefined && tables.every((each) => each.hasSnapshot);
   }
 
   /** Newest epoch of the platform's log that this node has a record of; 0 if none is stated. */
@@ -136,6 +156,17 @@
     return this._options.clock.now() - Math.max(lastResponseAt, this._relay.pollerConnectedAt);
   }
 
+  /**
+   * Whether a newer configuration may be in force than this node has: a peer has reported one, or
+   * neither the platform nor a connected poller has responded for a while. What the present one does
+   * not allow must not be denied for good then.
+   */
+  public get mayBeOutdated(): boolean {
+    return (
+      this.silenceMs > UNCONFIRMED_AFTER_MS || this._relay.isBehind(this._configurationRecords)
+    );
+  }
+
   /** Longest recent delay of a timer of this process, in ms. */
   public get timerDelayMs(): number {
     return this._timerDelay.recentMs;
--- a/packages/gateway/src/common/state/RecordFetcher.ts
+++ b/packages/gateway/src/common/state/RecordFetcher.ts
@@ -110,6 +110,12 @@
     }
   }
 
+  /** Whether a peer has reported records that the table lacks. */
+  public isBehind(table: KeyedTable): boolean {
+    const sources = this._topics.get(table.name)?.sources.values() ?? [];
+    return [...sources].some((progress) => isBehind(table, progress));
+  }
+
   private _stateOf(table: KeyedTable): TopicState {
     let state = this._topics.get(table.name);
     if (state === undefined) {
@@ -438,6 +444,8 @@
   } else if (isKnown && (!table.hasSnapshot || epoch > table.epoch)) {
     const present = records.filter(({ value }) => value !== undefined);
     table.applySnapshot({ epoch, records: present, end });
+    // A snapshot does not say which of the missing keys were removed since the restore.
+    table.apply(records, end, epoch);
   } else {
     table.apply(records, end, epoch);
   }
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -36,6 +36,8 @@
   readonly log: DecisionLog;
   readonly dialect: Dialect;
   readonly configuration: ConfigurationState;
+  /** Whether a newer configuration may be in force than this node has. */
+  readonly mayBeOutdated: () => boolean;
   readonly targets: TargetTable;
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
@@ -88,6 +90,8 @@
   /** The answer had begun and was cut, so that it doesn't look complete. */
   Aborted = 'broken-off',
   CallerDisconnected = 'caller-left',
+  /** This node ended before the request did, and said so. */
+  Ended = 'node-ended',
 }
 
 /** Fields of the log record of a finished request. */
