--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -17,7 +17,7 @@
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
 import { capacityWaitMs } from './CapacityWait.js';
 import type { CostEstimates } from './CostEstimates.js';
-import { isInCell, keyOfCell } from './EngineCells.js';
+import { type EngineCell, isInCell, keyOfCell } from './EngineCells.js';
 import { computeLoads, type EngineLoad } from './EngineLoad.js';
 import { prefillMs } from './EngineTiming.js';
 import { evacuationRetryMs } from './EvacuatedTargets.js';
@@ -31,7 +31,7 @@
 import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
-import type { RateLimits } from './RateLimits.js';
+import { RateDecider, type RateLimits } from './RateLimits.js';
 import { RetrySchedule } from './RetrySchedule.js';
 import type { TargetHealth } from './TargetHealth.js';
 
@@ -70,6 +70,8 @@
   readonly rateLimits: RateLimits;
   readonly costs: CostEstimates;
   readonly random: RandomSource;
+  /** Whether this node is the first coordinator of a cell, as far as it can tell. */
+  readonly isFirstCoordinator: (cell: EngineCell) => boolean;
 }
 
 /** How far a decision can rely on the account. */
@@ -125,6 +127,11 @@
         }
       }),
     );
+    this.register(
+      _options.activeRequests.onStart(({ node, request: { id, startedAt, targets } }) => {
+        _options.rateLimits.countStarted(targets, requestKey({ id, node }), startedAt);
+      }),
+    );
     this.register(
       _options.targets.onEvacuation(({ isEvacuated }) => {
         this._loads = undefined;
@@ -161,9 +168,11 @@
     if (decision !== undefined) {
       return Promise.resolve(decision);
     }
-    // Nodes that decide alone would all send a waiting prompt at the moment that a limit allows one.
-    const mayWait = account === AccountState.Complete || this._rateWaitMs(request, ahead) === 0;
-    if (!mayWait || now + this._expectedWaitMs(request, ahead) >= waitUntil) {
+    const decider = this._deciderOf(request, account);
+    const mayWait =
+      account === AccountState.Complete ||
+      this._options.rateLimits.permitsWaiting(this._usableIds(request), ahead, decider);
+    if (!mayWait || now + this._expectedWaitMs(request, ahead, decider) >= waitUntil) {
       return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
     }
     return new Promise((resolve) => {
@@ -259,14 +268,18 @@
       const isEvacuated = this._evacuationRetryMs(request) !== undefined;
       return isEvacuated ? this._refuse(request, PlacementRefusal.NoCapacity, 0) : undefined;
     }
-    const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
+    const decider = this._deciderOf(request, account);
+    const eligible = loads.filter(
+      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id, decider),
+    );
+    const placement = this._place(request, eligible, RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
       return this._refuse(request, PlacementRefusal.NetLoss, 0);
     }
     if (placement !== undefined) {
       table.set(request.node, toActiveRequest(request, placement, clock.now()));
       this._expectFirstEvent(request, placement);
-      rateLimits.reserve(idsOf(placement.targets), requestKey(request));
+      rateLimits.reserve(idsOf(placement.targets), requestKey(request), decider);
     }
     return placement;
   }
@@ -280,6 +293,13 @@
     }
   }
 
+  private _deciderOf({ cell }: PromptRequest, account: AccountState): RateDecider {
+    if (account === AccountState.Partial) {
+      return RateDecider.Alone;
+    }
+    return this._options.isFirstCoordinator(cell) ? RateDecider.Shared : RateDecider.Standby;
+  }
+
   /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
   private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
     const { activeRequests, clock, costs } = this._options;
@@ -303,13 +323,10 @@
 
   private _place(
     request: PromptRequest,
-    loads: readonly EngineLoad[],
+    eligible: readonly EngineLoad[],
     randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
-    const { clock, health, rateLimits } = this._options;
-    const eligible = loads.filter(
-      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id),
-    );
+    const { clock, health } = this._options;
     const healthy = eligible.filter(
       ({ entry: { id } }) =>
         !request.suspects.has(id) &&
@@ -331,13 +348,16 @@
   }
 
   /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
-  private _expectedWaitMs(request: PromptRequest, ahead: number): number {
-    return Math.max(this._capacityWaitMs(request, ahead), this._rateWaitMs(request, ahead));
+  private _expectedWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
+    return Math.max(
+      this._capacityWaitMs(request, ahead),
+      this._rateWaitMs(request, ahead, decider),
+    );
   }
 
-  private _rateWaitMs(request: PromptRequest, ahead: number): number {
+  private _rateWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
     const { rateLimits } = this._options;
-    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead) : 0;
+    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead, decider) : 0;
   }
 
   private _usableIds(request: PromptRequest): readonly string[] {
--- a/packages/gateway/src/common/placement/LearnedPlacement.test.ts
+++ b/packages/gateway/src/common/placement/LearnedPlacement.test.ts
@@ -41,8 +41,11 @@
         clock,
         log,
         metrics,
+        random: new SeededRandom(1),
+        coldTargets: { find: () => undefined, hasCold: false },
         countNodes: () => ({ live: 1, max: 1 }),
       }),
+      isFirstCoordinator: () => true,
     });
   });
 
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -15,6 +15,7 @@
 } from '../common/Messages.js';
 import { allowedRegionsOf, filterCandidates } from '../common/placement/AllowedRegions.js';
 import type { CostEstimates } from '../common/placement/CostEstimates.js';
+import type { ColdTargets } from '../common/placement/ColdTargets.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -43,6 +44,7 @@
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
   readonly costs: CostEstimates;
+  readonly coldTargets: ColdTargets;
   readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
--- a/packages/standins/src/common/measure/PlacementReplay.ts
+++ b/packages/standins/src/common/measure/PlacementReplay.ts
@@ -137,7 +137,15 @@
       },
       activeRequests: this._table,
       health: new TargetHealth(this._clock),
-      rateLimits: new RateLimits({ clock: this._clock, log, metrics: this._metrics, countNodes }),
+      rateLimits: new RateLimits({
+        clock: this._clock,
+        random: this._random,
+        log,
+        metrics: this._metrics,
+        coldTargets: { find: () => undefined, hasCold: false },
+        countNodes,
+      }),
+      isFirstCoordinator: () => true,
       costs: this._costs,
     });
     if (!_options.isLearned) {
