Serve after a restart only by what is in force, and tell new processes which targets leave

Cause: a node that started after the platform had returned from an older copy was ready with that copy as soon as it had read it; until a peer's records arrived, it accepted keys that had been withdrawn and used targets that had left. Statements of targets that they leave were broadcast once, so a node that restarted sent them requests again.

Change: a starting node holds its configuration back until a ready peer has stated how far it is and the node has as much; while no peer is ready for 450 ms, after 3 s at most otherwise (StartupCheck). Relays send their progress to a new process at once. What all nodes lose together, with the records that the store lost, stays unknown.

--- a/packages/gateway/src/common/state/ConfigurationState.ts
+++ b/packages/gateway/src/common/state/ConfigurationState.ts
@@ -14,9 +14,17 @@
 import type { KeyedRecord, RecordDecoder } from '../services/Services.js';
 import type { KeyedTable } from './KeyedTable.js';
 
+/** Decides whether records are held back. */
+export interface ConfigurationOptions {
+  /** Whether records are held back until `release`, as the node may not know the newest ones. */
+  readonly isHeld: boolean;
+}
+
 /** Holds the configuration in force, with lookups of routes, services and workspaces. */
 export class ConfigurationState extends DisposableOwner {
   private _current: ForwardingConfiguration | undefined;
+  /** By key: the newest record, while records are held back. */
+  private _held: Map<string, KeyedRecord> | undefined;
   private _routes = new Map<string, ForwardRoute[]>();
   private _services = new Map<string, TargetService>();
   private _workspaces = new Map<string, CallerWorkspace>();
@@ -27,17 +35,32 @@
     table: KeyedTable,
     private readonly _decoder: RecordDecoder,
     private readonly _log: DecisionLog,
+    { isHeld }: ConfigurationOptions = { isHeld: false },
   ) {
     super();
+    this._held = isHeld ? new Map() : undefined;
     this.register(
       table.onChange((records) => {
         for (const record of records) {
-          this._applyRecord(record);
+          if (this._held === undefined) {
+            this._applyRecord(record);
+          } else {
+            this._held.set(record.key, record);
+          }
         }
       }),
     );
   }
 
+  /** Applies the records that were held back, and all later ones at once. */
+  public release(): void {
+    const held = this._held;
+    this._held = undefined;
+    for (const record of held?.values() ?? []) {
+      this._applyRecord(record);
+    }
+  }
+
   public get current(): ForwardingConfiguration | undefined {
     return this._current;
   }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -22,6 +22,7 @@
   type Member,
   type Membership,
   membersOfOwnZone,
+  MemberStatus,
   type Transport,
 } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
@@ -32,12 +33,14 @@
 import { PIECE_BYTES, RecordSender } from './RecordSender.js';
 import {
   encodeRecord,
+  isBehind,
   parseProgress,
   type PieceResponse,
   PROGRESS_METHOD,
   RECORDS_METHOD,
   type RecordsRequest,
   recordsRequestSchema,
+  type TopicProgress,
 } from './RelayMessages.js';
 
 const PROGRESS_INTERVAL_MS = 500;
@@ -96,13 +99,16 @@
   /** Derived from the members; undefined after one changed. */
   private _currentDuties: PollingDuties | undefined;
   private _outageReportedAt = Number.NEGATIVE_INFINITY;
+  /** By topic: how far the ready peer is that was heard last. */
+  private _readyProgress: ReadonlyMap<string, TopicProgress> | undefined;
 
   constructor(private readonly _options: PeerRelayOptions) {
     super();
     const { clock, membership, tables, transport } = _options;
     this.register(
-      membership.onChange(() => {
+      membership.onChange((member) => {
         this._currentDuties = undefined;
+        this._welcome(member);
       }),
     );
     this._pollerConnectedAt = clock.now();
@@ -159,6 +165,18 @@
     return this._options.clock.now() - this._outageReportedAt < OUTAGE_REPORT_TTL_MS;
   }
 
+  /** Whether a ready peer was heard, and this node has all records that it has. */
+  public get isConfirmed(): boolean {
+    const progress = this._readyProgress;
+    return (
+      progress !== undefined &&
+      this._options.tables.every((table) => {
+        const each = progress.get(table.name);
+        return each === undefined || !isBehind(table, each);
+      })
+    );
+  }
+
   private get _duties(): PollingDuties {
     const { live, self } = this._options.membership;
     this._currentDuties ??= pollingDutiesOf(self.name, live);
@@ -195,6 +213,13 @@
     }
   }
 
+  /** Sends progress to a process that has just started, which waits for it before it serves. */
+  private _welcome({ name, state, stateVersion, status }: Member): void {
+    if (status === MemberStatus.Alive && stateVersion === 0 && !state.isReady) {
+      this._sendProgressTo(this._dependents().filter((each) => each.name === name));
+    }
+  }
+
   /** Sends progress to those that rely on this node, and otherwise to a few peers. */
   private _sendProgress(): void {
     const { membership } = this._options;
@@ -276,11 +301,20 @@
     if (parsed.unsettled) {
       this._outageReportedAt = this._options.clock.now();
     }
-    for (const [index, [name, end]] of parsed.ends.entries()) {
-      const table = this._options.tables.find((each) => each.name === name);
-      const [epoch, earlierDigest = ''] = parsed.epochs?.[index] ?? [];
-      if (table !== undefined) {
-        this._fetcher.recordProgress(parsed.from, table, { end, epoch, earlierDigest });
+    const progress = new Map(
+      parsed.ends.map(([name, end], index) => {
+        const [epoch, earlierDigest = ''] = parsed.epochs?.[index] ?? [];
+        return [name, { end, epoch, earlierDigest }];
+      }),
+    );
+    const { membership, tables } = this._options;
+    if (membership.serving.some(({ peerAddress }) => peerAddress === parsed.from)) {
+      this._readyProgress = progress;
+    }
+    for (const table of tables) {
+      const each = progress.get(table.name);
+      if (each !== undefined) {
+        this._fetcher.recordProgress(parsed.from, table, each);
       }
     }
   }
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -18,12 +18,15 @@
 import { ConfigurationState } from './ConfigurationState.js';
 import { type EpochStart, KeyedTable, type RecordSuccession } from './KeyedTable.js';
 import { PeerRelay } from './PeerRelay.js';
+import { isSettled } from './StartupCheck.js';
 import { configurationSuccession, targetSuccession } from './RecordSuccessions.js';
 import { TargetTable } from './TargetTable.js';
 import { TopicFollower } from './TopicFollower.js';
 
 /** The platform counts as disconnected after this time without a response; a late poll takes 2.2 s. */
 const CONNECTION_TIMEOUT_MS = 2_700;
+/** Interval at which a starting node checks whether it knows what is in force. */
+const STARTUP_CHECK_MS = 20;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
 /**
@@ -76,7 +79,9 @@
       configurationSuccession(decoder),
     );
     this._targetRecords = this._createTable(targetTopic.name, targetSuccession(decoder));
-    this.configuration = this.register(new ConfigurationState(configurationRecords, decoder, log));
+    this.configuration = this.register(
+      new ConfigurationState(configurationRecords, decoder, log, { isHeld: true }),
+    );
     this.targets = this.register(
       new TargetTable({
         clock,
@@ -146,6 +151,26 @@
       follower.start();
     }
     this._relay.start();
+    void this._settle();
+  }
+
+  /** Puts the configuration in force once the node knows what its ready peers know. */
+  private async _settle(): Promise<void> {
+    const { clock, log, membership } = this._options;
+    const startedAt = clock.now();
+    const hasReadyPeers = (): boolean =>
+      membership.serving.some(({ name }) => name !== membership.self.name);
+    let { isConfirmed } = this._relay;
+    while (!isSettled(startedAt, clock.now(), { hasReadyPeers: hasReadyPeers(), isConfirmed })) {
+      await clock.sleep(STARTUP_CHECK_MS, this.disposalSignal);
+      if (this.isDisposed) {
+        return;
+      }
+      ({ isConfirmed } = this._relay);
+    }
+    const tookMs = Math.round(clock.now() - startedAt);
+    log.write('node.settled', { isConfirmed, hasReadyPeers: hasReadyPeers(), tookMs });
+    this.configuration.release();
   }
 
   private _createTable(name: string, succession: RecordSuccession): KeyedTable {
--- a/packages/gateway/src/common/state/RestoredLog.ts
+++ b/packages/gateway/src/common/state/RestoredLog.ts
@@ -21,6 +21,8 @@
 export class RestoredLog {
   public calls = 0;
   public isEpochStated = true;
+  /** Earlier offsets can't be read any more. */
+  private _first = 0;
   /** The lowest epoch that a platform can state. */
   private _epoch = 0;
   private _records: KeyedRecord[] = [];
@@ -43,9 +45,15 @@
   /** Returns from a copy without the last `lost` records, as the next epoch. */
   public restoreWithout(lost: number): void {
     this._records = this._records.slice(0, this._records.length - lost);
+    this._first = Math.min(this._first, this._records.length);
     this._epoch++;
   }
 
+  /** Makes reads of all earlier offsets fail; the newest record of each key stays readable. */
+  public compact(): void {
+    this._first = this._records.length;
+  }
+
   /** Delivers the answers that were held. */
   public release(): void {
     for (const deliver of this._held.splice(0)) {
@@ -79,7 +87,7 @@
   }
 
   private _page(from: number): Result<KeyedPage, ServiceError> {
-    if (from > this._records.length) {
+    if (from < this._first || from > this._records.length) {
       return Result.err(errorOf(ErrorKind.RecordsExpired));
     }
     const records = this._records.slice(from);
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -82,6 +82,13 @@
     );
   }
 
+  /** Registered instances that stated that they are leaving. */
+  public get leaving(): readonly TargetInstance[] {
+    return [...this._leaving]
+      .map(([id, startedAt]) => ({ id, startedAt }))
+      .filter(({ id, startedAt }) => this._entries.get(id)?.startedAt === startedAt);
+  }
+
   /** Number of targets that are draining or leaving. */
   public get leavingCount(): number {
     return [...this._entries.values()].filter((entry) => entry.isDraining || this._isLeaving(entry))
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -261,7 +261,7 @@
       new ZoneBroadcast({ clock, transport, membership: this._membership }),
     );
     this.register(new FailureReports({ broadcast, health, node }));
-    this.register(new LeavingReports({ broadcast, targets }));
+    this.register(new LeavingReports({ broadcast, membership: this._membership, targets }));
     const { _pauses: pauses, _rateLimits: rateLimits } = this;
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
--- a/packages/gateway/src/node/LeavingTarget.test.ts
+++ b/packages/gateway/src/node/LeavingTarget.test.ts
@@ -32,6 +32,8 @@
   let full: Set<string>;
   let arrivals: string[];
   let nodes: ForwardingFixture[];
+  let memberships: FixedMembership[];
+  let network: MemoryNetwork;
   let entries: TargetEntry[];
 
   const members = Array.from({ length: NODES }, (_each, index) =>
@@ -66,22 +68,36 @@
   });
 
   function createNodes(service: string): void {
-    const network = new MemoryNetwork(clock, new SeededRandom(1));
+    network = new MemoryNetwork(clock, new SeededRandom(1));
     entries = ['t0', 't1'].map((id) => ({
       ...targetEntry(id, service, `${id}:80`),
       startedAt: 1,
     }));
-    nodes = members.map((self) => {
-      const fixture = new ForwardingFixture({ clock, upstream: sender });
-      const transport = network.join(self.peerAddress);
-      const membership = new FixedMembership(self, members);
-      const broadcast = new ZoneBroadcast({ clock, transport, membership });
-      new LeavingReports({ broadcast, targets: fixture.dependencies.targets });
-      for (const entry of entries) {
-        fixture.addTarget(entry);
-      }
-      return fixture;
-    });
+    memberships = members.map((self) => new FixedMembership(self, members));
+    nodes = memberships.map(createNode);
+  }
+
+  function createNode(membership: FixedMembership): ForwardingFixture {
+    const fixture = new ForwardingFixture({ clock, upstream: sender });
+    const { targets } = fixture.dependencies;
+    const transport = network.join(membership.self.peerAddress);
+    const broadcast = new ZoneBroadcast({ clock, transport, membership });
+    new LeavingReports({ broadcast, membership, targets });
+    for (const entry of entries) {
+      fixture.addTarget(entry);
+    }
+    return fixture;
+  }
+
+  /** Starts a node again without the state that it had; the others learn of the new process. */
+  async function restart(index: number): Promise<void> {
+    const self = members[index] ?? memberOf('n', '127.0.0.1:1');
+    network.leave(self.peerAddress);
+    nodes[index] = createNode(new FixedMembership(self, members));
+    for (const membership of memberships) {
+      membership.applyUpdate({ ...self, startedAt: self.startedAt + 1, stateVersion: 0 });
+    }
+    await clock.advance(100);
   }
 
   async function send(kind: CallKind, node: number, count: number): Promise<RequestReport[]> {
@@ -136,6 +152,12 @@
       expect(outcomesOf(reports)).toEqual(new Set([RequestOutcome.Answered]));
     });
 
+    it.each([0, 1, NODES - 1])('gets nothing from node %i after its restart', async (index) => {
+      await restart(index);
+      await send(kind, index, REQUESTS);
+      expect(arrivals).not.toContain('t0');
+    });
+
     it('gets no retry of a request that another target refused', async () => {
       full.add('t1');
       const reports = await send(kind, 0, REQUESTS);
--- a/packages/mesh/src/common/ZoneBroadcast.ts
+++ b/packages/mesh/src/common/ZoneBroadcast.ts
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Sends a payload of one line to one member, which receives it like a broadcast. */
+  public sendTo(member: Member, payload: string): void {
+    this._send(member, ForwardingRole.Deliver, payload);
+  }
+
   private get _ownZone(): readonly Member[] {
     return membersOfOwnZone(this._options.membership);
   }
