Read what arrived while the process stood still before a target counts as silent

Cause: after a node was frozen, its overdue timers ran before its sockets were read, so a target whose answer had arrived counted as silent, and its work was started again at another one or given up; calls to the store and reservations failed the same way.

Change: scheduleSocketWait waits as long again as the timer was late, at most 500 ms, in StreamExchange, BufferedExchange and TimedCall.

--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -5,6 +5,7 @@
 import { Execution } from '../common/Execution.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { scheduleSocketWait } from '../common/SocketWait.js';
 import type { AnswerBuffers } from './AnswerBuffers.js';
 import {
   type BufferedAnswer,
@@ -85,10 +86,11 @@
       if (leftMs <= TIMER_TOLERANCE_MS || options.findReplacement(execution)) {
         abort('no answer in time', true);
       } else {
-        timer = clock.schedule(Math.min(leftMs, REPLACEMENT_RETRY_MS), handleTimeout);
+        timer = scheduleSocketWait(clock, Math.min(leftMs, REPLACEMENT_RETRY_MS), handleTimeout);
       }
     };
-    let timer = clock.schedule(Math.min(timeoutAt, deadlineAt) - clock.now(), handleTimeout);
+    const firstLimitMs = Math.min(timeoutAt, deadlineAt) - clock.now();
+    let timer = scheduleSocketWait(clock, firstLimitMs, handleTimeout);
     if (signal.aborted) {
       fail(CALLER_DISCONNECTED_CAUSE);
       return;
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -97,6 +97,15 @@
     this._registerTarget(id, service, await listenOnLoopback(server));
   }
 
+  /** Removes the entry of a target and closes its connections, as a node does. */
+  public removeTarget(id: string): void {
+    const entry = this._fixture.dependencies.targets.find(id);
+    this._fixture.removeTarget(id);
+    if (entry !== undefined) {
+      this._upstream.closeTarget(entry);
+    }
+  }
+
   /** Adds a target with a port on which nothing listens. */
   public async addUnreachableTarget(id: string, service: string): Promise<void> {
     const server = createServer();
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -10,6 +10,7 @@
 import { findHeader } from '../common/HttpHeaders.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { scheduleSocketWait } from '../common/SocketWait.js';
 import { StreamPace } from '../common/StreamPace.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { ConnectionHistory } from './ConnectionHistory.js';
@@ -278,7 +279,7 @@
 
   private _restartEventTimer(limitMs: number): void {
     this._stopWaiting();
-    this._eventTimer = this._options.clock.schedule(limitMs, () => {
+    this._eventTimer = scheduleSocketWait(this._options.clock, limitMs, () => {
       void this._replaceIfPermitted();
     });
   }
--- a/packages/gateway/src/node/TimedCall.ts
+++ b/packages/gateway/src/node/TimedCall.ts
@@ -5,6 +5,7 @@
 import { type Clock, describeCause, type Disposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import { type Dispatcher, request } from 'undici';
+import { scheduleSocketWait } from '../common/SocketWait.js';
 import type { CallAttempt } from '../common/services/Services.js';
 
 /** Several times the largest page of the store. */
@@ -50,7 +51,7 @@
 ): Promise<Result<CallAnswer, string>> {
   const abort = new AbortController();
   const abortAfter = (limitMs: number, missing: string): Disposable =>
-    clock.schedule(limitMs, () => {
+    scheduleSocketWait(clock, limitMs, () => {
       abort.abort(new Error(`${missing} within ${limitMs} ms`));
     });
   const wholeTimer = abortAfter(wholeMs, 'no complete answer');
