Let draining nodes go on until enough others are ready

Cause: when all nodes are stopped together, the first one that was back ended the acceptance of all others, so it got every caller.

Change: a draining node goes on, and the directory names it, while the ready nodes are fewer than a quarter of those that are ready or drain.

--- a/packages/gateway/src/common/CallerAddresses.test.ts
+++ b/packages/gateway/src/common/CallerAddresses.test.ts
@@ -34,4 +34,22 @@
   it('returns nothing when there are no nodes', () => {
     expect(addressesFor('a', [])).toEqual([]);
   });
+
+  describe('with nodes that drain and still accept requests', () => {
+    const query = { region: 'r', availabilityZone: 'a' };
+    const draining = [4, 5, 6, 7].map((index) => member(index, 'a'));
+
+    it('names them while too few are ready', () => {
+      // Guards against callers that find nobody, or all the same node, while a fleet is stopped.
+      const alone = new FixedMembership(member(0, 'x'), []);
+      expect(findAddresses(alone, query, draining)).toHaveLength(4);
+      const one = new FixedMembership(member(0, 'x'), [member(1, 'a')]);
+      expect(findAddresses(one, query, draining)).toHaveLength(5);
+    });
+
+    it('does not name them while enough are ready', () => {
+      const enough = new FixedMembership(member(0, 'x'), members);
+      expect(findAddresses(enough, query, draining)).toHaveLength(2);
+    });
+  });
 });
--- a/packages/gateway/src/common/CallerAddresses.ts
+++ b/packages/gateway/src/common/CallerAddresses.ts
@@ -4,6 +4,7 @@
  * traffic between zones is slower and costs more.
  */
 import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
+import { areEnough } from './DrainPeers.js';
 import type { AddressQuery } from './Messages.js';
 
 /** With fewer addresses in its own zone, one failure could leave a caller without any. */
@@ -14,7 +15,7 @@
 /**
  * The addresses for a caller, without the URL scheme.
  *
- * @param substitutes nodes that are named while none is ready
+ * @param substitutes nodes that are named, too, while too few are ready
  */
 export function findAddresses(
   membership: Membership,
@@ -23,7 +24,8 @@
 ): string[] {
   // A suspected node is probably dead, and a caller that tries it loses a second.
   const ready = membership.serving.filter(({ status }) => status === MemberStatus.Alive);
-  const serving = ready.length > 0 ? ready : substitutes;
+  const isEnough = areEnough(ready.length, substitutes.length);
+  const serving = isEnough ? ready : [...ready, ...substitutes];
   const sameZone = serving.filter(
     ({ availabilityZone }) => availabilityZone === query.availabilityZone,
   );
--- a/packages/gateway/src/common/DrainPeers.ts
+++ b/packages/gateway/src/common/DrainPeers.ts
@@ -6,19 +6,28 @@
 import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
 import type { DrainPeers } from './DrainSchedule.js';
 
+/** Ready nodes take over from as many as this times their number; fewer would be overloaded. */
+const MAX_LOAD_FACTOR = 4;
+
+/** Whether the ready nodes can serve the callers of others that drain, too. */
+export function areEnough(ready: number, draining: number): boolean {
+  return ready > 0 && ready + draining <= ready * MAX_LOAD_FACTOR;
+}
+
 /** The other nodes, seen from a node that drains. */
 export function drainPeersOf(
   membership: Pick<Membership, 'live' | 'self' | 'serving'>,
 ): DrainPeers {
   const { live, self, serving } = membership;
   const { availabilityZone, name } = self;
-  const draining = live.filter(
-    (each) => each.state.isDraining && each.availabilityZone === availabilityZone,
-  );
+  const ready = serving.filter((each) => each.name !== name && isAlive(each)).length;
+  const draining = live.filter(({ state }) => state.isDraining);
+  const ofZone = draining.filter((each) => each.availabilityZone === availabilityZone);
   return {
-    isAnyReady: serving.some((each) => each.name !== name && isAlive(each)),
-    isAnyAccepting: draining.some((each) => each.name !== name && isAcceptingInDrain(each)),
-    rank: draining.filter((each) => each.name < name).length,
+    isAnyReady: ready > 0,
+    areEnoughReady: areEnough(ready, draining.length),
+    isAnyAccepting: ofZone.some((each) => each.name !== name && isAcceptingInDrain(each)),
+    rank: ofZone.filter((each) => each.name < name).length,
   };
 }
 
--- a/packages/gateway/src/common/DrainSchedule.test.ts
+++ b/packages/gateway/src/common/DrainSchedule.test.ts
@@ -1,12 +1,16 @@
 import { describe, expect, it } from 'vitest';
+import { areEnough } from './DrainPeers.js';
 import { type DrainPeers, DrainSchedule } from './DrainSchedule.js';
 
 const SHUTDOWN_MS = 8_000;
 const START = 1_000;
 /** A request sent later than this after the signal counts as lost if it is cut off. */
 const LATEST_ACCEPTED_MS = 3_000;
-const OTHERS_READY: DrainPeers = { isAnyReady: true, isAnyAccepting: false, rank: 0 };
-const ALONE: DrainPeers = { isAnyReady: false, isAnyAccepting: false, rank: 0 };
+const OTHERS_READY: DrainPeers = {
+  ...{ isAnyReady: true, areEnoughReady: true },
+  ...{ isAnyAccepting: false, rank: 0 },
+};
+const ALONE: DrainPeers = { ...OTHERS_READY, isAnyReady: false, areEnoughReady: false };
 
 describe('DrainSchedule', () => {
   const schedule = new DrainSchedule(START, SHUTDOWN_MS);
@@ -53,6 +57,12 @@
       expect([0, 1, 2, 3].map(acceptingAt)).toEqual([false, true, false, true]);
     });
 
+    it('lets half of them go on while a single ready node would have to serve all callers', () => {
+      const acceptingAt = (rank: number): boolean =>
+        schedule.acceptsRequests(START + 4_000, { ...OTHERS_READY, areEnoughReady: false, rank });
+      expect([0, 1, 2, 3].map(acceptingAt)).toEqual([false, true, false, true]);
+    });
+
     it('tells callers to come back when nodes may have started again, spread over time', () => {
       expect(schedule.retryAfterMs(OTHERS_READY, 0.9)).toBeLessThan(100);
       expect(schedule.retryAfterMs({ ...ALONE, isAnyAccepting: true }, 0.9)).toBeLessThan(100);
@@ -116,8 +126,10 @@
 
 function peersOf(news: readonly SimulatedNode['seen'][], self: number): DrainPeers {
   const others = news.filter((_each, index) => index !== self);
+  const ready = others.filter(({ isReady }) => isReady).length;
   return {
-    isAnyReady: others.some(({ isReady }) => isReady),
+    isAnyReady: ready > 0,
+    areEnoughReady: areEnough(ready, news.filter(({ isDraining }) => isDraining).length),
     isAnyAccepting: others.some(({ isAccepting }) => isAccepting),
     rank: news.slice(0, self).filter(({ isDraining }) => isDraining).length,
   };
--- a/packages/gateway/src/common/DrainSchedule.ts
+++ b/packages/gateway/src/common/DrainSchedule.ts
@@ -2,14 +2,14 @@
  * Decides what a draining node accepts, what it tells callers that it refuses, and when it ends.
  * Callers keep addresses for some seconds, so the node still accepts requests at first. It stops early
  * enough for the longest usual answers to complete before the process is killed. Addresses the load
- * pattern that all nodes of a zone are stopped at the same moment, or one after the other: while no
- * node is ready, half of the draining ones of each zone accept for longer, and the others end early,
+ * pattern that all nodes of a zone are stopped at the same moment, or one after the other: while too
+ * few nodes are ready, half of the draining ones of each zone accept for longer, and the others end early,
  * so that they are back before the first half stops.
  */
 
 /** Share of the time until the process is killed during which new requests are accepted. */
 const ACCEPT_TIME_SHARE = 0.3;
-/** The same while no node is ready; what remains is enough for most answers. */
+/** The same while too few nodes are ready; what remains is enough for most answers. */
 const LATE_ACCEPT_TIME_SHARE = 0.6;
 /** Callers switch to other addresses within this time. */
 const MIN_DRAIN_MS = 2_500;
@@ -38,6 +38,8 @@
 export interface DrainPeers {
   /** Whether any node is ready. */
   readonly isAnyReady: boolean;
+  /** Whether the ready nodes are enough to take over from those that drain. */
+  readonly areEnoughReady: boolean;
   /** Whether another node of the zone drains and still accepts requests. */
   readonly isAnyAccepting: boolean;
   /** Position of this node among the draining ones of its zone, in an order that all of them use. */
@@ -89,7 +91,8 @@
   }
 }
 
-/** Whether a node is one of those that go on while no node is ready. */
-function acceptsLonger({ isAnyAccepting, isAnyReady, rank }: DrainPeers): boolean {
-  return !isAnyReady && (!isAnyAccepting || rank % 2 === 1);
+/** Whether a node is one of those that go on while too few nodes are ready. */
+function acceptsLonger({ areEnoughReady, isAnyAccepting, isAnyReady, rank }: DrainPeers): boolean {
+  const isLast = !isAnyAccepting && !isAnyReady;
+  return !areEnoughReady && (isLast || rank % 2 === 1);
 }
--- a/packages/gateway/src/common/DrainingNodes.test.ts
+++ b/packages/gateway/src/common/DrainingNodes.test.ts
@@ -86,7 +86,14 @@
       member(2, true, false),
       foreign,
     ];
-    expect(peersOf(members)).toEqual({ isAnyReady: true, isAnyAccepting: false, rank: 1 });
+    expect(peersOf(members)).toMatchObject({ isAnyReady: true, isAnyAccepting: false, rank: 1 });
     expect(peersOf([...members, member(4, true, true)]).isAnyAccepting).toBe(true);
   });
+
+  it('does not leave the callers of many nodes to a few that are ready', () => {
+    const draining = [1, 2, 3, 4].map((index) => member(index, true, true));
+    const ready = [5, 6].map((index) => member(index, true, false));
+    expect(peersOf([...draining, ...ready]).areEnoughReady).toBe(true);
+    expect(peersOf([...draining, ...ready.slice(1)]).areEnoughReady).toBe(false);
+  });
 });
--- a/packages/gateway/src/common/DrainingNodes.ts
+++ b/packages/gateway/src/common/DrainingNodes.ts
@@ -1,6 +1,6 @@
 /**
- * The nodes that drain and still accept requests, for callers that ask for addresses while no node is
- * ready. A node is listed for a short time only: it counts as not ready within four seconds of its
+ * The nodes that drain and still accept requests, for callers that ask for addresses while too few nodes
+ * are ready. A node is listed for a short time only: it counts as not ready within four seconds of its
  * termination signal, and callers keep an address for two.
  */
 import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
@@ -40,7 +40,7 @@
     );
   }
 
-  /** Nodes that callers may use while none is ready. */
+  /** Nodes that callers may use while too few are ready. */
   public get listed(): readonly Member[] {
     const { clock, membership } = this._options;
     const now = clock.now();
