--- a/packages/gateway/src/common/placement/Coordination.test.ts
+++ b/packages/gateway/src/common/placement/Coordination.test.ts
@@ -175,6 +175,22 @@
       expect(nodeOf(coordinator).table.requests).toHaveLength(ENGINES * SLOTS - 1);
     });
 
+    it('places a prompt that waited at a coordinator that ended', async () => {
+      // Guards against prompts that are lost with the queue of a node that is stopped as planned.
+      const [first] = placedOf(await placeTogether(ENGINES * SLOTS));
+      await clock.advance(500);
+      const waiting = promptAt(defined(entries[0]), 2_000);
+      await clock.advance(200);
+      network.leave(coordinator.peerAddress);
+      await clock.advance(500);
+      first?.end();
+      await clock.advance(100);
+      expect(await waiting).toMatchObject({
+        targets: [{ id: first?.targets[0].id }],
+        decidedBy: standby.name,
+      });
+    });
+
     it('drops the prompts of an entry node that died', async () => {
       const [, ofOtherEntry] = placedOf(await placeTogether(ENGINES * SLOTS));
       const [dying] = entries;
