Send a removal of an earlier epoch once, and tell lists of regions apart

A removal of an earlier epoch that ended an earlier record was kept as one of this epoch as well, so that the digests of peers could stay different. The pool of connections for allowed regions was named by the joined regions, in which a comma in a name was not told from two names.

--- a/packages/gateway/src/common/state/KeyedTable.test.ts
+++ b/packages/gateway/src/common/state/KeyedTable.test.ts
@@ -139,6 +139,14 @@
       expect(saw.earlierDigest).toBe('');
     });
 
+    it('sends a removal of the epoch before once', () => {
+      const table = new KeyedTable('t', { outlasts: () => false, outlastsLoss: () => true });
+      table.applySnapshot({ epoch: 1, records: [record('a', 8, '5')], end: 9 });
+      table.applySnapshot({ epoch: 2, records: [], end: 3 });
+      table.applyEarlier([{ ...record('a', 9), epoch: 1 }]);
+      expect(table.earlierRecords).toEqual([{ ...record('a', 9), epoch: 1 }]);
+    });
+
     it('sends a peer of the epoch before a table that leads it to the same state', () => {
       const table = new KeyedTable('t');
       table.applySnapshot({ epoch: 2, records: [record('a', 2, 'new')], end: 3 });
--- a/packages/gateway/src/common/state/KeyedTable.ts
+++ b/packages/gateway/src/common/state/KeyedTable.ts
@@ -229,9 +229,7 @@
     } else if (stored?.epoch === this._epoch) {
       this._outlasted.set(key, stored);
     }
-    const isEnding =
-      value === undefined && stored?.epoch !== this._epoch && this._outlastsLoss(stored);
-    if (isEnding) {
+    if (this._isEnding(record, stored)) {
       this._endings.set(key, record);
     } else {
       this._endings.delete(key);
@@ -246,6 +244,12 @@
     return true;
   }
 
+  /** Whether a record is the removal, in this epoch, of one that had outlasted its loss. */
+  private _isEnding({ epoch, value }: EpochRecord, stored: EpochRecord | undefined): boolean {
+    const isRemoval = value === undefined && epoch === this._epoch;
+    return isRemoval && stored?.epoch !== epoch && this._outlastsLoss(stored);
+  }
+
   /** Merges a removal that ended an earlier record at a peer. Returns whether it was a change. */
   private _mergeEnding(record: EpochRecord): boolean {
     const { key, offset, value } = record;
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -216,7 +216,8 @@
   private _pool(target: TargetEntry, connections: number, relayRegions: AllowedRegions): Pool {
     const instance = instanceOf(target);
     // A connection through another node must carry no request that its region may not have.
-    const key = relayRegions === undefined ? instance : `${instance} ${relayRegions.join()}`;
+    const key =
+      relayRegions === undefined ? instance : `${instance} ${JSON.stringify(relayRegions)}`;
     let pool = this._pools.get(key)?.pool;
     if (pool === undefined) {
       pool = new Pool(`http://${target.address}`, {
