--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -227,7 +227,8 @@
   ): TargetPools {
     const instance = instanceOf(target);
     // A connection through another node must carry no request that its region may not have.
-    const key = relayRegions === undefined ? instance : `${instance} ${relayRegions.join()}`;
+    const key =
+      relayRegions === undefined ? instance : `${instance} ${JSON.stringify(relayRegions)}`;
     let pools = this._pools.get(key);
     if (pools === undefined) {
       const connect = this._connectorFor(relayRegions);
