--- a/packages/gateway/src/common/callers/CallerLimits.ts
+++ b/packages/gateway/src/common/callers/CallerLimits.ts
@@ -2,8 +2,8 @@
 import type { GatewaySettings } from '../GatewaySettings.js';
 
 const MIB = 1024 * 1024;
-/** Memory of a process that serves ordinary callers: 90 to 100 MB resident, and its garbage. */
-const PROCESS_BYTES = 110_000_000;
+/** Memory of a process that serves ordinary callers, with the garbage of a busy one. */
+const PROCESS_BYTES = 130_000_000;
 /** Share of the rest that is counted; Buffers that nobody holds stay resident until V8 collects them. */
 const COUNTED_SHARE = 0.5;
 const MIN_MEMORY_BYTES = 24 * MIB;
@@ -16,7 +16,7 @@
 const CONNECTION_SHARE = 0.25;
 const MIN_CONNECTION_BYTES = 10 * MIB;
 /** Large answers of targets that are being buffered; at least one of the largest size. */
-const ANSWER_SHARE = 0.5;
+const ANSWER_SHARE = 0.25;
 const MIN_ANSWER_BYTES = 16 * MIB;
 const MAX_ANSWER_BYTES = 32 * MIB;
 /** Host memory for each connection that is allowed; an open one takes some 30 kB of it. */
@@ -50,6 +50,8 @@
   readonly memory: CallerMemoryLimits;
   /** Large answers of targets that are being buffered. */
   readonly answerBytes: number;
+  /** Memory of the process; more ends it. */
+  readonly hostBytes: number;
   readonly front: ConnectionLimits;
   readonly control: ConnectionLimits;
 }
@@ -73,6 +75,7 @@
       residentBytes: memoryBytes * RESIDENT_SHARE,
     },
     answerBytes: between(MIN_ANSWER_BYTES, bytes * ANSWER_SHARE, MAX_ANSWER_BYTES),
+    hostBytes: memoryBytes,
     front: connectionLimits(front),
     control: connectionLimits(
       Math.min(maxDescriptors * CONTROL_DESCRIPTOR_SHARE, MAX_CONTROL_CONNECTIONS),
--- a/packages/gateway/src/common/callers/CallerMemory.ts
+++ b/packages/gateway/src/common/callers/CallerMemory.ts
@@ -10,8 +10,10 @@
  */
 import type { CallerMemoryLimits } from './CallerLimits.js';
 
-/** Requests up to this size may use the reserve. */
-const SMALL_BYTES = 64 * 1024;
+/** Requests that hold up to this may use the reserve: twice an ordinary body, and its objects. */
+const SMALL_BYTES = 128 * 1024;
+/** Room for one of the largest bodies, however much memory is resident: some may never be freed. */
+const ALWAYS_PERMITTED_BYTES = 10 * 1024 * 1024;
 /** Cost of a request beside its body: its objects and header fields. */
 export const REQUEST_BYTES = 8 * 1024;
 
@@ -115,9 +117,22 @@
     return ACCEPTED;
   }
 
-  /** Counts bytes that cannot be refused, such as an answer that has run. */
-  public add(holding: CallerHolding, bytes: number): void {
+  /**
+   * Counts bytes that cannot be refused, as the answer to a request that has run. Returns what must
+   * be closed instead.
+   */
+  public add(holding: CallerHolding, bytes: number, now: number): readonly CallerHolding[] {
     this._count(holding, bytes);
+    const { bytes: most, largeBytes } = this._limits;
+    const evicted: CallerHolding[] = [];
+    for (const each of this._closable(holding, now)) {
+      if (this._bytes <= most && this._largeBytes <= largeBytes) {
+        break;
+      }
+      this.release(each);
+      evicted.push(each);
+    }
+    return evicted;
   }
 
   /** Stops counting bytes of a request that goes on. */
@@ -138,10 +153,9 @@
       return this._bytes - freed + bytes <= most;
     }
     const added = holding.bytes > SMALL_BYTES ? bytes : size;
+    const permitted = this._isResidentHigh ? ALWAYS_PERMITTED_BYTES : largeBytes;
     return (
-      !this._isResidentHigh &&
-      this._bytes - freed + bytes <= most &&
-      this._largeBytes - freedLarge + added <= largeBytes
+      this._bytes - freed + bytes <= most && this._largeBytes - freedLarge + added <= permitted
     );
   }
 
@@ -153,18 +167,17 @@
     limit: MemoryLimit,
   ): MemoryDecision {
     const ownCost = costOf(holding, holding.bytes + bytes, now);
-    const candidates = [...this._holdings]
-      .filter((each) => each !== holding && each.state !== HoldingState.Running)
-      .filter((each) => limit === MemoryLimit.All || each.caller === holding.caller)
-      .map((each) => ({ each, cost: costOf(each, each.bytes, now) }))
-      .filter(({ cost }) => cost > ownCost)
-      .sort((left, right) => right.cost - left.cost);
+    const candidates = this._closable(holding, now).filter(
+      (each) =>
+        costOf(each, each.bytes, now) > ownCost &&
+        (limit === MemoryLimit.All || each.caller === holding.caller),
+    );
     const { callerBytes } = this._limits;
     const evicted: CallerHolding[] = [];
     let freed = 0;
     let freedLarge = 0;
     let freedOfCaller = 0;
-    for (const { each } of candidates) {
+    for (const each of candidates) {
       evicted.push(each);
       freed += each.bytes;
       freedLarge += each.bytes > SMALL_BYTES ? each.bytes : 0;
@@ -181,6 +194,15 @@
     return { isAccepted: false, limit };
   }
 
+  /** Requests other than this one that may be closed, those that have cost most first. */
+  private _closable(holding: CallerHolding, now: number): readonly CallerHolding[] {
+    return [...this._holdings]
+      .filter((each) => each !== holding && each.state !== HoldingState.Running)
+      .map((each) => ({ each, cost: costOf(each, each.bytes, now) }))
+      .sort((left, right) => right.cost - left.cost)
+      .map(({ each }) => each);
+  }
+
   private _count(holding: CallerHolding, bytes: number): void {
     if (!this._holdings.has(holding)) {
       return;
--- a/packages/gateway/src/node/BodyReader.ts
+++ b/packages/gateway/src/node/BodyReader.ts
@@ -11,6 +11,7 @@
 import type { CallerHolding, CallerMemory } from '../common/callers/CallerMemory.js';
 import { ProgressDemand, type ProgressLimits } from '../common/callers/ProgressDemand.js';
 import { findHeader } from '../common/HttpHeaders.js';
+import { pauseReading } from './CallerConnections.js';
 
 const FIRST_SEGMENT_BYTES = 16 * 1024;
 const SEGMENT_BYTES = 64 * 1024;
@@ -20,9 +21,20 @@
 const MAX_SPARE_SEGMENTS = 64;
 /** The slowest sender that is waited for; mobile links are faster, and pauses are shorter. */
 const BODY_PROGRESS: ProgressLimits = { graceMs: 3_000, bytesPerSecond: 4_096 };
-/** Pieces that a body may have, and bytes for each further one; parsing a piece takes about 1 µs. */
-const MAX_PIECES = 4_096;
-const BYTES_PER_PIECE = 32;
+/** Pieces that a body may have, and bytes for each further one; ordinary chunks are larger. */
+const MAX_PIECES = 1_024;
+const BYTES_PER_PIECE = 16;
+/**
+ * Rate at which the large bodies of all callers are read, and how much is read at once. Ordinary
+ * requests would wait for processor time behind a crowd of large bodies.
+ */
+const LARGE_BYTES_PER_MS = 64_000;
+const LARGE_BURST_BYTES = 4 * 1024 * 1024;
+const PACE_INTERVAL_MS = 5;
+/** Bodies that cost no more than this are never paced. */
+const PACED_BYTES = 256 * 1024;
+/** Processor time of a piece, in bytes; it takes some 3 µs. */
+const PIECE_COST_BYTES = 1_024;
 /** How long, and how many bytes, the rest of a body is read that is not needed. */
 const MAX_DROP_MS = 5_000;
 const MAX_DROPPED_BYTES = 4 * 1024 * 1024;
@@ -51,23 +63,31 @@
 export class BodyReader {
   private readonly _receptions = new Set<BodyReception>();
   private readonly _spare: Buffer[] = [];
+  /** Large bodies that are not read until it is their turn. */
+  private readonly _paused: BodyReception[] = [];
+  private _burstBytes = LARGE_BURST_BYTES;
+  private _pacedAt: number;
+  private _isPacing = false;
 
-  constructor(private readonly _options: BodyReaderOptions) {}
+  constructor(private readonly _options: BodyReaderOptions) {
+    this._pacedAt = _options.clock.now();
+  }
 
   /**
    * Begins to receive a body; must be called before the first piece can have arrived.
-   *
-   * @param closeConnection called if the rest of the body is not worth waiting for
    */
   public open(
     incoming: IncomingMessage,
     holding: CallerHolding,
-    closeConnection: (reason: string) => void,
+    connection: BodyConnection,
   ): BodyReception {
     const reception = new BodyReception(incoming, {
       ...this._options,
       holding,
-      closeConnection,
+      connection,
+      onLargePiece: (bytes) => {
+        this._pace(reception, bytes);
+      },
       spareSegments: this._spare,
       onClose: () => this._receptions.delete(reception),
     });
@@ -81,11 +101,57 @@
       reception.demandProgress(elapsedMs);
     }
   }
+
+  /** Lets a large body wait if large bodies arrive faster than they are to be read. */
+  private _pace(reception: BodyReception, bytes: number): void {
+    this._refill();
+    this._burstBytes -= bytes;
+    if (this._burstBytes < 0 && !reception.isPaused) {
+      reception.pause();
+      this._paused.push(reception);
+      this._resumeLater();
+    }
+  }
+
+  private _refill(): void {
+    const now = this._options.clock.now();
+    const gained = (now - this._pacedAt) * LARGE_BYTES_PER_MS;
+    this._pacedAt = now;
+    this._burstBytes = Math.min(LARGE_BURST_BYTES, this._burstBytes + gained);
+  }
+
+  private _resumeLater(): void {
+    if (this._isPacing) {
+      return;
+    }
+    this._isPacing = true;
+    this._options.clock.schedule(PACE_INTERVAL_MS, () => {
+      this._isPacing = false;
+      this._refill();
+      const count = Math.ceil(this._burstBytes / SEGMENT_BYTES);
+      for (const reception of this._paused.splice(0, Math.max(0, count))) {
+        reception.resume();
+      }
+      if (this._paused.length > 0) {
+        this._resumeLater();
+      }
+    });
+  }
+}
+
+/** The connection on which a body arrives. */
+export interface BodyConnection {
+  /** Closes it, as the rest of the body is not worth waiting for. */
+  close(reason: string): void;
+  /** Stops reading it, and closes it after a while. */
+  hold(reason: string): void;
 }
 
 interface BodyReceptionOptions extends BodyReaderOptions {
   readonly holding: CallerHolding;
-  readonly closeConnection: (reason: string) => void;
+  readonly connection: BodyConnection;
+  /** Called with the cost of a piece of a large body. */
+  readonly onLargePiece: (bytes: number) => void;
   readonly spareSegments: Buffer[];
   readonly onClose: () => void;
 }
@@ -104,6 +170,9 @@
   private _limitBytes = Number.POSITIVE_INFINITY;
   private _isComplete = false;
   private _isDropping = false;
+  private _isPaused = false;
+  /** Whether the connection is not read any more. */
+  private _isHeld = false;
   private _droppedBytes = 0;
   private _failure: BodyFailure | undefined;
   private _onSettled: () => void = () => undefined;
@@ -183,37 +252,75 @@
     this._isDropping = true;
     this._releaseSegments();
     if (!this._isComplete && !this._incoming.destroyed) {
-      this._incoming.resume();
-      const { clock, closeConnection } = this._options;
+      const { clock, connection } = this._options;
       const timer = clock.schedule(MAX_DROP_MS, () => {
-        closeConnection(UNNEEDED_BODY);
+        if (!this._isHeld) {
+          connection.close(UNNEEDED_BODY);
+        }
       });
       await this._closed;
       timer.dispose();
     }
   }
 
+  public get isPaused(): boolean {
+    return this._isPaused;
+  }
+
+  /** Stops reading the connection. */
+  public pause(): void {
+    this._isPaused = true;
+    pauseReading(this._incoming.socket);
+  }
+
+  public resume(): void {
+    this._isPaused = false;
+    if (!this._isHeld) {
+      this._incoming.socket.resume();
+    }
+  }
+
   public demandProgress(elapsedMs: number): void {
-    if (!this._isComplete && !this._progress.advance(elapsedMs, this._size + this._droppedBytes)) {
-      if (this._isDropping) {
-        this._options.closeConnection(UNNEEDED_BODY);
-      } else {
-        this.fail(BodyFailure.TooSlow);
-      }
+    const bytes = this._size + this._droppedBytes;
+    if (
+      this._isComplete ||
+      this._isPaused ||
+      this._isHeld ||
+      this._progress.advance(elapsedMs, bytes)
+    ) {
+      return;
+    }
+    if (this._isDropping) {
+      this._options.connection.close(UNNEEDED_BODY);
+    } else {
+      this.fail(BodyFailure.TooSlow);
     }
   }
 
   private _receive(piece: Buffer): void {
+    const { connection, onLargePiece } = this._options;
     this._pieces++;
+    if (this._isHeld || this._isPaused) {
+      pauseReading(this._incoming.socket);
+    }
     const received = this._size + this._droppedBytes + piece.length;
-    const hasTooManyPieces = this._pieces > MAX_PIECES + received / BYTES_PER_PIECE;
+    if (this._pieces > MAX_PIECES + received / BYTES_PER_PIECE) {
+      if (!this._isHeld) {
+        this._isHeld = true;
+        this.fail(BodyFailure.TooManyPieces);
+        connection.hold(BodyFailure.TooManyPieces);
+      }
+      return;
+    }
+    const cost = piece.length + PIECE_COST_BYTES;
+    if (received + this._pieces * PIECE_COST_BYTES > PACED_BYTES) {
+      onLargePiece(cost);
+    }
     if (this._isDropping || this._failure !== undefined) {
       this._droppedBytes += piece.length;
-      if (hasTooManyPieces || this._droppedBytes > MAX_DROPPED_BYTES) {
-        this._options.closeConnection(UNNEEDED_BODY);
+      if (this._droppedBytes > MAX_DROPPED_BYTES) {
+        connection.close(UNNEEDED_BODY);
       }
-    } else if (hasTooManyPieces) {
-      this.fail(BodyFailure.TooManyPieces);
     } else if (received > this._limitBytes) {
       this.fail(BodyFailure.TooLarge);
     } else {
--- a/packages/gateway/src/node/CallerConnections.ts
+++ b/packages/gateway/src/node/CallerConnections.ts
@@ -17,6 +17,12 @@
 import { chooseClosed, ConnectionUse } from '../common/callers/ConnectionChoice.js';
 import { ProgressDemand, type ProgressLimits } from '../common/callers/ProgressDemand.js';
 import type { DecisionLog } from '../common/DecisionLog.js';
+import {
+  CallerMessage,
+  CallerServerResponse,
+  discardRequests,
+  isDiscarding,
+} from './DiscardedRequests.js';
 
 /** The HTTP parser rejects larger header blocks; the configured limit is lower. */
 const PARSER_HEADER_BYTES = 64 * 1024;
@@ -33,6 +39,11 @@
 const REQUEST_TIMEOUT_MS = 60_000;
 /** The slowest reader of an answer that is waited for. */
 const ANSWER_PROGRESS: ProgressLimits = { graceMs: 5_000, bytesPerSecond: 4_096 };
+/**
+ * How long a connection over a limit stays open without being read. Closed at once, it would be
+ * opened again at once, and its next bytes cost processor time.
+ */
+const HOLD_MS = 10_000;
 /** Log lines in a second; the others are counted. */
 const MAX_LOG_LINES = 5;
 const LOG_WINDOW_MS = 1_000;
@@ -43,6 +54,8 @@
   connectionsCheckingInterval: CHECK_INTERVAL_MS,
   headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
   requestTimeout: REQUEST_TIMEOUT_MS,
+  IncomingMessage: CallerMessage,
+  ServerResponse: CallerServerResponse,
 } as const;
 
 export interface CallerConnectionsOptions {
@@ -52,6 +65,8 @@
   readonly limits: ConnectionLimits;
   /** Called at each check with the time that passed since the last one. */
   readonly onCheck?: (elapsedMs: number) => void;
+  /** Called for each request and each connection. */
+  readonly onArrival?: () => void;
 }
 
 /** One connection. */
@@ -61,14 +76,22 @@
   /** When the connection was opened, or its last answer was sent. */
   since: number;
   answered: number;
-  /** Requests whose answer is not sent; each has a function to call when it is, or never will be. */
-  readonly unanswered: Set<() => void>;
+  /** Requests whose answer is not sent, in order. */
+  readonly unanswered: PendingRequest[];
   /** Requests whose body has not arrived. */
   receiving: number;
   /** Undefined while everything that was sent is read. */
   progress: ProgressDemand | undefined;
 }
 
+/** A request whose answer is not sent. */
+interface PendingRequest {
+  /** Called when all earlier requests of the connection are answered. */
+  readonly begin: () => void;
+  /** Called when the answer is sent, or never will be. */
+  readonly end: () => void;
+}
+
 /** The connections of callers to some servers. */
 export class CallerConnections extends DisposableOwner {
   private readonly _connections = new Map<Socket, Connection>();
@@ -106,43 +129,58 @@
 
   /**
    * Counts a request until its answer is sent or its connection closed, and then calls `onEnd`.
-   * Returns false if the connection was closed because of too many requests sent ahead.
+   * Resolves when all requests before it on the connection are answered. Returns undefined if the
+   * request must not be served.
    */
-  public admit(incoming: IncomingMessage, outgoing: ServerResponse, onEnd: () => void): boolean {
+  public admit(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    onEnd: () => void,
+  ): Promise<void> | undefined {
     const { socket } = incoming;
     const connection = this._connections.get(socket);
-    if (connection === undefined || socket.destroyed) {
-      return false;
+    this._options.onArrival?.();
+    if (connection === undefined || isDiscarding(socket)) {
+      pauseReading(socket);
+      return undefined;
     }
     const { unanswered } = connection;
-    if (unanswered.size >= MAX_UNANSWERED) {
-      this.close(socket, 'requests-ahead');
-      return false;
+    if (unanswered.length >= MAX_UNANSWERED) {
+      this.hold(socket, 'requests-ahead');
+      return undefined;
     }
-    if (unanswered.size > 0) {
-      // The end of the connection is noticed later then, which ordinary callers do not cause.
-      socket.pause();
+    let begin = (): void => undefined;
+    const turn = new Promise<void>((resolve) => {
+      begin = resolve;
+    });
+    const pending = { begin, end: onEnd };
+    unanswered.push(pending);
+    if (unanswered.length === 1) {
+      begin();
+    } else {
+      pauseReading(socket);
     }
-    const end = (): void => {
-      unanswered.delete(end);
-      connection.answered++;
-      connection.since = this._options.clock.now();
-      if (unanswered.size === 0) {
-        socket.resume();
-      }
-      onEnd();
-    };
-    unanswered.add(end);
     connection.receiving++;
     incoming.once('end', () => {
       connection.receiving--;
     });
     outgoing.once('close', () => {
-      if (unanswered.has(end)) {
-        end();
-      }
+      this._endRequest(connection, pending);
     });
-    return true;
+    return turn;
+  }
+
+  /** Stops reading a connection over a limit, and closes it after a while. */
+  public hold(socket: Socket, reason: string): void {
+    if (!isDiscarding(socket)) {
+      discardRequests(socket);
+      this.record('caller.closed', reason, this._connections.get(socket)?.address);
+      pauseReading(socket);
+      const timer = this._options.clock.schedule(HOLD_MS, () => socket.destroy());
+      socket.once('close', () => {
+        timer.dispose();
+      });
+    }
   }
 
   /** Closes a connection, and counts and logs why. */
@@ -193,21 +231,31 @@
       address,
       since: clock.now(),
       answered: 0,
-      unanswered: new Set(),
+      unanswered: [],
       receiving: 0,
       progress: undefined,
     };
     this._connections.set(socket, connection);
+    // node:http creates an error with its stack for each request that the end of a connection cuts,
+    // discarded ones among them; after many, that takes most of the processor time.
+    let { stackTraceLimit } = Error;
+    socket.prependOnceListener('close', () => {
+      ({ stackTraceLimit } = Error);
+      Error.stackTraceLimit = 0;
+    });
     socket.once('close', () => {
+      Error.stackTraceLimit = stackTraceLimit;
       this._remove(connection);
     });
   }
 
-  private _remove({ address, socket, unanswered }: Connection): void {
+  private _remove(connection: Connection): void {
+    const { address, socket, unanswered } = connection;
     if (this._connections.delete(socket)) {
       // Answers that wait for earlier ones on the connection are not told that it is closed.
-      for (const end of [...unanswered]) {
+      for (const { begin, end } of unanswered.splice(0)) {
         end();
+        begin();
       }
       const left = (this._byAddress.get(address) ?? 1) - 1;
       if (left === 0) {
@@ -218,6 +266,22 @@
     }
   }
 
+  private _endRequest(connection: Connection, pending: PendingRequest): void {
+    const { socket, unanswered } = connection;
+    const index = unanswered.indexOf(pending);
+    if (index === -1) {
+      return;
+    }
+    unanswered.splice(index, 1);
+    connection.answered++;
+    connection.since = this._options.clock.now();
+    pending.end();
+    unanswered[0]?.begin();
+    if (unanswered.length === 0 && !isDiscarding(socket)) {
+      socket.resume();
+    }
+  }
+
   private _scheduleCheck(): Disposable {
     return this._options.clock.schedule(CHECK_INTERVAL_MS, () => {
       const now = this._options.clock.now();
@@ -247,11 +311,22 @@
 }
 
 function useOf({ answered, receiving, socket, unanswered }: Connection): ConnectionUse {
-  if (unanswered.size > receiving) {
+  if (unanswered.length > receiving) {
     return socket.writableLength > 0 ? ConnectionUse.Unread : ConnectionUse.Running;
   }
-  if (unanswered.size > 0) {
+  if (unanswered.length > 0) {
     return ConnectionUse.Receiving;
   }
   return answered > 0 ? ConnectionUse.Idle : ConnectionUse.New;
 }
+
+/**
+ * Stops reading a connection until its next piece or request, of which the parser may hold some
+ * already. IncomingMessage resumes its connection in a tick after each piece, so that a pause at once
+ * would not last; microtasks run after these ticks and before the next read.
+ */
+export function pauseReading(socket: Socket): void {
+  queueMicrotask(() => {
+    socket.pause();
+  });
+}
--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Sends an answer of the gateway on a connection that others close. */
+  public sendLast(answer: GatewayAnswer): void {
+    this._writeGatewayAnswer(answer, true);
+  }
+
   private _writeGatewayAnswer(
     { kind, remedy, retryAfterMs, status }: GatewayAnswer,
     closesConnection: boolean,
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -19,11 +19,6 @@
 const UNAVAILABLE = 503;
 /** How long callers cache addresses; short, so that they soon stop using a failed host. */
 const ADDRESS_TTL_MS = 2_000;
-/** How long, and how much, a body is read and dropped, so that the caller can read the answer. */
-const DROP_MS = 1_000;
-const MAX_DROPPED_BYTES = 256 * 1024;
-const MAX_DROPPED_PIECES = 4_096;
-
 /** State that the endpoints report, and their formats. */
 export interface ControlServerOptions {
   readonly dialect: Dialect;
@@ -42,9 +37,8 @@
   private readonly _app = new Hono();
   private readonly _connections: CallerConnections;
 
-  constructor(private readonly _options: ControlServerOptions) {
+  constructor(options: ControlServerOptions) {
     super();
-    const options = _options;
     this._connections = this.register(new CallerConnections(options));
     const { dialect, isReady, membership, metrics, metricsPath } = options;
     this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
@@ -64,9 +58,7 @@
     const [hostname, port] = address.split(':');
     const serve = getRequestListener(this._app.fetch);
     const server = createServer(SERVER_OPTIONS, (incoming, outgoing) => {
-      if (this._admit(incoming, outgoing)) {
-        void serve(incoming, outgoing);
-      }
+      void this._serve(incoming, outgoing, () => serve(incoming, outgoing));
     });
     this._connections.attach(server);
     this.register(
@@ -81,36 +73,26 @@
     });
   }
 
-  /** Whether a request is within the limits; it is answered if not. */
-  private _admit(incoming: IncomingMessage, outgoing: ServerResponse): boolean {
+  /** Serves a request without a body once those before it on its connection are answered. */
+  private async _serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    serve: () => unknown,
+  ): Promise<void> {
     const { headers, rawHeaders, socket } = incoming;
-    if (!this._connections.admit(incoming, outgoing, () => undefined)) {
-      return false;
+    const turn = this._connections.admit(incoming, outgoing, () => undefined);
+    if (turn === undefined) {
+      return;
     }
     const hasBody =
       Number(headers['content-length'] ?? 0) > 0 || headers['transfer-encoding'] !== undefined;
-    const hasTooManyFields = rawHeaders.length > MAX_FIELDS * 2;
-    if (!hasBody && !hasTooManyFields) {
-      return true;
+    if (hasBody || rawHeaders.length > MAX_FIELDS * 2) {
+      this._connections.hold(socket, hasBody ? 'body-at-control' : 'header-fields');
+      const answer = hasBody ? BODY_TOO_LARGE : TOO_MANY_FIELDS;
+      new CallerResponse(outgoing, () => true).sendLast(answer);
+      return;
     }
-    this._connections.record(
-      'caller.refused',
-      hasBody ? 'body-at-control' : 'header-fields',
-      socket.remoteAddress,
-    );
-    const ended = this._options.clock.sleep(DROP_MS);
-    incoming.on('error', () => undefined);
-    let bytes = 0;
-    let pieces = 0;
-    incoming.on('data', (piece: Buffer) => {
-      bytes += piece.length;
-      pieces++;
-      if (bytes > MAX_DROPPED_BYTES || pieces > MAX_DROPPED_PIECES) {
-        this._connections.close(socket, 'body-at-control');
-      }
-    });
-    const answer = hasBody ? BODY_TOO_LARGE : TOO_MANY_FIELDS;
-    new CallerResponse(outgoing, () => true).sendEarly(answer, ended);
-    return false;
+    await turn;
+    serve();
   }
 }
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -43,6 +43,7 @@
   UNKNOWN_KEY,
   UNREADY,
 } from './GatewayAnswers.js';
+import { ResidentMemory } from './ResidentMemory.js';
 import { forwardStream } from './StreamForwarder.js';
 
 /** Added to the configured idle time, so that callers close idle connections first. */
@@ -66,6 +67,7 @@
 export class GatewayFront extends DisposableOwner {
   private readonly _server: Server;
   private readonly _memory: CallerMemory;
+  private readonly _resident: ResidentMemory;
   private readonly _bodyReader: BodyReader;
   private readonly _connections: CallerConnections;
   private _running = 0;
@@ -79,6 +81,16 @@
     super();
     const { clock, metrics } = _dependencies;
     const memory = new CallerMemory(limits.memory);
+    this._resident = new ResidentMemory({
+      clock,
+      limitBytes: limits.hostBytes,
+      onRead: (bytes) => {
+        memory.recordResident(bytes);
+      },
+      onCollected: () => {
+        metrics.increment('tanager_forced_collections_total');
+      },
+    });
     this._memory = memory;
     this._bodyReader = new BodyReader({ clock, memory });
     this._connections = this.register(
@@ -86,9 +98,12 @@
         ..._dependencies,
         limits: limits.front,
         onCheck: (elapsedMs) => {
-          memory.recordResident(process.memoryUsage.rss());
+          this._resident.check();
           this._bodyReader.demandProgress(elapsedMs);
         },
+        onArrival: () => {
+          this._resident.check();
+        },
       }),
     );
     metrics.gauge('tanager_caller_bytes', () => memory.bytes);
@@ -141,10 +156,15 @@
    */
   private async _handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     let onEnd = (): void => undefined;
-    const isAdmitted = this._connections.admit(incoming, outgoing, () => {
+    const turn = this._connections.admit(incoming, outgoing, () => {
       onEnd();
     });
-    if (!isAdmitted) {
+    if (turn === undefined) {
+      return;
+    }
+    if (incoming.rawHeaders.length > MAX_FIELDS * 2) {
+      this._connections.hold(incoming.socket, 'header-fields');
+      new CallerResponse(outgoing, () => true).sendLast(TOO_MANY_FIELDS);
       return;
     }
     const disconnected = new AbortController();
@@ -160,6 +180,10 @@
     };
     this._running++;
     try {
+      await turn;
+      if (disconnected.signal.aborted) {
+        return;
+      }
       await this._serve(arrival);
       await orAborted(arrival.response.handedOver, disconnected.signal);
     } catch (error) {
@@ -199,12 +223,20 @@
       },
       receivedAt,
     );
-    const reception = this._bodyReader.open(incoming, holding, (reason) => {
-      this._connections.close(socket, reason);
+    const reception = this._bodyReader.open(incoming, holding, {
+      close: (reason) => {
+        this._connections.close(socket, reason);
+      },
+      hold: (reason) => {
+        this._connections.hold(socket, reason);
+      },
     });
     const response = new CallerResponse(outgoing, this._state.isDraining, (bytes) => {
       holding.state = HoldingState.Unread;
-      this._memory.add(holding, bytes);
+      this._resident.check();
+      for (const { close } of this._memory.add(holding, bytes, clock.now())) {
+        close();
+      }
     });
     return { incoming, caller, receivedAt, holding, reception, response, signal };
   }
@@ -269,9 +301,6 @@
     const { configuration, random } = this._dependencies;
     const { caller, holding, incoming, receivedAt, reception, response, signal } = arrival;
     const { rawHeaders } = incoming;
-    if (rawHeaders.length > MAX_FIELDS * 2) {
-      return this._refuse(incoming, 'header-fields', TOO_MANY_FIELDS);
-    }
     const current = configuration.current ?? (await this._awaitConfiguration());
     if (current === undefined || this._state.isClosed()) {
       return Result.err(current === undefined ? UNREADY : DRAINING);
@@ -327,7 +356,8 @@
     reason: string,
     answer: GatewayAnswer,
   ): Result<ForwardedRequest, GatewayAnswer> {
-    if (answer !== CALLER_DISCONNECTED) {
+    // A connection that is held was counted.
+    if (answer !== CALLER_DISCONNECTED && answer !== TOO_MANY_PIECES) {
       this._connections.record('caller.refused', reason, socket.remoteAddress);
     }
     return Result.err(answer);
