Discard bodies at control addresses, and force collections sooner near the limit

Chunks of a byte at the metrics address ended the process (SIGABRT, 100 connections): a connection that is held had no reader, and node:http kept an object for each chunk.

--- a/packages/gateway/src/node/CallerConnections.ts
+++ b/packages/gateway/src/node/CallerConnections.ts
@@ -170,6 +170,16 @@
     return turn;
   }
 
+  /** Holds the connection of a request whose body is not received. */
+  public holdAt(incoming: IncomingMessage, reason: string): void {
+    incoming.on('error', () => undefined);
+    // Without a listener, node:http keeps the pieces that it has parsed, an object for each.
+    incoming.on('data', () => {
+      pauseReading(incoming.socket);
+    });
+    this.hold(incoming.socket, reason);
+  }
+
   /** Stops reading a connection over a limit, and closes it after a while. */
   public hold(socket: Socket, reason: string): void {
     if (!isDiscarding(socket)) {
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -79,7 +79,7 @@
     outgoing: ServerResponse,
     serve: () => unknown,
   ): Promise<void> {
-    const { headers, rawHeaders, socket } = incoming;
+    const { headers, rawHeaders } = incoming;
     const turn = this._connections.admit(incoming, outgoing, () => undefined);
     if (turn === undefined) {
       return;
@@ -87,7 +87,7 @@
     const hasBody =
       Number(headers['content-length'] ?? 0) > 0 || headers['transfer-encoding'] !== undefined;
     if (hasBody || rawHeaders.length > MAX_FIELDS * 2) {
-      this._connections.hold(socket, hasBody ? 'body-at-control' : 'header-fields');
+      this._connections.holdAt(incoming, hasBody ? 'body-at-control' : 'header-fields');
       const answer = hasBody ? BODY_TOO_LARGE : TOO_MANY_FIELDS;
       new CallerResponse(outgoing, () => true).sendLast(answer);
       return;
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -163,7 +163,7 @@
       return;
     }
     if (incoming.rawHeaders.length > MAX_FIELDS * 2) {
-      this._connections.hold(incoming.socket, 'header-fields');
+      this._connections.holdAt(incoming, 'header-fields');
       new CallerResponse(outgoing, () => true).sendLast(TOO_MANY_FIELDS);
       return;
     }
--- a/packages/gateway/src/node/ResidentMemory.ts
+++ b/packages/gateway/src/node/ResidentMemory.ts
@@ -12,6 +12,9 @@
 const CHECK_INTERVAL_MS = 20;
 /** Time between two collections, in durations of the last one, which takes 30 to 100 ms. */
 const INTERVAL_FACTOR = 5;
+/** The same above this share of the limit, where exceeding the limit would be worse. */
+const URGENT_INTERVAL_FACTOR = 1;
+const URGENT_SHARE = 0.88;
 /** Share of the limit from which garbage is collected; crowds cause up to 100 MB of it in a second. */
 const COLLECTION_SHARE = 0.75;
 /** Garbage beyond what a collection left that is worth the next one. */
@@ -48,8 +51,9 @@
       this._collect ??= exposeCollection();
       this._collect();
       const endedAt = clock.now();
-      this._collectsFrom = endedAt + (endedAt - now) * INTERVAL_FACTOR;
       bytes = process.memoryUsage.rss();
+      const factor = bytes > limitBytes * URGENT_SHARE ? URGENT_INTERVAL_FACTOR : INTERVAL_FACTOR;
+      this._collectsFrom = endedAt + (endedAt - now) * factor;
       // What is left is in use, so that the same share would cause collections without an end.
       this._thresholdBytes = Math.max(limitBytes * COLLECTION_SHARE, bytes + WORTHWHILE_BYTES);
       onCollected();
