Explain at the control address where a request would go

Cause: an operator could see from logs only what became of a request that ended, not why the next one waits, is refused or goes to a certain engine.

Change: the decision of the scheduler on a prompt is a function without side effects, whose result is then placed, refused or queued; explanations use the same function, the same obstacles and the same time to retry. A node answers GET /v1/operator/explain on its control addresses with the candidates, their cost, load and obstacles, the place in the queue or the refusal, for a route or host and path, a workspace, prompt and output tokens and a hint.

--- a/packages/gateway/src/common/placement/CellChoice.ts
+++ b/packages/gateway/src/common/placement/CellChoice.ts
@@ -12,7 +12,7 @@
 export function chooseCells(
   cells: readonly EngineCell[],
   availabilityZone: string,
-  random: RandomSource,
+  random: Pick<RandomSource, 'integer'>,
 ): readonly EngineCell[] {
   const own = cells.filter((cell) => cell.availabilityZone === availabilityZone);
   const others = cells.filter((cell) => cell.availabilityZone !== availabilityZone);
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -24,8 +24,16 @@
   type PromptRequest,
   RefusedPrompt,
 } from './PlacementDecision.js';
+import {
+  AVOIDED,
+  explainCandidate,
+  ExplainedOutcome,
+  orderCandidates,
+  type PlacementExplanation,
+  PlacementObstacle,
+} from './PlacementExplanation.js';
 import { placementJitter } from './PlacementJitter.js';
-import { promptValue } from './PlacementLoss.js';
+import { type PromptRequirements, promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
 import type { RateLimits } from './RateLimits.js';
@@ -95,6 +103,25 @@
   readonly resolve: (decision: Decision) => void;
 }
 
+/** What to do with a prompt: refuse it, place it, or, without either, let it wait. */
+interface Verdict {
+  readonly ahead: number;
+  readonly expectedWaitMs: number;
+  readonly placement: PromptPlacement | undefined;
+  readonly refusal: PlacementRefusal | undefined;
+}
+
+/** A refusal before a turn to retry is handed out. */
+interface DescribedRefusal {
+  readonly reason: PlacementRefusal;
+  readonly engineCount: number;
+  /** Time until capacity is expected, and for which the prompt will take it. */
+  readonly earliestMs: number;
+  readonly turnMs: number;
+  /** Time to retry when it does not depend on turns. */
+  readonly retryAfterMs: number | undefined;
+}
+
 /** Places prompts in turn, each on the account that includes those before it. */
 export class EngineScheduler extends DisposableOwner {
   private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
@@ -138,25 +165,87 @@
     signal: AbortSignal,
     account: AccountState,
   ): Promise<Decision> {
-    const now = this._options.clock.now();
-    const queue = this._queueOf(request);
-    const waiting = { request, arrivedAt: now };
-    const ahead = queue.countAhead(waiting, now);
-    const decision = ahead === 0 ? this._decideNow(request, account, signal) : undefined;
-    if (decision !== undefined) {
-      return Promise.resolve(decision);
+    const { clock, random } = this._options;
+    const arrivedAt = clock.now();
+    const verdict = this._judge(request, waitUntil, account, () => RANDOM_LOSSES[account](random));
+    const { ahead, placement, refusal } = verdict;
+    if (ahead === 0 && signal.aborted) {
+      return Promise.resolve(this._refuse(request, PlacementRefusal.CallerDisconnected, 0));
     }
-    // Nodes that decide alone would all send a waiting prompt at the moment that a limit allows one.
-    const mayWait = account === AccountState.Complete || this._rateWaitMs(request, ahead) === 0;
-    if (!mayWait || now + this._expectedWaitMs(request, ahead) >= waitUntil) {
-      return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
+    if (refusal !== undefined) {
+      return Promise.resolve(this._refuse(request, refusal, ahead));
+    }
+    if (placement !== undefined) {
+      return Promise.resolve(this._commit(request, placement));
     }
     return new Promise((resolve) => {
-      queue.add({ ...waiting, waitUntil, account, signal, resolve });
+      this._queueOf(request).add({ request, arrivedAt, waitUntil, account, signal, resolve });
       this._scheduleEvaluation(RECHECK_MS);
     });
   }
 
+  /**
+   * Explains what `decide` would decide now. Nothing is placed, reserved, counted or queued, and no
+   * turn to retry is handed out.
+   */
+  public explain(
+    request: PromptRequest,
+    waitUntil: number,
+    account: AccountState,
+  ): PlacementExplanation {
+    const now = this._options.clock.now();
+    const verdict = this._judge(request, waitUntil, account, () => () => 0);
+    const { ahead, expectedWaitMs, placement, refusal } = verdict;
+    const requirements = this._requirementsOf(request);
+    const candidates = this._loadsOf(request).map((load) => {
+      const alone = placePrompt(request.profile, requirements, [load]);
+      return explainCandidate(load, alone, this._findObstacle(request, load.entry.id), now);
+    });
+    const isPlaced = refusal === undefined && placement !== undefined;
+    const undecided = refusal === undefined ? ExplainedOutcome.Waits : ExplainedOutcome.Refused;
+    const refused =
+      refusal === undefined ? undefined : this._describeRefusal(request, refusal, ahead);
+    return {
+      outcome: isPlaced ? ExplainedOutcome.Placed : undecided,
+      refusal: refused?.reason,
+      targets: isPlaced ? idsOf(placement.targets) : [],
+      firstEventMs: isPlaced ? Math.round(placement.firstEventMs) : undefined,
+      cost: placement === undefined ? undefined : Math.round(placement.cost * 100) / 100,
+      ahead,
+      expectedWaitMs: Math.round(expectedWaitMs),
+      retryAfterMs:
+        refused === undefined
+          ? undefined
+          : Math.round(
+              refused.retryAfterMs ?? this._retries.peek(now, refused.earliestMs, refused.turnMs),
+            ),
+      candidates: orderCandidates(candidates),
+    };
+  }
+
+  /** What to do with a prompt that arrives now; changes nothing. */
+  private _judge(
+    request: PromptRequest,
+    waitUntil: number,
+    account: AccountState,
+    createRandomLoss: () => RandomLoss,
+  ): Verdict {
+    const now = this._options.clock.now();
+    const queue = this._queues.get(keyOfCell(request.cell));
+    const ahead = queue?.countAhead({ request, arrivedAt: now }, now) ?? 0;
+    const placement = ahead === 0 ? this._choose(request, createRandomLoss) : undefined;
+    if (placement !== undefined) {
+      const refusal = placement.isNetLoss ? PlacementRefusal.NetLoss : undefined;
+      return { ahead, expectedWaitMs: 0, placement, refusal };
+    }
+    const expectedWaitMs = this._expectedWaitMs(request, ahead);
+    // Nodes that decide alone would all send a waiting prompt at the moment that a limit allows one.
+    const mayWait = account === AccountState.Complete || this._rateWaitMs(request, ahead) === 0;
+    const isRefused = !mayWait || now + expectedWaitMs >= waitUntil;
+    const refusal = isRefused ? PlacementRefusal.NoCapacity : undefined;
+    return { ahead, expectedWaitMs, placement, refusal };
+  }
+
   private _queueOf({ cell }: PromptRequest): PromptQueue<QueuedPrompt> {
     const key = keyOfCell(cell);
     let queue = this._queues.get(key);
@@ -221,20 +310,29 @@
     if (signal.aborted) {
       return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
-    const { activeRequests: table, clock, random, rateLimits } = this._options;
-    const loads = this._loadsOf(request);
-    if (loads.length === 0) {
-      return undefined;
-    }
-    const placement = this._place(request, loads, RANDOM_LOSSES[account](random));
+    const { random } = this._options;
+    const placement = this._choose(request, () => RANDOM_LOSSES[account](random));
     if (placement?.isNetLoss === true) {
       return this._refuse(request, PlacementRefusal.NetLoss, 0);
     }
-    if (placement !== undefined) {
-      table.set(request.node, toActiveRequest(request, placement, clock.now()));
-      this._expectFirstEvent(request, placement);
-      rateLimits.reserve(idsOf(placement.targets), requestKey(request));
-    }
+    return placement === undefined ? undefined : this._commit(request, placement);
+  }
+
+  /** The best placement now, also if it is a net loss; `undefined` when no engine has capacity. */
+  private _choose(
+    request: PromptRequest,
+    createRandomLoss: () => RandomLoss,
+  ): PromptPlacement | undefined {
+    const loads = this._loadsOf(request);
+    return loads.length === 0 ? undefined : this._place(request, loads, createRandomLoss());
+  }
+
+  /** Enters a placement in the account, before the entry node reports it. */
+  private _commit(request: PromptRequest, placement: PromptPlacement): PromptPlacement {
+    const { activeRequests: table, clock, rateLimits } = this._options;
+    table.set(request.node, toActiveRequest(request, placement, clock.now()));
+    this._expectFirstEvent(request, placement);
+    rateLimits.reserve(idsOf(placement.targets), requestKey(request));
     return placement;
   }
 
@@ -273,28 +371,48 @@
     loads: readonly EngineLoad[],
     randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
-    const { clock, health, rateLimits } = this._options;
-    const eligible = loads.filter(
-      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id),
-    );
-    const healthy = eligible.filter(
-      ({ entry: { id } }) =>
-        !request.suspects.has(id) &&
-        !health.isSuspect(id) &&
-        health.countReporters(id) < MIN_REPORTERS,
-    );
-    const prompt = {
+    const eligible: EngineLoad[] = [];
+    const healthy: EngineLoad[] = [];
+    for (const load of loads) {
+      const obstacle = this._findObstacle(request, load.entry.id);
+      if (obstacle === undefined) {
+        healthy.push(load);
+      }
+      if (obstacle === undefined || AVOIDED.has(obstacle)) {
+        eligible.push(load);
+      }
+    }
+    const candidates = healthy.length === 0 ? eligible : healthy;
+    return placePrompt(request.profile, this._requirementsOf(request), candidates, randomLoss);
+  }
+
+  /** Why an engine should not get the prompt, other than by its load. */
+  private _findObstacle(request: PromptRequest, id: string): PlacementObstacle | undefined {
+    const { health, rateLimits } = this._options;
+    if (request.excluded.has(id)) {
+      return PlacementObstacle.Excluded;
+    }
+    if (!rateLimits.permits(id)) {
+      return PlacementObstacle.RateLimited;
+    }
+    if (request.suspects.has(id) || health.isSuspect(id)) {
+      return PlacementObstacle.Suspect;
+    }
+    return health.countReporters(id) < MIN_REPORTERS ? undefined : PlacementObstacle.Reported;
+  }
+
+  private _requirementsOf(request: PromptRequest): PromptRequirements {
+    const now = this._options.clock.now();
+    return {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       expectedOutputTokens: expectedOutputTokens(request),
-      dueInMs: request.dueAt - clock.now(),
-      deadlineInMs: request.deadlineAt - clock.now(),
+      dueInMs: request.dueAt - now,
+      deadlineInMs: request.deadlineAt - now,
       latencyTargetMs: request.latencyTargetMs,
       pauseTargetMs: request.pauseTargetMs,
       availabilityZone: request.availabilityZone,
     };
-    const candidates = healthy.length === 0 ? eligible : healthy;
-    return placePrompt(request.profile, prompt, candidates, randomLoss);
   }
 
   /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
@@ -323,10 +441,29 @@
   }
 
   private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
-    const { clock, rateLimits } = this._options;
+    const described = this._describeRefusal(request, refusal, ahead);
+    const { earliestMs, engineCount, reason, turnMs } = described;
+    const now = this._options.clock.now();
+    const retryAfterMs = described.retryAfterMs ?? this._retries.next(now, earliestMs, turnMs);
+    return new RefusedPrompt(
+      reason,
+      engineCount,
+      retryAfterMs,
+      reason === PlacementRefusal.NoEngine ? 0 : ahead,
+    );
+  }
+
+  private _describeRefusal(
+    request: PromptRequest,
+    refusal: PlacementRefusal,
+    ahead: number,
+  ): DescribedRefusal {
+    const { rateLimits } = this._options;
     const engineCount = this._enginesOf(request).length;
     if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
-      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, NO_ENGINE_RETRY_MS);
+      const reason = PlacementRefusal.NoEngine;
+      const retryAfterMs = NO_ENGINE_RETRY_MS;
+      return { reason, engineCount, earliestMs: 0, turnMs: 0, retryAfterMs };
     }
     const earliestMs =
       refusal === PlacementRefusal.NetLoss
@@ -336,11 +473,10 @@
       prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount),
       rateLimits.intervalMs(this._usableIds(request)),
     );
-    const retryAfterMs = this._retries.next(clock.now(), earliestMs, turnMs);
     const isRateLimited =
       refusal === PlacementRefusal.NoCapacity && this._rateWaitMs(request, ahead) > 0;
     const reason = isRateLimited ? PlacementRefusal.RateLimited : refusal;
-    return new RefusedPrompt(reason, engineCount, retryAfterMs, ahead);
+    return { reason, engineCount, earliestMs, turnMs, retryAfterMs: undefined };
   }
 }
 
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -24,6 +24,7 @@
   RefusedPrompt,
   UnusableChoice,
 } from './PlacementDecision.js';
+import { ExplainedOutcome, type PlacementExplanation } from './PlacementExplanation.js';
 import type { PromptPlacement } from './PromptPlacer.js';
 import type { RateLimits } from './RateLimits.js';
 import type { TargetPauses } from './TargetPauses.js';
@@ -120,6 +121,29 @@
   readonly availabilityZone: string;
 }
 
+/** The decision on a prompt in one cell, as far as this node can tell. */
+export interface CellExplanation extends PlacementExplanation {
+  /** Undefined if the cell has the engines of all zones. */
+  readonly availabilityZone: string | undefined;
+  /** Name of the node that decides; undefined if no node is ready to. */
+  readonly coordinator: string | undefined;
+  /** Whether this node has a record of all requests of the cell. */
+  readonly account: AccountState;
+}
+
+/** Where a prompt would be placed. */
+export interface PromptExplanation {
+  /** Time for which all engines want nothing from this node; the prompt is then refused. */
+  readonly pausedMs: number;
+  /** The cells that would be asked, up to the one that does not refuse the prompt. */
+  readonly cells: readonly CellExplanation[];
+}
+
+/** Id of a prompt that is explained, which no placed prompt has. */
+const EXPLAINED_ID = 'explained';
+/** The choice among other cells that an explanation shows. */
+const FIRST: Pick<RandomSource, 'integer'> = { integer: () => 0 };
+
 /** A decision, with the request as it was decided. */
 interface Decided {
   readonly decision: PromptPlacement | RefusedPrompt;
@@ -164,7 +188,36 @@
     return refused;
   }
 
-  private _toRequest(prompt: PromptToPlace, cell: EngineCell): PromptRequest {
+  /**
+   * Explains where a prompt would be placed, by the account of this node. Nothing is placed, reserved,
+   * counted or queued, and no other node is asked.
+   */
+  public explain(prompt: PromptToPlace, waitUntil: number): PromptExplanation {
+    const { availabilityZone, cells, isCoordinated, node, pauses, scheduler, targets } =
+      this._options;
+    const engines = targets.acceptingTargets(prompt.service);
+    const pausedMs = pauses.remainingMs(engines.map(({ id }) => id));
+    const explained: CellExplanation[] = [];
+    for (const cell of chooseCells(cellsOf(prompt.service, engines), availabilityZone, FIRST)) {
+      const [coordinator] = cells.coordinatorsOf(cell);
+      const isDecidedHere = coordinator?.name === node && isCoordinated();
+      const account = isDecidedHere ? AccountState.Complete : AccountState.Partial;
+      const request = this._toRequest(prompt, cell, EXPLAINED_ID);
+      const explanation = scheduler.explain(request, waitUntil, account);
+      explained.push({
+        availabilityZone: cell.availabilityZone,
+        coordinator: coordinator?.name,
+        account,
+        ...explanation,
+      });
+      if (explanation.outcome !== ExplainedOutcome.Refused) {
+        break;
+      }
+    }
+    return { pausedMs: Math.round(pausedMs), cells: explained };
+  }
+
+  private _toRequest(prompt: PromptToPlace, cell: EngineCell, id = this._nextId()): PromptRequest {
     const { availabilityZone, health, node, pauses, targets } = this._options;
     const suspects = targets
       .acceptingTargets(cell.service)
@@ -172,7 +225,7 @@
       .map((engine) => engine.id);
     return {
       ...prompt,
-      id: this._nextId(),
+      id,
       node,
       availabilityZone,
       cell,
--- a/packages/gateway/src/common/placement/RetrySchedule.ts
+++ b/packages/gateway/src/common/placement/RetrySchedule.ts
@@ -19,8 +19,19 @@
    * @param turnMs time for which the caller's request will take that capacity
    */
   public next(now: number, earliestMs: number, turnMs: number): number {
-    const turnAt = Math.max(now + earliestMs, this._lastTurnAt + turnMs);
+    const retryMs = this.peek(now, earliestMs, turnMs);
+    const turnAt = this._turnAt(now, earliestMs, turnMs);
     this._lastTurnAt = Math.min(turnAt, now + MAX_RETRY_MS);
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, turnAt - now));
+    return retryMs;
+  }
+
+  /** Returns what `next` would, without handing out the turn. */
+  public peek(now: number, earliestMs: number, turnMs: number): number {
+    const turnMsFromNow = this._turnAt(now, earliestMs, turnMs) - now;
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, turnMsFromNow));
+  }
+
+  private _turnAt(now: number, earliestMs: number, turnMs: number): number {
+    return Math.max(now + earliestMs, this._lastTurnAt + turnMs);
   }
 }
--- a/packages/gateway/src/common/placement/TargetPauses.ts
+++ b/packages/gateway/src/common/placement/TargetPauses.ts
@@ -68,9 +68,15 @@
    * or there is none. Differs between callers, which would all return when the pause ends.
    */
   public retryAfterMs(ids: readonly string[]): number | undefined {
-    const { clock, random } = this._options;
+    const remainingMs = this.remainingMs(ids);
+    return remainingMs > 0
+      ? remainingMs + this._options.random.next() * RETURN_SPREAD_MS
+      : undefined;
+  }
+
+  /** Time until the first of the targets is paused no more; 0 if one is not, or there is none. */
+  public remainingMs(ids: readonly string[]): number {
     const ends = ids.map((id) => this._endsAt.get(id) ?? 0);
-    const remainingMs = ends.length === 0 ? 0 : Math.min(...ends) - clock.now();
-    return remainingMs > 0 ? remainingMs + random.next() * RETURN_SPREAD_MS : undefined;
+    return ends.length === 0 ? 0 : Math.max(0, Math.min(...ends) - this._options.clock.now());
   }
 }
--- a/packages/gateway/src/common/state/TargetTable.ts
+++ b/packages/gateway/src/common/state/TargetTable.ts
@@ -67,6 +67,11 @@
     return [...this._entries.values()].findLast((entry) => entry.address === address);
   }
 
+  /** All targets of a service, with those that accept no new requests. */
+  public targetsOf(service: string): readonly TargetEntry[] {
+    return [...this._entries.values()].filter((entry) => entry.service === service);
+  }
+
   /** Targets of a service that accept new requests. */
   public acceptingTargets(service: string): readonly TargetEntry[] {
     return [...this._entries.values()].filter(
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -1,13 +1,23 @@
-/** HTTP endpoints beside the front: readiness, addresses for callers, and metrics. */
+/** HTTP endpoints beside the front: readiness, addresses for callers, metrics, explanations. */
 import { createAdaptorServer } from '@hono/node-server';
-import { DisposableOwner, type Metrics, toDisposable } from '@tanagerdyke/kernel';
+import {
+  DisposableOwner,
+  ErrorKind,
+  type Metrics,
+  NotRun,
+  toDisposable,
+} from '@tanagerdyke/kernel';
 import type { Membership } from '@tanagerdyke/mesh';
 import { Hono } from 'hono';
 import { findAddresses } from '../common/CallerAddresses.js';
+import type { Result } from 'true-myth';
 import type { Dialect } from '../common/services/Services.js';
+import type { ExplanationError, RequestExplanation } from './RequestExplainer.js';
 
 const OK = 200;
+const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
+const EXPLAIN_PATH = '/v1/operator/explain';
 /** How long callers cache addresses; short, so that they soon stop using a failed host. */
 const ADDRESS_TTL_MS = 2_000;
 
@@ -18,6 +28,8 @@
   readonly metrics: Metrics;
   readonly metricsPath: string;
   readonly isReady: () => boolean;
+  /** Explains where the request that a query describes would go. */
+  readonly explain: (search: string) => Result<RequestExplanation, ExplanationError>;
 }
 
 /** Serves all control endpoints on each of its addresses. */
@@ -26,7 +38,7 @@
 
   constructor(options: ControlServerOptions) {
     super();
-    const { dialect, isReady, membership, metrics, metricsPath } = options;
+    const { dialect, explain, isReady, membership, metrics, metricsPath } = options;
     this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
     this._app.get(dialect.addressPath, (context) => {
       const query = new URL(context.req.url).searchParams;
@@ -36,6 +48,15 @@
         'Content-Type': 'application/json',
       });
     });
+    this._app.get(EXPLAIN_PATH, (context) => {
+      const explained = explain(new URL(context.req.url).search);
+      return explained.isOk
+        ? context.json(explained.value, OK)
+        : context.json(
+            { kind: ErrorKind.BadRequest, notRun: NotRun.True, ...explained.error },
+            BAD_REQUEST,
+          );
+    });
     this._app.get(metricsPath, (context) => context.text(metrics.render()));
   }
 
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -53,6 +53,7 @@
 import { ControlServer } from './ControlServer.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import { GatewayFront } from './GatewayFront.js';
+import { explainRequest } from './RequestExplainer.js';
 import { TargetConnections } from './paths/TargetConnections.js';
 
 const DRAIN_POLL_MS = 50;
@@ -142,9 +143,8 @@
       isClosed: () => this._isClosed,
       isDraining: () => this._isDraining,
     };
-    this._front = this.register(
-      new GatewayFront(this._createForwardingDependencies(activeRequests, cells, channel), state),
-    );
+    const forwarding = this._createForwardingDependencies(activeRequests, cells, channel);
+    this._front = this.register(new GatewayFront(forwarding, state));
     this._controlServer = this.register(
       new ControlServer({
         dialect,
@@ -152,6 +152,7 @@
         metrics,
         metricsPath: settings.metricsPath,
         isReady: () => this.isReady,
+        explain: (search) => explainRequest({ ...forwarding, node: name }, search),
       }),
     );
     this._registerGauges();
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -28,15 +28,11 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
-import { costRequestOf } from './RequestCost.js';
+import { costRequestOf, promptOf, waitsUntil } from './PromptOfRequest.js';
 import { exchangeStream, StreamEnd, type StreamOutcome } from './StreamExchange.js';
 import { enginePriority, firstEventTimeoutMs, nextEventTimeoutMs } from './StreamLimits.js';
 import { answerUnserved } from './UnservedAnswer.js';
 
-/** Fraction of the remaining time for which a prompt waits for capacity before it is refused. */
-const CAPACITY_WAIT_SHARE = 0.25;
-/** A caller with this much less time than the route allows was refused before. */
-const MIN_SPENT_MS = 50;
 /** Limit of refusals without execution that don't count as attempts of a request. */
 const MAX_EXCUSED_REFUSALS = 2;
 /** An engine that ends this long after the first event may have crashed under that prompt. */
@@ -231,24 +227,9 @@
     ...alsoExcluded: readonly string[]
   ): Promise<PlacedPrompt | RefusedPrompt> {
     const { clock, scheduler } = this._dependencies;
-    const { caller, deadlineAt, receivedAt, route, service, workspace } = this._request;
-    const now = clock.now();
-    const waitUntil = now + (deadlineAt - now) * CAPACITY_WAIT_SHARE;
-    const prompt = {
-      service: service.name,
-      profile: this._profile,
-      promptTokens: caller.promptTokens,
-      outputTokens: caller.outputTokens,
-      expected: this._estimate,
-      latencyTargetMs: route.latencyTargetMs,
-      pauseTargetMs: route.pauseTargetMs,
-      dueAt: receivedAt + route.latencyTargetMs,
-      deadlineAt,
-      workspace: workspace?.name ?? '',
-      isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
-      excluded: new Set([...this._excludedEngines, ...alsoExcluded]),
-    };
-    return scheduler.place(prompt, waitUntil, signal);
+    const excluded = new Set([...this._excludedEngines, ...alsoExcluded]);
+    const prompt = promptOf(this._request, this._profile, this._estimate, excluded);
+    return scheduler.place(prompt, waitsUntil(this._request, clock.now()), signal);
   }
 
   /** Reserves memory for a shared prompt; excludes a full engine and returns undefined. */
