Add tanagerctl explain for requests that are not sent

Cause: a node explains where a request would go, but no command shows it.

A mix of both, a missing route and numbers that are none are wrong use, which ends with 2.

--- a/packages/ctl/src/node/commands/GatewayCommands.ts
+++ b/packages/ctl/src/node/commands/GatewayCommands.ts
@@ -2,18 +2,38 @@
 import { readFile } from 'node:fs/promises';
 import type { CAC } from 'cac';
 import { describeCause } from '@tanagerdyke/kernel';
-import { requestText } from '../HttpExchange.js';
+import { requestJson, requestText } from '../HttpExchange.js';
 import { parseMetrics, type Sample, sumOf, sumsBy } from '../MetricsText.js';
 import { ExitCode, print, printError, printUsage } from '../Output.js';
 import { type LogEntry, renderLogEntry, parseDecisionLog, traceRequest } from '../RequestTrace.js';
-import { type CommonOptions, isJson } from './CommandContext.js';
+import { explanationSchema, explanationUrl, renderExplanation } from '../RequestExplanation.js';
+import { addressOf, type CommonOptions, isJson, readCount, readText } from './CommandContext.js';
 
 const READ_TIMEOUT_MS = 5_000;
 
 interface ExplainOptions extends CommonOptions {
   readonly log?: string | readonly string[];
+  readonly route?: unknown;
+  readonly host?: unknown;
+  readonly path?: unknown;
+  readonly workspace?: unknown;
+  readonly prompt?: unknown;
+  readonly output?: unknown;
+  readonly hint?: unknown;
 }
 
+/** Options that describe a request to be explained. */
+const REQUEST_OPTIONS = [
+  'route',
+  'host',
+  'path',
+  'workspace',
+  'prompt',
+  'output',
+  'hint',
+] as const satisfies readonly (keyof ExplainOptions)[];
+const MAX_NAME_CHARACTERS = 255;
+
 /** Registers `gateway` and `explain`. */
 export function registerGatewayCommands(cli: CAC): void {
   cli
@@ -29,12 +49,73 @@
     });
 
   cli
-    .command('explain <request>', 'print the log entries of gateway nodes that explain a request')
-    .option('--log <file>', 'log file; may be given more than once')
+    .command(
+      'explain [request]',
+      'print where a request would go now, or the log entries that explain an ended one',
+    )
+    .option('--log <file>', 'log file that names the ended request; may be given more than once')
+    .option('--route <name>', 'route of the request; or its host and path')
+    .option('--host <host>', 'host that the request names')
+    .option('--path <path>', 'path of the request')
+    .option('--workspace <name>', 'workspace of the caller')
+    .option('--prompt <tokens>', 'tokens of the prompt')
+    .option('--output <tokens>', 'the most output tokens')
+    .option('--hint <tokens>', "the caller's estimate of the output tokens")
     .action(explain);
 }
 
-async function explain(id: string, options: ExplainOptions): Promise<void> {
+/** Explains an ended request from logs, or one that would be sent now by asking a node. */
+async function explain(id: string | undefined, options: ExplainOptions): Promise<void> {
+  const given = REQUEST_OPTIONS.filter((name) => options[name] !== undefined);
+  if (id === undefined) {
+    await explainNow(options);
+  } else if (given.length > 0) {
+    printUsage(`explain takes the id of an ended request, or --${given.join(', --')}, not both`);
+  } else {
+    await explainEnded(id, options);
+  }
+}
+
+async function explainNow(options: ExplainOptions): Promise<void> {
+  if (options.log !== undefined) {
+    printUsage('explain needs the id of a request with --log');
+    return;
+  }
+  if ((options.route === undefined) === (options.host === undefined)) {
+    printUsage('explain needs either --route or --host, or the id of an ended request and --log');
+    return;
+  }
+  const countOf = (name: 'prompt' | 'output' | 'hint'): number | undefined =>
+    options[name] === undefined ? undefined : readCount(options[name], name);
+  const request = {
+    route: readName(options.route, 'route'),
+    host: readName(options.host, 'host'),
+    path: readName(options.path, 'path'),
+    workspace: readName(options.workspace, 'workspace'),
+    prompt: countOf('prompt'),
+    output: countOf('output'),
+    hint: countOf('hint'),
+  };
+  const url = explanationUrl(addressOf(options), request);
+  const timeoutMs = READ_TIMEOUT_MS;
+  const answer = await requestJson({ method: 'GET', url, token: '', timeoutMs }, explanationSchema);
+  if (answer.isErr) {
+    printError(answer.error, isJson(options));
+    return;
+  }
+  print(answer.value, isJson(options), renderExplanation);
+}
+
+/** Parses an option as a name; else throws, which is printed as a usage error. */
+function readName(value: unknown, name: string): string | undefined {
+  const text = readText(value);
+  if (value !== undefined && (text === undefined || text.length > MAX_NAME_CHARACTERS)) {
+    throw new Error(`--${name} needs one text of at most ${MAX_NAME_CHARACTERS} characters`);
+  }
+  return text;
+}
+
+async function explainEnded(id: string, options: ExplainOptions): Promise<void> {
   const files = [options.log ?? []].flat();
   if (files.length === 0) {
     printUsage(
