Log engines that become slow, and count them

Cause: placement avoids an engine that is slower than others, and nothing showed which one, or since when.

Change: target.slow and target.usual-speed in the log of the coordinator, the gauges tanager_engines_slow and tanager_cost_entries. An engine is reported from 1.5 times the usual time on, and as usual again below 1.2 times.

--- a/packages/gateway/src/common/placement/CostEstimates.ts
+++ b/packages/gateway/src/common/placement/CostEstimates.ts
@@ -9,7 +9,7 @@
  * without history by what requests state. The tokens of an answer are not seen, only its events: the
  * tokens of an event are at most the stated maximum divided by the events of an answer.
  */
-import type { Clock, Metrics } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, type Metrics } from '@tanagerdyke/kernel';
 import { LRUCache } from 'lru-cache';
 import type { EngineProfile } from '../Messages.js';
 import { DecayingMean } from './DecayingMean.js';
@@ -118,14 +118,17 @@
 }
 
 /** Learns what requests cost, and estimates what the next ones will. */
-export class CostEstimates {
+export class CostEstimates extends DisposableOwner {
   public readonly speeds: EngineSpeeds;
   private readonly _entries: LRUCache<string, CostEntry>;
   /** By route and size: the entries of the workspaces that count, the least recent in front. */
   private readonly _groups = new Map<string, Map<string, CostEntry>>();
 
   constructor(private readonly _options: { readonly clock: Clock; readonly metrics: Metrics }) {
-    this.speeds = new EngineSpeeds(_options.clock);
+    super();
+    this.speeds = this.register(new EngineSpeeds(_options.clock));
+    _options.metrics.gauge('tanager_engines_slow', () => this.speeds.slowCount);
+    _options.metrics.gauge('tanager_cost_entries', () => this.size);
     this._entries = new LRUCache({
       max: MAX_ENTRIES,
       dispose: (_entry, key) => {
--- a/packages/gateway/src/common/placement/EngineSpeeds.test.ts
+++ b/packages/gateway/src/common/placement/EngineSpeeds.test.ts
@@ -52,6 +52,16 @@
     expect(speeds.slowdown('unknown')).toBe(1);
   });
 
+  it('reports an engine that becomes slow, and one that is no longer, once each', () => {
+    const changes: string[] = [];
+    speeds.onChange(({ isSlow, target }) => changes.push(`${target} ${isSlow ? 'slow' : 'usual'}`));
+    play(20, (engine) => (engine === 3 ? 3 : 1));
+    expect(speeds.slowCount).toBe(1);
+    play(20, () => 1);
+    expect(changes).toEqual(['e3 slow', 'e3 usual']);
+    expect(speeds.slowCount).toBe(0);
+  });
+
   it('is bounded however slow the engine is', () => {
     play(30, (engine) => (engine === 3 ? 1_000 : 1));
     expect(speeds.slowdown('e3')).toBe(4);
--- a/packages/gateway/src/common/placement/EngineSpeeds.ts
+++ b/packages/gateway/src/common/placement/EngineSpeeds.ts
@@ -8,7 +8,7 @@
  * The estimate is bounded and lost within seconds without new samples, so that a slow engine gets
  * fewer prompts than the others and still some.
  */
-import type { Clock } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 import { LRUCache } from 'lru-cache';
 import { DecayingMean } from './DecayingMean.js';
 
@@ -30,8 +30,21 @@
 /** A first event after this time is of an engine that failed. */
 const PENDING_TTL_MS = 10_000;
 
+/** An engine is reported as slow from the first factor on, and as usual again below the second. */
+const SLOW_FROM = 1.5;
+const USUAL_BELOW = 1.2;
+
+/** An engine that became slow, or is no longer. */
+export interface SpeedChange {
+  readonly target: string;
+  readonly isSlow: boolean;
+  /** Factor by which it is slower than others of its service. */
+  readonly slowdown: number;
+}
+
 interface SpeedRecord {
   readonly service: string;
+  isSlow: boolean;
   /** Log of the real time as a multiple of the predicted one. */
   readonly excess: DecayingMean;
 }
@@ -43,20 +56,31 @@
   readonly at: number;
 }
 
-export class EngineSpeeds {
+/** Holds the speed of engines relative to the others of their service. */
+export class EngineSpeeds extends DisposableOwner {
   private readonly _records = new LRUCache<string, SpeedRecord>({ max: MAX_ENGINES });
   private readonly _pending = new LRUCache<string, PendingEvent>({ max: MAX_PENDING });
   /** By service: the mean excess of its middle engine. */
   private _usual = new Map<string, number>();
   private _usualAt = Number.NEGATIVE_INFINITY;
+  private readonly _onChange = this.register(new Emitter<SpeedChange>());
+  /** Fires when an engine becomes slow, or is seen not to be slow any more. */
+  public readonly onChange = this._onChange.event;
 
-  constructor(private readonly _clock: Clock) {}
+  constructor(private readonly _clock: Clock) {
+    super();
+  }
 
   /** Number of engines of which a speed is known. */
   public get size(): number {
     return this._records.size;
   }
 
+  /** Number of engines that are slow. */
+  public get slowCount(): number {
+    return [...this._records.keys()].filter((id) => this.slowdown(id) >= SLOW_FROM).length;
+  }
+
   /** Records that a prompt was placed on an engine without a queue. */
   public expectFirstEvent(key: string, service: string, target: string, predictedMs: number): void {
     this._pending.set(key, { service, target, predictedMs, at: this._clock.now() });
@@ -78,11 +102,18 @@
   public record(service: string, target: string, predictedMs: number, tookMs: number): void {
     let record = this._records.get(target);
     if (record === undefined) {
-      record = { service, excess: new DecayingMean(HALF_LIFE_MS, MAX_STEP) };
+      const excess = new DecayingMean(HALF_LIFE_MS, MAX_STEP);
+      record = { service, isSlow: false, excess };
       this._records.set(target, record);
     }
     const excess = Math.log(Math.max(1, tookMs) / Math.max(1, predictedMs));
     record.excess.add(excess, this._clock.now());
+    const slowdown = this.slowdown(target);
+    const isSlow = slowdown >= (record.isSlow ? USUAL_BELOW : SLOW_FROM);
+    if (isSlow !== record.isSlow) {
+      record.isSlow = isSlow;
+      this._onChange.fire({ target, isSlow, slowdown });
+    }
   }
 
   /** Factor by which an engine is slower than others of its service; 1 when it is not. */
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -236,7 +236,13 @@
     this.register(new FailureReports({ broadcast, health, node }));
     this.register(new LeavingReports({ broadcast, targets }));
     const { _pauses: pauses, _rateLimits: rateLimits } = this;
-    const costs = new CostEstimates(this._options);
+    const costs = this.register(new CostEstimates(this._options));
+    this.register(
+      costs.speeds.onChange(({ isSlow, slowdown, target }) => {
+        const factor = Math.round(slowdown * 100) / 100;
+        this._options.log.write(isSlow ? 'target.slow' : 'target.usual-speed', { target, factor });
+      }),
+    );
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     const quarantine = this.register(new CrashQuarantine(this._options));
