Keep the loads of engines that have not changed between decisions

Cause: each decision grouped all active requests by engine and computed all loads, and each engine was rated as a reader also for prompts on one engine.

Change: the table of active requests keeps them by engine with a version, and the load of an engine without pending prefill is computed again only when its requests, its record or its speed changed. Prompts on one engine need no order of readers. The requests of a node without updates count up to 50 ms longer.

--- a/packages/gateway/src/common/placement/ActiveRequestTable.ts
+++ b/packages/gateway/src/common/placement/ActiveRequestTable.ts
@@ -51,14 +51,37 @@
   readonly id: string;
 }
 
+/** Nodes are looked through this often for some that no longer send updates. */
+const EXPIRY_INTERVAL_MS = 50;
+
 interface NodeRequests {
+  readonly name: string;
   readonly requests: Map<string, ActiveRequest>;
   lastUpdateAt: number;
+  /** Whether its requests count on their engines. */
+  isCounted: boolean;
+}
+
+/** The requests on one engine. */
+export interface TargetRequests {
+  /** Grows with each change. */
+  readonly version: number;
+  readonly requests: ReadonlyMap<string, ActiveRequest>;
+}
+
+interface MutableTargetRequests {
+  version: number;
+  readonly requests: Map<string, ActiveRequest>;
 }
 
+const NONE: TargetRequests = { version: 0, requests: new Map() };
+
 /** Holds the active requests of every node that this node has a record of. */
 export class ActiveRequestTable extends DisposableOwner {
   private readonly _nodes = new Map<string, NodeRequests>();
+  private readonly _byTarget = new Map<string, MutableTargetRequests>();
+  private _versions = 0;
+  private _expiredAt = Number.NEGATIVE_INFINITY;
   private readonly _onChange = this.register(new Emitter<void>());
   /**
    * Fires when one request is set or removed, not when `retain` or `removeNode` removes some or a
@@ -89,6 +112,15 @@
     return all;
   }
 
+  /**
+   * The requests on an engine. Those of a node without updates may count for `EXPIRY_INTERVAL_MS`
+   * longer than in `requests`.
+   */
+  public requestsOn(target: string): TargetRequests {
+    this._expireNodes();
+    return this._byTarget.get(target) ?? NONE;
+  }
+
   /** The requests of this node. */
   public get ownRequests(): readonly ActiveRequest[] {
     return [...this._entryOf(this._self).requests.values()];
@@ -97,8 +129,10 @@
   /** Adds or replaces a request of a node. */
   public set(node: string, request: ActiveRequest): void {
     const entry = this._entryOf(node);
+    this._recordUpdate(entry);
+    this._uncount(entry, entry.requests.get(request.id));
     entry.requests.set(request.id, request);
-    entry.lastUpdateAt = this._clock.now();
+    this._count(entry, request);
     this._onChange.fire();
   }
 
@@ -116,7 +150,8 @@
   /** Removes a request that ended. */
   public remove(node: string, id: string): void {
     const entry = this._entryOf(node);
-    entry.lastUpdateAt = this._clock.now();
+    this._recordUpdate(entry);
+    this._uncount(entry, entry.requests.get(id));
     if (entry.requests.delete(id)) {
       this._onChange.fire();
     }
@@ -126,9 +161,10 @@
   public retain(node: string, ids: ReadonlySet<string>): void {
     const entry = this._entryOf(node);
     const now = this._clock.now();
-    entry.lastUpdateAt = now;
-    for (const [id, { startedAt }] of entry.requests) {
-      if (!ids.has(id) && now - startedAt >= PLACEMENT_DELAY_MS) {
+    this._recordUpdate(entry);
+    for (const [id, request] of entry.requests) {
+      if (!ids.has(id) && now - request.startedAt >= PLACEMENT_DELAY_MS) {
+        this._uncount(entry, request);
         entry.requests.delete(id);
       }
     }
@@ -136,15 +172,80 @@
 
   /** Removes a node that left or died, with all its requests. */
   public removeNode(node: string): void {
-    if (node !== this._self) {
+    const entry = this._nodes.get(node);
+    if (node !== this._self && entry !== undefined) {
+      this._uncountAll(entry);
       this._nodes.delete(node);
     }
   }
 
+  /** Records an update of a node; the requests of one that had timed out count again. */
+  private _recordUpdate(entry: NodeRequests): void {
+    entry.lastUpdateAt = this._clock.now();
+    if (!entry.isCounted) {
+      entry.isCounted = true;
+      for (const request of entry.requests.values()) {
+        this._count(entry, request);
+      }
+    }
+  }
+
+  private _expireNodes(): void {
+    const now = this._clock.now();
+    if (now - this._expiredAt < EXPIRY_INTERVAL_MS) {
+      return;
+    }
+    this._expiredAt = now;
+    for (const entry of this._nodes.values()) {
+      const isLive = entry.name === this._self || now - entry.lastUpdateAt < NODE_TIMEOUT_MS;
+      if (entry.isCounted && !isLive) {
+        this._uncountAll(entry);
+        entry.isCounted = false;
+      }
+    }
+  }
+
+  private _count({ isCounted, name }: NodeRequests, request: ActiveRequest): void {
+    if (!isCounted) {
+      return;
+    }
+    for (const target of request.targets) {
+      let on = this._byTarget.get(target);
+      if (on === undefined) {
+        on = { version: 0, requests: new Map() };
+        this._byTarget.set(target, on);
+      }
+      on.version = ++this._versions;
+      on.requests.set(`${name} ${request.id}`, request);
+    }
+  }
+
+  private _uncount({ isCounted, name }: NodeRequests, request: ActiveRequest | undefined): void {
+    if (!isCounted || request === undefined) {
+      return;
+    }
+    for (const target of request.targets) {
+      const on = this._byTarget.get(target);
+      if (on?.requests.delete(`${name} ${request.id}`) === true) {
+        on.version = ++this._versions;
+        if (on.requests.size === 0) {
+          this._byTarget.delete(target);
+        }
+      }
+    }
+  }
+
+  private _uncountAll(entry: NodeRequests): void {
+    for (const request of entry.requests.values()) {
+      this._uncount(entry, request);
+    }
+  }
+
   private _entryOf(node: string): NodeRequests {
     let entry = this._nodes.get(node);
     if (entry === undefined) {
-      entry = { requests: new Map(), lastUpdateAt: this._clock.now() };
+      const lastUpdateAt = this._clock.now();
+      entry = { name: node, requests: new Map(), lastUpdateAt, isCounted: true };
       this._nodes.set(node, entry);
     }
     return entry;
--- a/packages/gateway/src/common/placement/EngineLoad.ts
+++ b/packages/gateway/src/common/placement/EngineLoad.ts
@@ -58,7 +58,8 @@
   );
 }
 
-function computeLoad(
+/** Computes the load of one engine from the requests on it. */
+export function computeLoad(
   profile: EngineProfile,
   entry: TargetEntry,
   requests: readonly ActiveRequest[],
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -16,7 +16,8 @@
 import { capacityWaitMs } from './CapacityWait.js';
 import type { CostEstimates } from './CostEstimates.js';
 import { isInCell, keyOfCell } from './EngineCells.js';
-import { computeLoads, type EngineLoad } from './EngineLoad.js';
+import type { EngineLoad } from './EngineLoad.js';
+import { EngineLoads } from './EngineLoads.js';
 import { prefillMs } from './EngineTiming.js';
 import {
   expectedOutputTokens,
@@ -126,6 +127,7 @@
 export class EngineScheduler extends DisposableOwner {
   private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
   private readonly _retries = new RetrySchedule();
+  private readonly _engineLoads: EngineLoads;
   private _timer: Disposable | undefined;
   /** Loads of a cell at the start of an evaluation; undefined after a request changed. */
   private _loads: CellLoads | undefined;
@@ -133,6 +135,7 @@
 
   constructor(private readonly _options: SchedulerOptions) {
     super();
+    this._engineLoads = new EngineLoads(_options.activeRequests);
     this.register(
       toDisposable(() => {
         this._timer?.dispose();
@@ -347,14 +350,13 @@
 
   /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
   private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
-    const { activeRequests, clock, costs } = this._options;
+    const { clock, costs } = this._options;
     const now = clock.now();
     const key = keyOfCell(request.cell);
     if (this._loads?.key !== key || now - this._loads.at > MAX_LOAD_AGE_MS) {
-      const engines = this._enginesOf(request);
-      const { requests } = activeRequests;
-      const slowdownOf = (target: string): number => costs.slowdown(target);
-      const loads = computeLoads(request.profile, engines, requests, now, slowdownOf);
+      const loads = this._enginesOf(request).map((engine) =>
+        this._engineLoads.loadOf(request.profile, engine, now, costs.slowdown(engine.id)),
+      );
       this._loads = { key, at: now, loads };
     }
     return this._loads.loads;
--- a/packages/gateway/src/common/placement/PromptPlacer.ts
+++ b/packages/gateway/src/common/placement/PromptPlacer.ts
@@ -90,7 +90,7 @@
     load,
     primaryLoss: primaryLoss(load, prompt) + randomLoss(),
   }));
-  const input = { profile, prompt, engines };
+  const input = { profile, prompt, value: expectedValue(prompt), engines };
   return (
     placeBest({ ...input, isMemoryShared: false }) ?? placeBest({ ...input, isMemoryShared: true })
   );
@@ -101,7 +101,6 @@
   // With shared memory, the primary takes the place of one reader in the list that is sent to it,
   // since that list also names its own reservation.
   const maxEngines = input.isMemoryShared ? MAX_READERS : MAX_READERS + 1;
-  const value = expectedValue(input.prompt);
   let best: PromptPlacement | undefined;
   for (const count of ENGINE_COUNTS) {
     if (count > input.engines.length || count > maxEngines) {
@@ -111,7 +110,7 @@
     if (placement !== undefined && (best === undefined || placement.cost < best.cost)) {
       best = placement;
     }
-    if (placement !== undefined && placement.loss <= NEGLIGIBLE_LOSS_SHARE * value) {
+    if (placement !== undefined && placement.loss <= NEGLIGIBLE_LOSS_SHARE * input.value) {
       break;
     }
   }
@@ -121,6 +120,8 @@
 interface PlacementInput {
   readonly profile: EngineProfile;
   readonly prompt: PromptRequirements;
+  /** Value of an answer in time. */
+  readonly value: number;
   readonly engines: readonly EvaluatedEngine[];
   /** Whether all engines of the placement hold a part of the memory. */
   readonly isMemoryShared: boolean;
@@ -157,7 +158,7 @@
   partPrefillMs: number,
   input: PlacementInput,
 ): PromptPlacement | undefined {
-  const { engines, isMemoryShared, profile, prompt } = input;
+  const { engines, isMemoryShared, profile, prompt, value } = input;
   const neededTokens = prompt.promptTokens + prompt.outputTokens;
   const reservedTokens = isMemoryShared
     ? Math.ceil(neededTokens / count / BLOCK_TOKENS + 1) * BLOCK_TOKENS
@@ -165,14 +166,14 @@
   const candidates = engines
     .filter(({ load }) => hasMemoryFor(load, reservedTokens, profile))
     .map((engine) => toCandidate(engine, partPrefillMs, input));
-  candidates.sort((a, b) => a.asReader.totalLoss - b.asReader.totalLoss);
+  if (count > 1) {
+    candidates.sort((a, b) => a.asReader.totalLoss - b.asReader.totalLoss);
+  }
   const primary = choosePrimary(candidates, count, isMemoryShared ? 0 : neededTokens, profile);
   if (primary === undefined) {
     return undefined;
   }
-  const readers = candidates
-    .filter((each) => each !== primary && each.load.assistingPrefills < each.load.entry.slots)
-    .slice(0, count - 1);
+  const readers = count === 1 ? [] : chooseReaders(candidates, primary, count - 1);
   if (readers.length < count - 1) {
     return undefined;
   }
@@ -180,7 +181,6 @@
   const firstEventMs =
     Math.max(...parts.map(({ finishMs }) => finishMs)) +
     passMs(profile, primary.load.generating + 1, prompt.promptTokens) * primary.load.slowdown;
-  const value = expectedValue(prompt);
   const loss =
     parts.reduce((sum, { otherRequestsLoss }) => sum + otherRequestsLoss, 0) +
     value * lateLossShare(firstEventMs, prompt) +
@@ -242,40 +242,69 @@
     const hasCapacity =
       load.primaryRequests.length < load.entry.slots &&
       load.memoryTokens + neededTokens <= profile.memoryTokens;
-    if (
-      hasCapacity &&
-      (best === undefined || candidate.asPrimary.totalLoss < best.asPrimary.totalLoss)
-    ) {
+    if (hasCapacity && (best === undefined || isBetterPrimary(candidate, best))) {
       best = candidate;
     }
   }
   return best;
 }
 
+/** Of equal primaries, the one with the least loss as a reader is better. */
+function isBetterPrimary(candidate: PartCandidate, best: PartCandidate): boolean {
+  const difference = candidate.asPrimary.totalLoss - best.asPrimary.totalLoss;
+  return (
+    difference < 0 || (difference === 0 && candidate.asReader.totalLoss < best.asReader.totalLoss)
+  );
+}
+
+/** Returns the `count` readers with the least loss. */
+function chooseReaders(
+  candidates: readonly PartCandidate[],
+  primary: PartCandidate,
+  count: number,
+): readonly PartCandidate[] {
+  return candidates
+    .filter((each) => each !== primary && each.load.assistingPrefills < each.load.entry.slots)
+    .slice(0, count);
+}
+
 function toCandidate(
-  { load, primaryLoss: lossAsPrimary }: EvaluatedEngine,
+  engine: EvaluatedEngine,
   partPrefillMs: number,
-  { profile, prompt }: PlacementInput,
+  { profile, prompt, value }: PlacementInput,
 ): PartCandidate {
-  const value = expectedValue(prompt);
+  const { load } = engine;
   const slowedPartMs = partPrefillMs * load.slowdown;
-  const costOf = (
-    backlogMs: number,
-    otherRequestsLoss: number,
-    partPrimaryLoss: number,
-  ): PartCost => {
-    const pendingMs = backlogMs + load.scheduleDelayMs + slowedPartMs;
-    const finishMs = prefillFinishMs(profile, load, pendingMs);
-    const ownLoss = value * lateLossShare(finishMs + load.passMs, prompt);
-    const totalLoss = otherRequestsLoss + ownLoss + partPrimaryLoss;
-    return { finishMs, otherRequestsLoss, primaryLoss: partPrimaryLoss, totalLoss };
-  };
   const pausesLoss = pauseLoss(load, slowedPartMs);
-  return {
+  const finishMs = prefillFinishMs(
+    profile,
     load,
-    asReader: costOf(load.assistingBacklogMs, pausesLoss + prefillDelayLoss(load, slowedPartMs), 0),
-    asPrimary: costOf(load.backlogMs, pausesLoss, lossAsPrimary),
-  };
+    load.backlogMs + load.scheduleDelayMs + slowedPartMs,
+  );
+  const ownLoss = value * lateLossShare(finishMs + load.passMs, prompt);
+  const asPrimary = toCost(finishMs, pausesLoss, ownLoss, engine.primaryLoss);
+  if (load.primaryPrefills.length === 0) {
+    // The part of a reader goes before those of primary requests, of which there are none.
+    return { load, asReader: toCost(finishMs, pausesLoss, ownLoss, 0), asPrimary };
+  }
+  const readerFinishMs = prefillFinishMs(
+    profile,
+    load,
+    load.assistingBacklogMs + load.scheduleDelayMs + slowedPartMs,
+  );
+  const readerOwnLoss = value * lateLossShare(readerFinishMs + load.passMs, prompt);
+  const othersLoss = pausesLoss + prefillDelayLoss(load, slowedPartMs);
+  return { load, asReader: toCost(readerFinishMs, othersLoss, readerOwnLoss, 0), asPrimary };
+}
+
+function toCost(
+  finishMs: number,
+  otherRequestsLoss: number,
+  ownLoss: number,
+  partPrimaryLoss: number,
+): PartCost {
+  const totalLoss = otherRequestsLoss + ownLoss + partPrimaryLoss;
+  return { finishMs, otherRequestsLoss, primaryLoss: partPrimaryLoss, totalLoss };
 }
 
 /** Time that an engine takes for `pendingMs` of prefill while it also runs its token steps. */
