Measure the time of one decision of the gateway

Cause: the aim for a decision is stated for npm run measure, which measured only the daemon's placement.

It needs no processes.

--- a/packages/standins/src/node/measure/measure.ts
+++ b/packages/standins/src/node/measure/measure.ts
@@ -2,8 +2,10 @@
  * `npm run measure`: measures placement and admission under load with real processes. Progress goes
  * to standard error; the last line of standard output is JSON with the figures.
  */
+import { SystemClock } from '@tanagerdyke/kernel';
 import { cac } from 'cac';
 import { Baseline } from '../../common/measure/BaselinePolicies.js';
+import { measurePlacementTime } from '../../common/measure/PlacementTime.js';
 import { SITES, User } from '../../common/measure/UserSite.js';
 import { MeasuredFleet } from './MeasuredFleet.js';
 import type { SliceLine } from '../../common/measure/PolicySummary.js';
@@ -22,8 +24,13 @@
   Overload = 'overload',
   Fairness = 'fairness',
   Kills = 'kills',
+  /** Time of a decision of the gateway; needs no processes. */
+  Placement = 'placement',
 }
 
+/** The series that run on the fleet of a site. */
+type SitePart = Exclude<MeasurementPart, MeasurementPart.Placement>;
+
 /** The validated command line. */
 interface MeasurementOptions {
   readonly seed: number;
@@ -36,6 +43,10 @@
   readonly report: string | undefined;
 }
 
+interface SiteOptions extends MeasurementOptions {
+  readonly parts: readonly SitePart[];
+}
+
 const cli = cac('measure');
 cli.option('--seed <number>', 'first seed of the arrivals', { default: 1 });
 cli.option('--seconds <number>', 'engine time of arrivals in each slice', {
@@ -45,7 +56,7 @@
 cli.option('--time-scale <number>', 'engine time per real time', { default: DEFAULT_TIME_SCALE });
 cli.option('--users <name>', 'catania, rancho or both', { default: 'both' });
 cli.option('--policy <names>', 'policies, separated by commas; all without it');
-cli.option('--parts <names>', 'compare, overload, fairness, kills; all without it');
+cli.option('--parts <names>', 'compare, overload, fairness, kills, placement; all without it');
 cli.option('--report <directory>', 'where to write the report; none without it');
 cli.help();
 const { options } = cli.parse();
@@ -66,8 +77,13 @@
     report.add(line);
     writeProgress(JSON.stringify(line));
   };
-  for (const user of measurementOptions.users) {
-    await measureSite(user, measurementOptions, onLine);
+  const parts = measurementOptions.parts.filter((part) => part !== MeasurementPart.Placement);
+  if (measurementOptions.parts.includes(MeasurementPart.Placement)) {
+    const times = await measurePlacementTime(new SystemClock(), measurementOptions.seed);
+    writeProgress(`placement ${JSON.stringify(times)}`);
+  }
+  for (const user of parts.length === 0 ? [] : measurementOptions.users) {
+    await measureSite(user, { ...measurementOptions, parts }, onLine);
   }
   report.write();
   process.stdout.write(`${JSON.stringify(report.summaries)}\n`);
@@ -75,7 +91,7 @@
 
 async function measureSite(
   user: User,
-  measurementOptions: MeasurementOptions,
+  measurementOptions: SiteOptions,
   onLine: (line: SliceLine) => void,
 ): Promise<void> {
   const { policies, seconds, seed, timeScale } = measurementOptions;
@@ -104,13 +120,13 @@
 
 async function runParts(
   series: MeasurementSeries,
-  { parts, policies }: MeasurementOptions,
+  { parts, policies }: SiteOptions,
   comparedPolicies: readonly string[],
   sitePolicy: string,
   seed: number,
 ): Promise<void> {
   const [singlePolicy = sitePolicy] = policies;
-  const run: Record<MeasurementPart, () => Promise<void>> = {
+  const run: Record<SitePart, () => Promise<void>> = {
     [MeasurementPart.Compare]: () => series.compare(comparedPolicies, seed),
     [MeasurementPart.Overload]: () => series.overload(singlePolicy, seed),
     [MeasurementPart.Fairness]: () => series.fairness(singlePolicy, seed),
