Bound what one workspace teaches about the tokens of an event

Cause: the tokens of an event were learned only from answers with more events than their maximum allows for. A workspace that states less than its answers have was alone in that, and shrank the estimates of all others on its route. A caller could also make up a size class, and so an entry, for each request.

Change: each answer counts, an event has at least one token, and a workspace with odd answers is outweighed by the others. Prompts over a million tokens are one class.

--- a/packages/gateway/src/common/placement/CostEstimates.test.ts
+++ b/packages/gateway/src/common/placement/CostEstimates.test.ts
@@ -182,6 +182,32 @@
     expect(unknownBefore / unknownAfter).toBeLessThan(2);
   });
 
+  it('bounds what a workspace does to others that states less than its answers have', () => {
+    const normal = (): void => {
+      for (let index = 0; index < 200; index++) {
+        record(requestOf({ workspace: `w${index % 4}` }), lengthAround(0.4, 1.5));
+      }
+    };
+    normal();
+    const before = costs.estimate(requestOf({ workspace: 'w1' })).outputTokens;
+    for (let index = 0; index < 500; index++) {
+      record(requestOf({ workspace: 'odd', stated: 1 }), STATED);
+      if (index % 10 === 0) {
+        record(requestOf({ workspace: `w${(index / 10) % 4}` }), lengthAround(0.4, 1.5));
+      }
+    }
+    const after = costs.estimate(requestOf({ workspace: 'w1' })).outputTokens;
+    expect(before / after).toBeLessThan(2);
+    expect(before / after).toBeGreaterThan(0.5);
+  });
+
+  it('makes no class for each prompt size that a caller states', () => {
+    for (let power = 7; power < 300; power++) {
+      record(requestOf({ promptTokens: 10 ** power }), 400);
+    }
+    expect(costs.size).toBe(1);
+  });
+
   it('learns the time of generation, whatever the tokens of an event are', () => {
     for (let index = 0; index < 60; index++) {
       record(requestOf(), 400);
--- a/packages/gateway/src/common/placement/CostEstimates.ts
+++ b/packages/gateway/src/common/placement/CostEstimates.ts
@@ -41,6 +41,12 @@
 /** Prompts up to 4,000 tokens are one class; each further one reaches four times as far. */
 const FIRST_CLASS_TOKENS = 4_000;
 const CLASS_FACTOR = 4;
+/** The last class has all prompts over a million tokens, so that callers can't make up classes. */
+const LAST_CLASS = 5;
+/** Part by which an answer with more events than allowed for corrects the tokens of an event. */
+const LIMIT_PART = 0.5;
+/** Step by which the tokens of an event rise with an answer that does not limit them. */
+const EVENT_TOKENS_RISE = 0.003;
 
 /** What is known of a request before it runs. */
 export interface CostRequest {
@@ -192,10 +198,7 @@
     const stride = profile?.stride ?? 1;
     const entry = this._entryOf(request);
     const history = this._historyOf(request);
-    const most = Math.log(stated / events / stride);
-    if (most < this._learned(history, 'eventTokens', STATED_WEIGHT).mean) {
-      entry.eventTokens.add(most, now);
-    }
+    this._recordEventTokens(entry, Math.log(stated / events / stride), stride);
     const { mean } = this._learned(history, 'eventTokens', STATED_WEIGHT);
     const tokens = Math.min(stated, events * stride * Math.exp(mean));
     this._observeError('learned', estimate.outputTokens, tokens);
@@ -217,6 +220,19 @@
     }
   }
 
+  /**
+   * Lowers the tokens of an event to the most that an answer allows for, and raises them slowly
+   * otherwise. An event has at least one token, whatever the caller states. Each answer counts, so
+   * that a workspace with odd ones is outweighed by the others.
+   */
+  private _recordEventTokens(entry: CostEntry, most: number, stride: number): void {
+    const { eventTokens } = entry;
+    const sample = Math.min(most, eventTokens.mean + EVENT_TOKENS_RISE, 0);
+    const limited = Math.max(-Math.log(stride), sample);
+    const leastPart = limited < eventTokens.mean ? LIMIT_PART : 0;
+    eventTokens.add(limited, this._options.clock.now(), leastPart);
+  }
+
   private _estimateOutput(request: CostRequest, history: CostHistory): OutputEstimates {
     const { hint, stated } = request;
     const bound = (tokens: number): number =>
@@ -331,7 +347,7 @@
 /** Requests of one route and service whose prompts are of about the same size. */
 function groupKey({ promptTokens, route, service }: CostRequest): string {
   const times = Math.log(Math.max(1, promptTokens / FIRST_CLASS_TOKENS)) / Math.log(CLASS_FACTOR);
-  return JSON.stringify([route, service, Math.ceil(times)]);
+  return JSON.stringify([route, service, Math.min(LAST_CLASS, Math.ceil(times))]);
 }
 
 function entryKey(group: string, workspace: string): string {
--- a/packages/gateway/src/common/placement/DecayingMean.ts
+++ b/packages/gateway/src/common/placement/DecayingMean.ts
@@ -37,10 +37,11 @@
     this._at = now;
   }
 
-  public add(sample: number, now: number): void {
+  /** @param leastPart least part of the distance to the sample by which the mean moves */
+  public add(sample: number, now: number, leastPart = 0): void {
     const weight = this.weightAt(now);
     const distance = Math.min(this._maxStep, Math.max(-this._maxStep, sample - this._mean));
-    this._mean += distance / (weight + 1);
+    this._mean += distance * Math.max(leastPart, 1 / (weight + 1));
     this._weight = Math.min(MAX_WEIGHT, weight + 1);
     this._at = now;
   }
