Hold learned costs in maps that allocate nothing in advance

Cause: the caches allocate arrays for their greatest size, 0.8 ms for the estimates of one node. Tests that create thousands of nodes took longer: one of RequestSimulation.test.ts exceeded its time limit of 60 s at load 29 (it passed alone, in 20 s at load 20).

Change: maps in the order of use, with the same bounds.

--- a/packages/gateway/src/common/placement/CostEstimates.ts
+++ b/packages/gateway/src/common/placement/CostEstimates.ts
@@ -10,7 +10,6 @@
  * tokens of an event are at most the stated maximum divided by the events of an answer.
  */
 import { type Clock, DisposableOwner, type Metrics } from '@tanagerdyke/kernel';
-import { LRUCache } from 'lru-cache';
 import type { EngineProfile } from '../Messages.js';
 import { DecayingMean } from './DecayingMean.js';
 import { EngineSpeeds } from './EngineSpeeds.js';
@@ -126,7 +125,8 @@
 /** Learns what requests cost, and estimates what the next ones will. */
 export class CostEstimates extends DisposableOwner {
   public readonly speeds: EngineSpeeds;
-  private readonly _entries: LRUCache<string, CostEntry>;
+  /** The least recently used in front. */
+  private readonly _entries = new Map<string, CostEntry>();
   /** By route and size: the entries of the workspaces that count, the least recent in front. */
   private readonly _groups = new Map<string, Map<string, CostEntry>>();
 
@@ -135,12 +135,6 @@
     this.speeds = this.register(new EngineSpeeds(_options.clock));
     _options.metrics.gauge('tanager_engines_slow', () => this.speeds.slowCount);
     _options.metrics.gauge('tanager_cost_entries', () => this.size);
-    this._entries = new LRUCache({
-      max: MAX_ENTRIES,
-      dispose: (_entry, key) => {
-        this._removeFromGroup(key);
-      },
-    });
   }
 
   /** Number of entries, which is bounded. */
@@ -291,7 +285,7 @@
   private _historyOf(request: CostRequest): CostHistory {
     const key = groupKey(request);
     return {
-      own: this._entries.peek(entryKey(key, request.workspace)),
+      own: this._entries.get(entryKey(key, request.workspace)),
       group: [...(this._groups.get(key)?.values() ?? [])],
     };
   }
@@ -300,10 +294,14 @@
   private _entryOf(request: CostRequest): CostEntry {
     const { workspace } = request;
     const key = groupKey(request);
-    let entry = this._entries.get(entryKey(key, workspace));
-    if (entry === undefined) {
-      entry = createEntry();
-      this._entries.set(entryKey(key, workspace), entry);
+    const id = entryKey(key, workspace);
+    const entry = this._entries.get(id) ?? createEntry();
+    this._entries.delete(id);
+    this._entries.set(id, entry);
+    const [leastRecent = ''] = this._entries.keys();
+    if (this._entries.size > MAX_ENTRIES) {
+      this._entries.delete(leastRecent);
+      this._removeFromGroup(leastRecent);
     }
     const group = this._groups.get(key) ?? new Map<string, CostEntry>();
     this._groups.set(key, group);
--- a/packages/gateway/src/common/placement/EngineLoads.ts
+++ b/packages/gateway/src/common/placement/EngineLoads.ts
@@ -3,11 +3,11 @@
  * needs the loads of all engines of a cell, and few of them have changed since the one before. The
  * load of an engine that prefills changes with time; that of any other one only with its requests.
  */
-import { LRUCache } from 'lru-cache';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import type { ActiveRequestTable } from './ActiveRequestTable.js';
 import { computeLoad, type EngineLoad } from './EngineLoad.js';
 
+/** Kept loads are discarded at this number, since those of engines that are gone stay until then. */
 const MAX_ENGINES = 1_000;
 
 interface SteadyLoad {
@@ -19,7 +19,7 @@
 
 /** Holds the loads of engines without pending prefill. */
 export class EngineLoads {
-  private readonly _steady = new LRUCache<string, SteadyLoad>({ max: MAX_ENGINES });
+  private readonly _steady = new Map<string, SteadyLoad>();
 
   constructor(private readonly _table: Pick<ActiveRequestTable, 'requestsOn'>) {}
 
@@ -43,6 +43,9 @@
     const requests = [...on.requests.values()];
     const load = computeLoad(profile, entry, requests, now, slowdown);
     if (requests.every(({ isGenerating }) => isGenerating)) {
+      if (this._steady.size >= MAX_ENGINES && steady === undefined) {
+        this._steady.clear();
+      }
       this._steady.set(entry.id, { version: on.version, entry, profile, load });
     }
     return load;
--- a/packages/gateway/src/common/placement/EngineSpeeds.ts
+++ b/packages/gateway/src/common/placement/EngineSpeeds.ts
@@ -9,7 +9,6 @@
  * fewer prompts than the others and still some.
  */
 import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
-import { LRUCache } from 'lru-cache';
 import { DecayingMean } from './DecayingMean.js';
 
 const HALF_LIFE_MS = 15_000;
@@ -58,8 +57,10 @@
 
 /** Holds the speed of engines relative to the others of their service. */
 export class EngineSpeeds extends DisposableOwner {
-  private readonly _records = new LRUCache<string, SpeedRecord>({ max: MAX_ENGINES });
-  private readonly _pending = new LRUCache<string, PendingEvent>({ max: MAX_PENDING });
+  /** By engine, the one that was recorded the longest ago in front. */
+  private readonly _records = new Map<string, SpeedRecord>();
+  /** By prompt, in the order of their placement. */
+  private readonly _pending = new Map<string, PendingEvent>();
   /** By service: the mean excess of its middle engine. */
   private _usual = new Map<string, number>();
   private _usualAt = Number.NEGATIVE_INFINITY;
@@ -83,7 +84,14 @@
 
   /** Records that a prompt was placed on an engine without a queue. */
   public expectFirstEvent(key: string, service: string, target: string, predictedMs: number): void {
-    this._pending.set(key, { service, target, predictedMs, at: this._clock.now() });
+    const now = this._clock.now();
+    for (const [oldest, { at }] of this._pending) {
+      if (now - at < PENDING_TTL_MS && this._pending.size < MAX_PENDING) {
+        break;
+      }
+      this._pending.delete(oldest);
+    }
+    this._pending.set(key, { service, target, predictedMs, at: now });
   }
 
   /** Records that the first event of a prompt was received; ignored if none was expected. */
@@ -104,7 +112,12 @@
     if (record === undefined) {
       const excess = new DecayingMean(HALF_LIFE_MS, MAX_STEP);
       record = { service, isSlow: false, excess };
-      this._records.set(target, record);
+    }
+    this._records.delete(target);
+    this._records.set(target, record);
+    const [oldest = ''] = this._records.keys();
+    if (this._records.size > MAX_ENGINES) {
+      this._records.delete(oldest);
     }
     const excess = Math.log(Math.max(1, tookMs) / Math.max(1, predictedMs));
     record.excess.add(excess, this._clock.now());
@@ -118,7 +131,7 @@
 
   /** Factor by which an engine is slower than others of its service; 1 when it is not. */
   public slowdown(target: string): number {
-    const record = this._records.peek(target);
+    const record = this._records.get(target);
     if (record === undefined) {
       return 1;
     }
