--- a/packages/gateway/src/common/placement/CostEstimates.ts
+++ b/packages/gateway/src/common/placement/CostEstimates.ts
@@ -9,8 +9,7 @@
  * without history by what requests state. The tokens of an answer are not seen, only its events: the
  * tokens of an event are at most the stated maximum divided by the events of an answer.
  */
-import type { Clock, Metrics } from '@tanagerdyke/kernel';
-import { LRUCache } from 'lru-cache';
+import { type Clock, DisposableOwner, type Metrics } from '@tanagerdyke/kernel';
 import type { EngineProfile } from '../Messages.js';
 import { DecayingMean } from './DecayingMean.js';
 import { EngineSpeeds } from './EngineSpeeds.js';
@@ -41,6 +40,12 @@
 /** Prompts up to 4,000 tokens are one class; each further one reaches four times as far. */
 const FIRST_CLASS_TOKENS = 4_000;
 const CLASS_FACTOR = 4;
+/** The last class has all prompts over a million tokens, so that callers can't make up classes. */
+const LAST_CLASS = 5;
+/** Part by which an answer with more events than allowed for corrects the tokens of an event. */
+const LIMIT_PART = 0.5;
+/** Step by which the tokens of an event rise with an answer that does not limit them. */
+const EVENT_TOKENS_RISE = 0.003;
 
 /** What is known of a request before it runs. */
 export interface CostRequest {
@@ -118,20 +123,18 @@
 }
 
 /** Learns what requests cost, and estimates what the next ones will. */
-export class CostEstimates {
+export class CostEstimates extends DisposableOwner {
   public readonly speeds: EngineSpeeds;
-  private readonly _entries: LRUCache<string, CostEntry>;
+  /** The least recently used in front. */
+  private readonly _entries = new Map<string, CostEntry>();
   /** By route and size: the entries of the workspaces that count, the least recent in front. */
   private readonly _groups = new Map<string, Map<string, CostEntry>>();
 
   constructor(private readonly _options: { readonly clock: Clock; readonly metrics: Metrics }) {
-    this.speeds = new EngineSpeeds(_options.clock);
-    this._entries = new LRUCache({
-      max: MAX_ENTRIES,
-      dispose: (_entry, key) => {
-        this._removeFromGroup(key);
-      },
-    });
+    super();
+    this.speeds = this.register(new EngineSpeeds(_options.clock));
+    _options.metrics.gauge('tanager_engines_slow', () => this.speeds.slowCount);
+    _options.metrics.gauge('tanager_cost_entries', () => this.size);
   }
 
   /** Number of entries, which is bounded. */
@@ -189,10 +192,7 @@
     const stride = profile?.stride ?? 1;
     const entry = this._entryOf(request);
     const history = this._historyOf(request);
-    const most = Math.log(stated / events / stride);
-    if (most < this._learned(history, 'eventTokens', STATED_WEIGHT).mean) {
-      entry.eventTokens.add(most, now);
-    }
+    this._recordEventTokens(entry, Math.log(stated / events / stride), stride);
     const { mean } = this._learned(history, 'eventTokens', STATED_WEIGHT);
     const tokens = Math.min(stated, events * stride * Math.exp(mean));
     this._observeError('learned', estimate.outputTokens, tokens);
@@ -214,6 +214,19 @@
     }
   }
 
+  /**
+   * Lowers the tokens of an event to the most that an answer allows for, and raises them slowly
+   * otherwise. An event has at least one token, whatever the caller states. Each answer counts, so
+   * that a workspace with odd ones is outweighed by the others.
+   */
+  private _recordEventTokens(entry: CostEntry, most: number, stride: number): void {
+    const { eventTokens } = entry;
+    const sample = Math.min(most, eventTokens.mean + EVENT_TOKENS_RISE, 0);
+    const limited = Math.max(-Math.log(stride), sample);
+    const leastPart = limited < eventTokens.mean ? LIMIT_PART : 0;
+    eventTokens.add(limited, this._options.clock.now(), leastPart);
+  }
+
   private _estimateOutput(request: CostRequest, history: CostHistory): OutputEstimates {
     const { hint, stated } = request;
     const bound = (tokens: number): number =>
@@ -272,7 +285,7 @@
   private _historyOf(request: CostRequest): CostHistory {
     const key = groupKey(request);
     return {
-      own: this._entries.peek(entryKey(key, request.workspace)),
+      own: this._entries.get(entryKey(key, request.workspace)),
       group: [...(this._groups.get(key)?.values() ?? [])],
     };
   }
@@ -281,10 +294,14 @@
   private _entryOf(request: CostRequest): CostEntry {
     const { workspace } = request;
     const key = groupKey(request);
-    let entry = this._entries.get(entryKey(key, workspace));
-    if (entry === undefined) {
-      entry = createEntry();
-      this._entries.set(entryKey(key, workspace), entry);
+    const id = entryKey(key, workspace);
+    const entry = this._entries.get(id) ?? createEntry();
+    this._entries.delete(id);
+    this._entries.set(id, entry);
+    const [leastRecent = ''] = this._entries.keys();
+    if (this._entries.size > MAX_ENTRIES) {
+      this._entries.delete(leastRecent);
+      this._removeFromGroup(leastRecent);
     }
     const group = this._groups.get(key) ?? new Map<string, CostEntry>();
     this._groups.set(key, group);
@@ -328,7 +345,7 @@
 /** Requests of one route and service whose prompts are of about the same size. */
 function groupKey({ promptTokens, route, service }: CostRequest): string {
   const times = Math.log(Math.max(1, promptTokens / FIRST_CLASS_TOKENS)) / Math.log(CLASS_FACTOR);
-  return JSON.stringify([route, service, Math.ceil(times)]);
+  return JSON.stringify([route, service, Math.min(LAST_CLASS, Math.ceil(times))]);
 }
 
 function entryKey(group: string, workspace: string): string {
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -18,7 +18,8 @@
 import { capacityWaitMs } from './CapacityWait.js';
 import type { CostEstimates } from './CostEstimates.js';
 import { type EngineCell, isInCell, keyOfCell } from './EngineCells.js';
-import { computeLoads, type EngineLoad } from './EngineLoad.js';
+import type { EngineLoad } from './EngineLoad.js';
+import { EngineLoads } from './EngineLoads.js';
 import { prefillMs } from './EngineTiming.js';
 import { evacuationRetryMs } from './EvacuatedTargets.js';
 import {
@@ -27,8 +28,16 @@
   type PromptRequest,
   RefusedPrompt,
 } from './PlacementDecision.js';
+import {
+  AVOIDED,
+  explainCandidate,
+  ExplainedOutcome,
+  orderCandidates,
+  type PlacementExplanation,
+  PlacementObstacle,
+} from './PlacementExplanation.js';
 import { placementJitter } from './PlacementJitter.js';
-import { promptValue } from './PlacementLoss.js';
+import { type PromptRequirements, promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
 import { RateDecider, type RateLimits } from './RateLimits.js';
@@ -103,10 +112,30 @@
   readonly resolve: (decision: Decision) => void;
 }
 
+/** What to do with a prompt: refuse it, place it, or, without either, let it wait. */
+interface Verdict {
+  readonly ahead: number;
+  readonly expectedWaitMs: number;
+  readonly placement: PromptPlacement | undefined;
+  readonly refusal: PlacementRefusal | undefined;
+}
+
+/** A refusal before a turn to retry is handed out. */
+interface DescribedRefusal {
+  readonly reason: PlacementRefusal;
+  readonly engineCount: number;
+  /** Time until capacity is expected, and for which the prompt will take it. */
+  readonly earliestMs: number;
+  readonly turnMs: number;
+  /** Time to retry when it does not depend on turns. */
+  readonly retryAfterMs: number | undefined;
+}
+
 /** Places prompts in turn, each on the account that includes those before it. */
 export class EngineScheduler extends DisposableOwner {
   private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
   private readonly _retries = new RetrySchedule();
+  private readonly _engineLoads: EngineLoads;
   private _timer: Disposable | undefined;
   /** Loads of a cell at the start of an evaluation; undefined after a request changed. */
   private _loads: CellLoads | undefined;
@@ -114,6 +143,7 @@
 
   constructor(private readonly _options: SchedulerOptions) {
     super();
+    this._engineLoads = new EngineLoads(_options.activeRequests);
     this.register(
       toDisposable(() => {
         this._timer?.dispose();
@@ -160,25 +190,93 @@
     signal: AbortSignal,
     account: AccountState,
   ): Promise<Decision> {
+    const { clock, random } = this._options;
+    const arrivedAt = clock.now();
+    const verdict = this._judge(request, waitUntil, account, () => RANDOM_LOSSES[account](random));
+    const { ahead, placement, refusal } = verdict;
+    if (ahead === 0 && signal.aborted) {
+      return Promise.resolve(this._refuse(request, PlacementRefusal.CallerDisconnected, 0));
+    }
+    if (refusal !== undefined) {
+      return Promise.resolve(this._refuse(request, refusal, ahead));
+    }
+    if (placement !== undefined) {
+      return Promise.resolve(this._commit(request, placement, account));
+    }
+    return new Promise((resolve) => {
+      this._queueOf(request).add({ request, arrivedAt, waitUntil, account, signal, resolve });
+      this._scheduleEvaluation(RECHECK_MS);
+    });
+  }
+
+  /**
+   * Explains what `decide` would decide now. Nothing is placed, reserved, counted or queued, and no
+   * turn to retry is handed out.
+   */
+  public explain(
+    request: PromptRequest,
+    waitUntil: number,
+    account: AccountState,
+  ): PlacementExplanation {
     const now = this._options.clock.now();
-    const queue = this._queueOf(request);
-    const waiting = { request, arrivedAt: now };
-    const ahead = queue.countAhead(waiting, now);
-    const decision = ahead === 0 ? this._decideNow(request, account, signal) : undefined;
-    if (decision !== undefined) {
-      return Promise.resolve(decision);
+    const verdict = this._judge(request, waitUntil, account, () => () => 0);
+    const { ahead, expectedWaitMs, placement, refusal } = verdict;
+    const requirements = this._requirementsOf(request);
+    const candidates = this._loadsOf(request).map((load) => {
+      const alone = placePrompt(request.profile, requirements, [load]);
+      const obstacle = this._findObstacle(
+        request,
+        load.entry.id,
+        this._deciderOf(request, account),
+      );
+      return explainCandidate(load, alone, obstacle, now);
+    });
+    const isPlaced = refusal === undefined && placement !== undefined;
+    const undecided = refusal === undefined ? ExplainedOutcome.Waits : ExplainedOutcome.Refused;
+    const refused =
+      refusal === undefined ? undefined : this._describeRefusal(request, refusal, ahead);
+    return {
+      outcome: isPlaced ? ExplainedOutcome.Placed : undecided,
+      refusal: refused?.reason,
+      targets: isPlaced ? idsOf(placement.targets) : [],
+      firstEventMs: isPlaced ? Math.round(placement.firstEventMs) : undefined,
+      cost: placement === undefined ? undefined : Math.round(placement.cost * 100) / 100,
+      ahead,
+      expectedWaitMs: Math.round(expectedWaitMs),
+      retryAfterMs:
+        refused === undefined
+          ? undefined
+          : Math.round(
+              refused.retryAfterMs ?? this._retries.peek(now, refused.earliestMs, refused.turnMs),
+            ),
+      candidates: orderCandidates(candidates),
+    };
+  }
+
+  /** What to do with a prompt that arrives now; changes nothing. */
+  private _judge(
+    request: PromptRequest,
+    waitUntil: number,
+    account: AccountState,
+    createRandomLoss: () => RandomLoss,
+  ): Verdict {
+    const now = this._options.clock.now();
+    const queue = this._queues.get(keyOfCell(request.cell));
+    const ahead = queue?.countAhead({ request, arrivedAt: now }, now) ?? 0;
+    const placement = ahead === 0 ? this._choose(request, account, createRandomLoss) : undefined;
+    if (placement !== undefined) {
+      const refusal = placement.isNetLoss ? PlacementRefusal.NetLoss : undefined;
+      return { ahead, expectedWaitMs: 0, placement, refusal };
     }
     const decider = this._deciderOf(request, account);
+    const expectedWaitMs = this._expectedWaitMs(request, ahead, decider);
     const mayWait =
       account === AccountState.Complete ||
       this._options.rateLimits.permitsWaiting(this._usableIds(request), ahead, decider);
-    if (!mayWait || now + this._expectedWaitMs(request, ahead, decider) >= waitUntil) {
-      return Promise.resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
-    }
-    return new Promise((resolve) => {
-      queue.add({ ...waiting, waitUntil, account, signal, resolve });
-      this._scheduleEvaluation(RECHECK_MS);
-    });
+    const isEvacuated = this._evacuationRetryMs(request) !== undefined;
+    const isRefused = isEvacuated || !mayWait || now + expectedWaitMs >= waitUntil;
+    const refusal = isRefused ? PlacementRefusal.NoCapacity : undefined;
+    return { ahead, expectedWaitMs, placement, refusal };
   }
 
   private _queueOf({ cell }: PromptRequest): PromptQueue<QueuedPrompt> {
@@ -262,25 +360,40 @@
     if (signal.aborted) {
       return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
-    const { activeRequests: table, clock, random, rateLimits } = this._options;
-    const loads = this._loadsOf(request);
-    if (loads.length === 0) {
+    const { random } = this._options;
+    const placement = this._choose(request, account, () => RANDOM_LOSSES[account](random));
+    if (placement === undefined) {
       const isEvacuated = this._evacuationRetryMs(request) !== undefined;
       return isEvacuated ? this._refuse(request, PlacementRefusal.NoCapacity, 0) : undefined;
     }
+    return placement.isNetLoss
+      ? this._refuse(request, PlacementRefusal.NetLoss, 0)
+      : this._commit(request, placement, account);
+  }
+
+  /** The best placement now, also if it is a net loss; `undefined` when no engine has capacity. */
+  private _choose(
+    request: PromptRequest,
+    account: AccountState,
+    createRandomLoss: () => RandomLoss,
+  ): PromptPlacement | undefined {
+    const loads = this._loadsOf(request);
+    return loads.length === 0
+      ? undefined
+      : this._place(request, account, loads, createRandomLoss());
+  }
+
+  /** Enters a placement in the account, before the entry node reports it. */
+  private _commit(
+    request: PromptRequest,
+    placement: PromptPlacement,
+    account: AccountState,
+  ): PromptPlacement {
+    const { activeRequests: table, clock, rateLimits } = this._options;
+    table.set(request.node, toActiveRequest(request, placement, clock.now()));
+    this._expectFirstEvent(request, placement);
     const decider = this._deciderOf(request, account);
-    const eligible = loads.filter(
-      ({ entry: { id } }) => !request.excluded.has(id) && rateLimits.permits(id, decider),
-    );
-    const placement = this._place(request, eligible, RANDOM_LOSSES[account](random));
-    if (placement?.isNetLoss === true) {
-      return this._refuse(request, PlacementRefusal.NetLoss, 0);
-    }
-    if (placement !== undefined) {
-      table.set(request.node, toActiveRequest(request, placement, clock.now()));
-      this._expectFirstEvent(request, placement);
-      rateLimits.reserve(idsOf(placement.targets), requestKey(request), decider);
-    }
+    rateLimits.reserve(idsOf(placement.targets), requestKey(request), decider);
     return placement;
   }
 
@@ -302,14 +415,13 @@
 
   /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
   private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
-    const { activeRequests, clock, costs } = this._options;
+    const { clock, costs } = this._options;
     const now = clock.now();
     const key = keyOfCell(request.cell);
     if (this._loads?.key !== key || now - this._loads.at > MAX_LOAD_AGE_MS) {
-      const engines = this._enginesOf(request);
-      const { requests } = activeRequests;
-      const slowdownOf = (target: string): number => costs.slowdown(target);
-      const loads = computeLoads(request.profile, engines, requests, now, slowdownOf);
+      const loads = this._enginesOf(request).map((engine) =>
+        this._engineLoads.loadOf(request.profile, engine, now, costs.slowdown(engine.id)),
+      );
       this._loads = { key, at: now, loads };
     }
     return this._loads.loads;
@@ -323,28 +435,57 @@
 
   private _place(
     request: PromptRequest,
-    eligible: readonly EngineLoad[],
+    account: AccountState,
+    loads: readonly EngineLoad[],
     randomLoss: RandomLoss,
   ): PromptPlacement | undefined {
-    const { clock, health } = this._options;
-    const healthy = eligible.filter(
-      ({ entry: { id } }) =>
-        !request.suspects.has(id) &&
-        !health.isSuspect(id) &&
-        health.countReporters(id) < MIN_REPORTERS,
-    );
-    const prompt = {
+    const decider = this._deciderOf(request, account);
+    const eligible: EngineLoad[] = [];
+    const healthy: EngineLoad[] = [];
+    for (const load of loads) {
+      const obstacle = this._findObstacle(request, load.entry.id, decider);
+      if (obstacle === undefined) {
+        healthy.push(load);
+      }
+      if (obstacle === undefined || AVOIDED.has(obstacle)) {
+        eligible.push(load);
+      }
+    }
+    const candidates = healthy.length === 0 ? eligible : healthy;
+    return placePrompt(request.profile, this._requirementsOf(request), candidates, randomLoss);
+  }
+
+  /** Why an engine should not get the prompt, other than by its load. */
+  private _findObstacle(
+    request: PromptRequest,
+    id: string,
+    decider: RateDecider,
+  ): PlacementObstacle | undefined {
+    const { health, rateLimits } = this._options;
+    if (request.excluded.has(id)) {
+      return PlacementObstacle.Excluded;
+    }
+    if (!rateLimits.permits(id, decider)) {
+      return PlacementObstacle.RateLimited;
+    }
+    if (request.suspects.has(id) || health.isSuspect(id)) {
+      return PlacementObstacle.Suspect;
+    }
+    return health.countReporters(id) < MIN_REPORTERS ? undefined : PlacementObstacle.Reported;
+  }
+
+  private _requirementsOf(request: PromptRequest): PromptRequirements {
+    const now = this._options.clock.now();
+    return {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       expectedOutputTokens: expectedOutputTokens(request),
-      dueInMs: request.dueAt - clock.now(),
-      deadlineInMs: request.deadlineAt - clock.now(),
+      dueInMs: request.dueAt - now,
+      deadlineInMs: request.deadlineAt - now,
       latencyTargetMs: request.latencyTargetMs,
       pauseTargetMs: request.pauseTargetMs,
       availabilityZone: request.availabilityZone,
     };
-    const candidates = healthy.length === 0 ? eligible : healthy;
-    return placePrompt(request.profile, prompt, candidates, randomLoss);
   }
 
   /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
@@ -385,11 +526,29 @@
   }
 
   private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
-    const { clock, rateLimits } = this._options;
+    const described = this._describeRefusal(request, refusal, ahead);
+    const { earliestMs, engineCount, reason, turnMs } = described;
+    const now = this._options.clock.now();
+    const retryAfterMs = described.retryAfterMs ?? this._retries.next(now, earliestMs, turnMs);
+    return new RefusedPrompt(
+      reason,
+      engineCount,
+      retryAfterMs,
+      reason === PlacementRefusal.NoEngine ? 0 : ahead,
+    );
+  }
+
+  private _describeRefusal(
+    request: PromptRequest,
+    refusal: PlacementRefusal,
+    ahead: number,
+  ): DescribedRefusal {
+    const { rateLimits } = this._options;
     const engineCount = this._enginesOf(request).length;
     if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
-      const retryMs = this._evacuationRetryMs(request) ?? NO_ENGINE_RETRY_MS;
-      return new RefusedPrompt(PlacementRefusal.NoEngine, 0, retryMs);
+      const reason = PlacementRefusal.NoEngine;
+      const retryAfterMs = this._evacuationRetryMs(request) ?? NO_ENGINE_RETRY_MS;
+      return { reason, engineCount, earliestMs: 0, turnMs: 0, retryAfterMs };
     }
     const earliestMs =
       refusal === PlacementRefusal.NetLoss
@@ -399,11 +558,10 @@
       prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount),
       rateLimits.intervalMs(this._usableIds(request)),
     );
-    const retryAfterMs = this._retries.next(clock.now(), earliestMs, turnMs);
     const isRateLimited =
       refusal === PlacementRefusal.NoCapacity && this._rateWaitMs(request, ahead) > 0;
     const reason = isRateLimited ? PlacementRefusal.RateLimited : refusal;
-    return new RefusedPrompt(reason, engineCount, retryAfterMs, ahead);
+    return { reason, engineCount, earliestMs, turnMs, retryAfterMs: undefined };
   }
 }
 
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -1,12 +1,20 @@
 /**
- * HTTP endpoints beside the front: readiness, addresses for callers, and metrics. Requests have no
- * bodies; one that has is answered without it, and its connection is closed.
+ * HTTP endpoints beside the front: readiness, addresses for callers, metrics and explanations. Requests
+ * have no bodies; one that has is answered without it, and its connection is closed.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
-import { type Clock, DisposableOwner, type Metrics, toDisposable } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  ErrorKind,
+  type Metrics,
+  NotRun,
+  toDisposable,
+} from '@tanagerdyke/kernel';
 import type { Membership } from '@tanagerdyke/mesh';
 import { Hono } from 'hono';
+import type { Result } from 'true-myth';
 import type { ConnectionLimits } from '../common/callers/CallerLimits.js';
 import { findAddresses } from '../common/CallerAddresses.js';
 import type { DecisionLog } from '../common/DecisionLog.js';
@@ -15,9 +23,12 @@
 import { CallerConnections, MAX_FIELDS, SERVER_OPTIONS } from './CallerConnections.js';
 import { CallerResponse } from './CallerResponse.js';
 import { BODY_TOO_LARGE, TOO_MANY_FIELDS } from './GatewayAnswers.js';
+import type { ExplanationError, RequestExplanation } from './RequestExplainer.js';
 
 const OK = 200;
+const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
+const EXPLAIN_PATH = '/v1/operator/explain';
 /** How long callers cache addresses; short, so that they soon stop using a failed host. */
 const ADDRESS_TTL_MS = 2_000;
 /** State that the endpoints report, and their formats. */
@@ -32,6 +43,8 @@
   readonly log: DecisionLog;
   /** Connections to all addresses together. */
   readonly limits: ConnectionLimits;
+  /** Explains where the request that a query describes would go. */
+  readonly explain: (search: string) => Result<RequestExplanation, ExplanationError>;
 }
 
 /** Serves all control endpoints on each of its addresses. */
@@ -42,7 +55,7 @@
   constructor(options: ControlServerOptions) {
     super();
     this._connections = this.register(new CallerConnections(options));
-    const { dialect, drainingNodes, isReady, membership, metrics, metricsPath } = options;
+    const { dialect, drainingNodes, explain, isReady, membership, metrics, metricsPath } = options;
     this._app.get(dialect.readyPath, (context) => context.body(null, isReady() ? OK : UNAVAILABLE));
     this._app.get(dialect.addressPath, (context) => {
       const query = new URL(context.req.url).searchParams;
@@ -56,6 +69,15 @@
         'Content-Type': 'application/json',
       });
     });
+    this._app.get(EXPLAIN_PATH, (context) => {
+      const explained = explain(new URL(context.req.url).search);
+      return explained.isOk
+        ? context.json(explained.value, OK)
+        : context.json(
+            { kind: ErrorKind.BadRequest, notRun: NotRun.True, ...explained.error },
+            BAD_REQUEST,
+          );
+    });
     this._app.get(metricsPath, (context) => context.text(metrics.render()));
   }
 
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -58,6 +58,7 @@
 import { ControlServer } from './ControlServer.js';
 import type { ForwardingDependencies } from './ForwardedRequest.js';
 import { GatewayFront } from './GatewayFront.js';
+import { explainRequest } from './RequestExplainer.js';
 import { TargetConnections } from './paths/TargetConnections.js';
 
 const DRAIN_POLL_MS = 50;
@@ -156,13 +157,8 @@
       lastAnswerAt: () => this._drain?.lastAnswerAt ?? Number.POSITIVE_INFINITY,
       isDraining: () => this._drain !== undefined,
     };
-    this._front = this.register(
-      new GatewayFront(
-        this._createForwardingDependencies(activeRequests, cells, channel),
-        state,
-        limits,
-      ),
-    );
+    const forwarding = this._createForwardingDependencies(activeRequests, cells, channel);
+    this._front = this.register(new GatewayFront(forwarding, state, limits));
     this._controlServer = this.register(
       new ControlServer({
         dialect,
@@ -174,6 +170,7 @@
         clock,
         log,
         limits: limits.control,
+        explain: (search) => explainRequest({ ...forwarding, node: name }, search),
       }),
     );
     this._registerGauges();
@@ -305,8 +302,14 @@
     );
     this.register(new FailureReports({ broadcast, health, node }));
     this.register(new LeavingReports({ broadcast, membership: this._membership, targets }));
-    const costs = new CostEstimates(this._options);
     const { _coldTargets: coldTargets, _pauses: pauses, _rateLimits: rateLimits } = this;
+    const costs = this.register(new CostEstimates(this._options));
+    this.register(
+      costs.speeds.onChange(({ isSlow, slowdown, target }) => {
+        const factor = Math.round(slowdown * 100) / 100;
+        this._options.log.write(isSlow ? 'target.slow' : 'target.usual-speed', { target, factor });
+      }),
+    );
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     this.register(new ColdReports({ broadcast, coldTargets }));
