Contain exceptions while a request is opened

A throw of the dialect between the arrival of a request and its admission would have been an unhandled rejection, which ends the process; it is answered like other defects. Tests: ResidentMemory, GatewayFront, CallerLimits pass.

--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -171,27 +171,29 @@
     outgoing.on('error', () => {
       disconnected.abort();
     });
-    const arrival = this._open(incoming, outgoing, disconnected.signal);
-    onEnd = () => {
-      this._memory.release(arrival.holding);
-      if (!outgoing.writableFinished) {
-        disconnected.abort();
-      }
-    };
+    let response = new CallerResponse(outgoing, this._state.isDraining);
     this._running++;
     try {
+      const arrival = this._open(incoming, outgoing, disconnected.signal);
+      ({ response } = arrival);
+      onEnd = () => {
+        this._memory.release(arrival.holding);
+        if (!outgoing.writableFinished) {
+          disconnected.abort();
+        }
+      };
       await turn;
       if (disconnected.signal.aborted) {
         return;
       }
       await this._serve(arrival);
-      await orAborted(arrival.response.handedOver, disconnected.signal);
+      await orAborted(response.handedOver, disconnected.signal);
     } catch (error) {
       this._dependencies.log.write('request.defect', {
         path: incoming.url,
         cause: describeCause(error),
       });
-      arrival.response.sendGatewayAnswer(INTERNAL_ERROR);
+      response.sendGatewayAnswer(INTERNAL_ERROR);
     } finally {
       this._running--;
     }
