--- a/packages/gateway/src/common/callers/CallerMemory.ts
+++ b/packages/gateway/src/common/callers/CallerMemory.ts
@@ -12,6 +12,8 @@
 
 /** Requests that hold up to this may use the reserve: twice an ordinary body, and its objects. */
 const SMALL_BYTES = 128 * 1024;
+/** Share of the large bytes that callers may leave unread when a further answer comes. */
+const UNREAD_SHARE = 0.5;
 /** Room for one of the largest bodies, however much memory is resident: some may never be freed. */
 const ALWAYS_PERMITTED_BYTES = 10 * 1024 * 1024;
 /** Cost of a request beside its body: its objects and header fields. */
@@ -126,7 +128,7 @@
     const { bytes: most, largeBytes } = this._limits;
     const evicted: CallerHolding[] = [];
     for (const each of this._closable(holding, now)) {
-      if (this._bytes <= most && this._largeBytes <= largeBytes) {
+      if (this._bytes <= most && this._largeBytes <= largeBytes * UNREAD_SHARE) {
         break;
       }
       this.release(each);
--- a/packages/gateway/src/node/AnswerBuffers.ts
+++ b/packages/gateway/src/node/AnswerBuffers.ts
@@ -8,7 +8,7 @@
 /** A larger answer is treated as broken. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** An answer up to this size is small. */
-const SMALL_ANSWER_BYTES = 256 * 1024;
+const SMALL_ANSWER_BYTES = 128 * 1024;
 
 /** Counts the bytes of the large answers that are being buffered. */
 export class AnswerBuffers {
