--- a/packages/gateway/src/node/CallerLimits.test.ts
+++ b/packages/gateway/src/node/CallerLimits.test.ts
@@ -98,6 +98,27 @@
       expect(harness.received).toEqual([]);
     });
 
+    it('closes the connection when the answer is not read', async () => {
+      const length = 15 * 1024 * 1024;
+      const large = new ForwardingHarness();
+      await large.start();
+      await large.addTarget('t1', 'app', (socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: ${length}\r\n\r\n`);
+        socket.write(Buffer.alloc(length, 'x'));
+      });
+      let caller: Socket | undefined;
+      const ended = large.send(`${HEAD}Content-Length: 0\r\n\r\n`, (socket) => {
+        caller = socket;
+        socket.pause();
+      });
+      while (!large.lines.some((line) => line.includes('unread-answer'))) {
+        await clock.sleep(100);
+      }
+      caller?.destroy();
+      await ended;
+      await large.stop();
+    });
+
     it('closes the connection of very many requests sent ahead, after few of them ran', async () => {
       const requests = `${HEAD}Content-Length: 0\r\n\r\n`.repeat(2_000);
       await converse(requests, '', 1_000);
