--- a/packages/gateway/src/node/ControlServer.test.ts
+++ b/packages/gateway/src/node/ControlServer.test.ts
@@ -76,7 +76,12 @@
   });
 
   it('accepts no other method', async () => {
-    const answer = await fetch(`${url}?route=/stream/`, { method: 'POST', body: 'x' });
+    const answer = await fetch(`${url}?route=/stream/`, { method: 'POST' });
     expect(answer.status).toBe(404);
   });
+
+  it('refuses a body', async () => {
+    const answer = await fetch(`${url}?route=/stream/`, { method: 'POST', body: 'x' });
+    expect(answer.status).toBe(413);
+  });
 });
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -211,19 +211,21 @@
     outgoing.on('error', () => {
       abort.abort();
     });
-    const arrival = this._open(incoming, outgoing, abort.signal);
-    const unanswered: UnansweredRequest = { arrival, isForwarded: false, abort };
-    this._unanswered.add(unanswered);
-    this._running++;
-    onEnd = () => {
-      this._running--;
-      this._unanswered.delete(unanswered);
-      this._memory.release(arrival.holding);
-      if (!outgoing.writableFinished) {
-        abort.abort();
-      }
-    };
+    let response = new CallerResponse(outgoing, this._state.isDraining);
     try {
+      const arrival = this._open(incoming, outgoing, abort.signal);
+      const unanswered: UnansweredRequest = { arrival, isForwarded: false, abort };
+      ({ response } = arrival);
+      this._unanswered.add(unanswered);
+      this._running++;
+      onEnd = () => {
+        this._running--;
+        this._unanswered.delete(unanswered);
+        this._memory.release(arrival.holding);
+        if (!outgoing.writableFinished) {
+          abort.abort();
+        }
+      };
       await turn;
       if (abort.signal.aborted) {
         return;
@@ -234,7 +236,7 @@
         path: incoming.url,
         cause: describeCause(error),
       });
-      arrival.response.sendGatewayAnswer(INTERNAL_ERROR);
+      response.sendGatewayAnswer(INTERNAL_ERROR);
     }
   }
 
