Keep prompts within their allowed regions again

The extraction of the prompt's description had dropped the regions, so prompts of routes with allowed_regions could reach engines in any region.

--- a/packages/gateway/src/node/PromptOfRequest.ts
+++ b/packages/gateway/src/node/PromptOfRequest.ts
@@ -6,6 +6,7 @@
   ForwardRoute,
   TargetService,
 } from '../common/Messages.js';
+import { allowedRegionsOf } from '../common/placement/AllowedRegions.js';
 import type { CostEstimate, CostRequest } from '../common/placement/CostEstimates.js';
 import type { PromptToPlace } from '../common/placement/PromptScheduler.js';
 
@@ -22,7 +23,7 @@
   >;
   readonly route: ForwardRoute;
   readonly service: TargetService;
-  readonly workspace: Pick<CallerWorkspace, 'name'> | undefined;
+  readonly workspace: Pick<CallerWorkspace, 'allowedRegions' | 'name'> | undefined;
   readonly receivedAt: number;
   readonly deadlineAt: number;
 }
@@ -62,6 +63,7 @@
     workspace: workspace?.name ?? '',
     isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
     excluded,
+    allowedRegions: allowedRegionsOf(route, workspace),
   };
 }
 
--- a/packages/gateway/src/node/RequestExplainer.test.ts
+++ b/packages/gateway/src/node/RequestExplainer.test.ts
@@ -77,7 +77,7 @@
       },
       route,
       service,
-      workspace: { name: 'w' },
+      workspace: { name: 'w', allowedRegions: undefined },
       receivedAt: now,
       deadlineAt: now + route.timeoutMs,
     };
