Ask other zones for a prompt that an engine of its zone failed

The cells in whose zones an engine failed the prompt are asked last now. The explanation of a placement uses the same cells.

--- a/packages/gateway/src/common/placement/CellChoice.test.ts
+++ b/packages/gateway/src/common/placement/CellChoice.test.ts
@@ -26,6 +26,18 @@
     expect(new Set(chosen.map(([first]) => first))).toEqual(new Set(['a', 'b', 'c', 'd']));
   });
 
+  it('asks other zones for a prompt that an engine of the own zone failed', () => {
+    const random = new SeededRandom(1);
+    const failed = new Set(['b']);
+    const chosen = Array.from({ length: 40 }, () => chooseCells(cells, 'b', random, failed));
+    const zones = chosen.flat().map((cell) => cell.availabilityZone);
+    expect(new Set(zones)).toEqual(new Set(['a', 'c', 'd']));
+    const [only] = cells;
+    expect(chooseCells(only === undefined ? [] : [only], 'a', random, new Set(['a']))).toEqual([
+      only,
+    ]);
+  });
+
   it('asks the only cell once', () => {
     const all = [{ service: 'm', availabilityZone: undefined }];
     expect(chooseCells(all, 'a', new SeededRandom(1))).toEqual(all);
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -190,10 +190,10 @@
     if (retryAfterMs !== undefined) {
       return new RefusedPrompt(PlacementRefusal.Paused, engines.length, retryAfterMs);
     }
-    // An evacuation must not divide the engines anew: the coordinators of other cells have no account.
-    const allCells = cellsOf(prompt.service, [...all, ...evacuated]);
-    const usable = allCells.filter((cell) => engines.some((engine) => isInCell(cell, engine)));
-    const cells = chooseCells(usable.length > 0 ? usable : allCells, availabilityZone, random);
+    const usable = this._usableCells(prompt.service, engines);
+    const failed = all.filter(({ id }) => prompt.excluded.has(id));
+    const failedZones = new Set(failed.map((engine) => engine.availabilityZone));
+    const cells = chooseCells(usable, availabilityZone, random, failedZones);
     let refused = new RefusedPrompt(PlacementRefusal.NoEngine, 0, 0);
     for (const cell of cells) {
       const forbidden = this._forbiddenOf(prompt, cell);
@@ -215,6 +215,16 @@
     return refused;
   }
 
+  /** The cells of a service in which a prompt may use engines, or all if there are none. */
+  private _usableCells(service: string, engines: readonly TargetEntry[]): readonly EngineCell[] {
+    const { targets } = this._options;
+    // An evacuation must not divide the engines anew: the coordinators of other cells have no account.
+    const divided = [...targets.acceptingTargets(service), ...targets.evacuatedTargets(service)];
+    const cells = cellsOf(service, divided);
+    const usable = cells.filter((cell) => engines.some((engine) => isInCell(cell, engine)));
+    return usable.length > 0 ? usable : cells;
+  }
+
   /**
    * Explains where a prompt would be placed, by the account of this node. Nothing is placed, reserved,
    * counted or queued, and no other node is asked.
@@ -222,10 +232,11 @@
   public explain(prompt: PromptToPlace, waitUntil: number): PromptExplanation {
     const { availabilityZone, cells, isCoordinated, node, pauses, scheduler, targets } =
       this._options;
-    const engines = targets.acceptingTargets(prompt.service);
+    const engines = this._allowedOf(targets.acceptingTargets(prompt.service), prompt);
     const pausedMs = pauses.remainingMs(engines.map(({ id }) => id));
     const explained: CellExplanation[] = [];
-    for (const cell of chooseCells(cellsOf(prompt.service, engines), availabilityZone, FIRST)) {
+    const usable = this._usableCells(prompt.service, engines);
+    for (const cell of chooseCells(usable, availabilityZone, FIRST)) {
       const [coordinator] = cells.coordinatorsOf(cell);
       const isDecidedHere = coordinator?.name === node && isCoordinated();
       const account = isDecidedHere ? AccountState.Complete : AccountState.Partial;
