Compare in member lists which nodes serve

The digest of the members includes now whether they serve, so lists become equal in this, too. A response has at most 64 records.

--- a/packages/fakes/src/common/MemberSync.test.ts
+++ b/packages/fakes/src/common/MemberSync.test.ts
@@ -15,7 +15,9 @@
 const LINK_BYTES_PER_MS = 1_250;
 /** Nodes start within this time of each other. */
 const START_SPREAD_MS = 300;
-const COMPLETE_WITHIN_MS = 5_000;
+const READY_AFTER_MS = 1_000;
+/** Until each node knows all others, and that they serve. */
+const COMPLETE_WITHIN_MS = 4_000;
 
 describe('MemberSync', () => {
   let clock: ManualClock;
@@ -49,8 +51,12 @@
           node.start();
         });
       }
-      await clock.advance(COMPLETE_WITHIN_MS);
-      const incomplete = nodes.filter(({ live }) => live.length < NODES).length;
+      await clock.advance(READY_AFTER_MS);
+      for (const node of nodes) {
+        node.publish({ isReady: true });
+      }
+      await clock.advance(COMPLETE_WITHIN_MS - READY_AFTER_MS);
+      const incomplete = nodes.filter(({ serving }) => serving.length < NODES).length;
       for (const node of nodes) {
         node.dispose();
       }
@@ -62,7 +68,7 @@
     it('does not return records that the requester has', async () => {
       const seed = memberOf('seed', '127.0.0.1:1');
       createMembership(seed, []);
-      const others = Array.from({ length: 40 }, (_each, index) =>
+      const others = Array.from({ length: 80 }, (_each, index) =>
         memberOf(`other-${index}`, `127.0.1.${index}:1`),
       );
       const node = createMembership(memberOf('n', '127.0.0.1:2'), []);
@@ -76,7 +82,7 @@
         receivedBytes.push((links[1]?.receivedBytes ?? 0) - before);
       }
       const [first = 0, second = 0, third = 0] = receivedBytes;
-      expect(node.live.length).toBe(42);
+      expect(node.live.length).toBe(82);
       expect(second).toBeLessThan(first / 2);
       expect(third).toBeLessThan(100);
     });
--- a/packages/mesh/src/common/MemberSync.ts
+++ b/packages/mesh/src/common/MemberSync.ts
@@ -1,6 +1,7 @@
 /**
  * Completes the member list by anti-entropy: probe messages carry a digest of the sender's live
- * members, and a node whose own digest differs requests the records that it lacks. Gossip alone
+ * members and whether they serve, and a node whose own digest differs requests the records that it
+ * lacks. Gossip alone
  * leaves gaps when many nodes start at the same moment, since an update is sent a limited number of
  * times and few of its receivers are known by then. Nodes with different lists choose different
  * coordinators and notify different peers.
@@ -46,7 +47,7 @@
   public get digest(): number {
     this._digest ??= this._options.table.all
       .filter(isLive)
-      .reduce((sum, { name, startedAt }) => (sum + hashOf(`${name} ${startedAt}`)) >>> 0, 0);
+      .reduce((sum, member) => (sum + processHashOf(member)) >>> 0, 0);
     return this._digest;
   }
 
@@ -72,6 +73,11 @@
   }
 }
 
+/** Identifies a process and whether it serves, which decides what it is chosen for. */
+function processHashOf({ name, startedAt, state }: Member): number {
+  return hashOf(`${name} ${startedAt} ${state.isReady} ${state.isDraining}`);
+}
+
 /** Identifies the content of a record. */
 export function fingerprintOf({
   incarnation,
--- a/packages/mesh/src/common/SeedJoiner.ts
+++ b/packages/mesh/src/common/SeedJoiner.ts
@@ -18,7 +18,7 @@
  * Records in one response to a node that requests the rest from other peers. When all nodes start at
  * once, whole lists for each of them would occupy the links of the seeds for seconds.
  */
-const MAX_RECORDS = 32;
+const MAX_RECORDS = 64;
 /** Time between checks for seeds that aren't live. */
 const REJOIN_INTERVAL_MS = 5_000;
 
