Accept late in a drain only what is answered before the node ends

While too few nodes are ready, a draining node accepts requests for up to 4.8 s, and it ends at 7 s: streams that it accepted late were cut off. After the usual 2.4 s a node accepts only requests whose deadline it can keep, and refuses the others as not run. DrainSchedule.test and PlannedStop.test have the case.

--- a/packages/gateway/src/common/DrainSchedule.test.ts
+++ b/packages/gateway/src/common/DrainSchedule.test.ts
@@ -40,6 +40,13 @@
     expect(schedule.isOver(2_000, { running: 0, lastRequestAt: 0 })).toBe(false);
   });
 
+  it('accepts late only what is answered before the node ends, so that nothing is cut off', () => {
+    const end = schedule.lastAnswerAt;
+    expect(schedule.admits(START + 2_000, end + 5_000)).toBe(true);
+    expect(schedule.admits(START + 3_000, end + 1)).toBe(false);
+    expect(schedule.admits(START + 3_000, end)).toBe(true);
+  });
+
   describe('while no node is ready', () => {
     it('accepts requests for longer, but not to the end', () => {
       expect(schedule.acceptsRequests(START + 4_000, ALONE)).toBe(true);
--- a/packages/gateway/src/common/DrainSchedule.ts
+++ b/packages/gateway/src/common/DrainSchedule.ts
@@ -65,6 +65,15 @@
     return now - this._startedAt < this._shutdownTimeoutMs * share;
   }
 
+  /**
+   * Whether a request may be accepted that ends at its deadline at the latest. What is accepted late
+   * must not be cut off when the node ends.
+   */
+  public admits(now: number, deadlineAt: number): boolean {
+    const isLate = now - this._startedAt >= this._shutdownTimeoutMs * ACCEPT_TIME_SHARE;
+    return !isLate || deadlineAt <= this.lastAnswerAt;
+  }
+
   /**
    * The time after which a refused caller is to come back.
    *
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -26,6 +26,8 @@
   /** Whether the front refuses new requests. */
   public isClosed = false;
   public lastAnswerAt = Number.POSITIVE_INFINITY;
+  /** Whether requests are refused that may last until after `lastAnswerAt`. */
+  public isLate = false;
   private readonly _servers: Server[] = [];
   private readonly _upstream = new Upstream(directConnections(new SystemClock()));
   private readonly _fixture: ForwardingFixture;
@@ -41,6 +43,7 @@
     });
     this.front = new GatewayFront(this._fixture.dependencies, {
       isClosed: () => this.isClosed,
+      admits: (deadlineAt) => !this.isLate || deadlineAt <= this.lastAnswerAt,
       retryAfterMs: () => DRAIN_RETRY_MS,
       isDraining: () => this.isDraining,
       lastAnswerAt: () => this.lastAnswerAt,
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -63,6 +63,8 @@
 export interface FrontState {
   /** Whether new requests are refused. */
   readonly isClosed: () => boolean;
+  /** Whether a request may be accepted that ends at its deadline at the latest. */
+  readonly admits: (deadlineAt: number) => boolean;
   /** Time after which a request that is refused since the node drains may be sent again. */
   readonly retryAfterMs: () => number;
   /** Whether connections close after their answer. */
@@ -386,7 +388,7 @@
     if (read.isErr) {
       return this._refuse(incoming, read.error, BODY_ANSWERS[read.error]);
     }
-    if (this._state.isClosed()) {
+    if (this._state.isClosed() || !this._state.admits(deadlineAt)) {
       return Result.err(this._draining());
     }
     holding.state = HoldingState.Running;
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -153,6 +153,7 @@
     );
     const state = {
       isClosed: () => this._isClosed,
+      admits: (deadlineAt: number) => this._drain?.admits(clock.now(), deadlineAt) ?? true,
       retryAfterMs: () => this._drain?.retryAfterMs(drainPeersOf(membership), random.next()) ?? 0,
       lastAnswerAt: () => this._drain?.lastAnswerAt ?? Number.POSITIVE_INFINITY,
       isDraining: () => this._drain !== undefined,
--- a/packages/gateway/src/node/PlannedStop.test.ts
+++ b/packages/gateway/src/node/PlannedStop.test.ts
@@ -119,6 +119,15 @@
   });
 
   describe('of a node that refuses new requests', () => {
+    it('refuses one that may last until after its end, while it still accepts brief ones', async () => {
+      await harness.addTarget('t1', 'app', (socket) => socket.write(answerText(200, [], 'ok')));
+      harness.isLate = true;
+      harness.lastAnswerAt = harness.clock.now() + 1_000;
+      expectRefusedAsNotRun(await harness.post('/once/x', ['waits: 3000']));
+      expect(harness.received).toEqual([]);
+      expect(await harness.post('/once/x', ['waits: 500'])).toContain('HTTP/1.1 200');
+    });
+
     it('refuses a request whose body is incomplete at once, and reads the rest', async () => {
       await harness.addTarget('t1', 'app', (socket) => socket.write(answerText(200, [], 'ok')));
       let caller: Socket | undefined;
