Choose the targets of calls by the waits that answers show

With 76 or 112 nodes, each has less than one call of a plain service in flight, so the choice by its own calls knew nothing of the load: calls queued at one slow target beside idle ones, and a workspace that repeats at once filled all queues.

ServiceLoad keeps the wait at each target by late answers and refusals of full targets, and reports news to the other nodes, at most 40 a second in all; nothing in calm. ServiceQueue holds calls back while every target was full a moment ago, in a fair order, and refuses at once those that can't be answered in time.

--- a/packages/gateway/src/common/placement/FailureReports.test.ts
+++ b/packages/gateway/src/common/placement/FailureReports.test.ts
@@ -48,6 +48,7 @@
       const candidates = targets.map((entry) => ({
         entry,
         inFlight: 0,
+        wait: 0,
         failureRate: health?.failureRate(entry.id) ?? 0,
         isSuspect:
           health?.isSuspect(entry.id) === true || (health?.countReporters(entry.id) ?? 0) > 0,
--- a/packages/gateway/src/common/placement/ServicePlacer.test.ts
+++ b/packages/gateway/src/common/placement/ServicePlacer.test.ts
@@ -14,6 +14,7 @@
       coldMs: 0,
     },
     inFlight: 0,
+    wait: 0,
     failureRate: 0,
     isSuspect: false,
     ...state,
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -9,11 +9,12 @@
   Execution,
   isRepeatable,
 } from '../common/Execution.js';
-import type { TargetEntry } from '../common/Messages.js';
+import type { TargetAnswer, TargetEntry } from '../common/Messages.js';
 import { evacuationRetryMs } from '../common/placement/EvacuatedTargets.js';
 import { RateDecider } from '../common/placement/RateLimits.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { placeCall } from '../common/placement/ServicePlacer.js';
+import { type CallDecision, CallTurn, type PendingCall } from '../common/placement/ServiceQueue.js';
 import { type BufferedOutcome, exchangeBuffered } from './BufferedExchange.js';
 import type { BufferedAnswer } from './ExchangeOptions.js';
 import {
@@ -41,6 +42,8 @@
 /** How long a call waits for a target that accepts requests and has not been tried. */
 const TARGET_WAIT_MS = 250;
 const TARGET_POLL_MS = 25;
+/** A caller with this much less time than the route allows was refused before. */
+const MIN_SPENT_MS = 50;
 /** Retry-After if no target of the service accepted the call. */
 const NO_TARGET_RETRY_AFTER_MS = 300;
 
@@ -67,6 +70,56 @@
   ) {}
 
   public async run(): Promise<RequestReport> {
+    const { clock, serviceQueue } = this._dependencies;
+    const call = this._toPendingCall();
+    const decision = await this._awaitTurn(call);
+    if (decision !== CallTurn.Sent) {
+      this._cause = 'all targets have calls waiting';
+      this._retryAfterMs = decision.retryAfterMs;
+      return this._finishUnserved();
+    }
+    try {
+      return await this._forward();
+    } finally {
+      serviceQueue.recordEnd(call, clock.now());
+    }
+  }
+
+  /** Waits until the call may be sent; not at all unless all targets have calls waiting. */
+  private async _awaitTurn(call: PendingCall): Promise<CallDecision> {
+    const { clock, log, serviceQueue } = this._dependencies;
+    const { id, service, signal } = this._request;
+    const turn: { decision?: CallDecision } = {};
+    const decided = new AbortController();
+    const withdraw = serviceQueue.add(call, clock.now(), (made) => {
+      turn.decision = made;
+      decided.abort();
+    });
+    while (turn.decision === undefined && !signal.aborted) {
+      await clock.sleep(TARGET_POLL_MS, AbortSignal.any([decided.signal, signal]));
+      serviceQueue.evaluate(clock.now());
+    }
+    withdraw();
+    const decision = turn.decision ?? { retryAfterMs: NO_TARGET_RETRY_AFTER_MS };
+    if (decision !== CallTurn.Sent && !signal.aborted) {
+      const { retryAfterMs } = decision;
+      log.write('call.refused', { request: id, service: service.name, retryAfterMs });
+    }
+    return decision;
+  }
+
+  private _toPendingCall(): PendingCall {
+    const { caller, deadlineAt, receivedAt, route, service, workspace } = this._request;
+    return {
+      service: service.name,
+      workspace: workspace?.name ?? '',
+      isReturning: (caller.remainingMs ?? route.timeoutMs) < route.timeoutMs - MIN_SPENT_MS,
+      arrivedAt: receivedAt,
+      dueAt: Math.min(deadlineAt, receivedAt + route.latencyTargetMs),
+    };
+  }
+
+  private async _forward(): Promise<RequestReport> {
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && this._withheld < MAX_WITHHELD && !signal.aborted) {
       const target = isQuarantined(this._dependencies, this._request)
@@ -124,12 +177,14 @@
   }
 
   private _findTarget(): TargetEntry | undefined {
-    const { availabilityZone, health, pauses, random, rateLimits } = this._dependencies;
+    const { availabilityZone, health, pauses, random, rateLimits, serviceLoad } =
+      this._dependencies;
     const candidates = this._untriedTargets()
       .filter(({ id }) => rateLimits.permits(id) && !pauses.isPaused(id))
       .map((entry) => ({
         entry,
         inFlight: health.inFlight(entry.id),
+        wait: serviceLoad.waitMs(entry.id) / Math.max(1, serviceLoad.usualMs(entry.service)),
         failureRate: health.failureRate(entry.id),
         isSuspect: health.isSuspect(entry.id) || health.countReporters(entry.id) > 0,
       }));
@@ -256,6 +311,7 @@
     const { head } = outcome.answer;
     const isFailure = head.status >= FIRST_SERVER_ERROR;
     health.recordAnswer(target.id, isFailure);
+    this._recordLoad(target, head, sentAt + (outcome.waitedMs ?? 0));
     if (head.isMisdirected) {
       health.recordConnectionFailure(target.id);
     }
@@ -271,6 +327,16 @@
     return canRetryElsewhere(route, outcome.execution) ? undefined : this._finishUnserved();
   }
 
+  private _recordLoad(target: TargetEntry, answer: TargetAnswer, sentAt: number): void {
+    const { serviceLoad } = this._dependencies;
+    const { isLeaving, isMisdirected, isNotRun, pauseMs } = answer;
+    if (!isNotRun && !isMisdirected) {
+      serviceLoad.recordAnswer(target, sentAt);
+    } else if (!isMisdirected && !isLeaving && pauseMs === undefined) {
+      serviceLoad.recordFull(target);
+    }
+  }
+
   private _logFailedAttempt(
     target: TargetEntry,
     outcome: BufferedOutcome,
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -14,6 +14,8 @@
   TargetService,
 } from '../common/Messages.js';
 import type { ColdTargets } from '../common/placement/ColdTargets.js';
+import type { ServiceLoad } from '../common/placement/ServiceLoad.js';
+import type { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -42,6 +44,8 @@
   readonly health: TargetHealth;
   readonly rateLimits: RateLimits;
   readonly coldTargets: ColdTargets;
+  readonly serviceLoad: ServiceLoad;
+  readonly serviceQueue: ServiceQueue;
   readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -23,6 +23,8 @@
   PromptScheduler,
 } from '../common/placement/PromptScheduler.js';
 import { RateLimits } from '../common/placement/RateLimits.js';
+import { ServiceLoad } from '../common/placement/ServiceLoad.js';
+import { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
@@ -273,8 +275,13 @@
       availabilityZone: ZONE,
       liveNodes,
     };
+    const serviceLoad = new ServiceLoad({ clock, log, liveNodes });
+    const acceptingTargets = (service: string): readonly TargetEntry[] =>
+      targets.acceptingTargets(service);
     this.dependencies = {
       ...common,
+      serviceLoad,
+      serviceQueue: new ServiceQueue({ serviceLoad, acceptingTargets, liveNodes }),
       metrics,
       quarantine: new CrashQuarantine({ clock, log, metrics }),
       log,
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -36,6 +36,9 @@
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
+import { ServiceLoad } from '../common/placement/ServiceLoad.js';
+import { ServiceLoadReports } from '../common/placement/ServiceLoadReports.js';
+import { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
@@ -297,6 +300,16 @@
     const isKnown = (id: string): boolean => targets.find(id) !== undefined;
     this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
     this.register(new ColdReports({ broadcast, coldTargets }));
+    const liveNodes = (): number => this._countNodesForShares();
+    const { log, metrics } = this._options;
+    const serviceLoad = this.register(new ServiceLoad({ clock, log, liveNodes }));
+    this.register(new ServiceLoadReports({ broadcast, serviceLoad, isKnown }));
+    const serviceQueue = new ServiceQueue({
+      serviceLoad,
+      acceptingTargets: (service) => targets.acceptingTargets(service),
+      liveNodes,
+    });
+    metrics.gauge('tanager_calls_waiting', () => serviceQueue.size);
     const quarantine = this.register(new CrashQuarantine(this._options));
     this._quarantineReports = this.register(
       new QuarantineReports({
@@ -308,7 +321,6 @@
       }),
     );
     const { connect, upstream } = this._connections;
-    const liveNodes = (): number => this._countNodesForShares();
     this.register(
       targets.onChange((entry) => {
         if (targets.find(entry.id) === undefined) {
@@ -316,6 +328,7 @@
           health.remove(entry.id);
           rateLimits.remove(entry.id);
           coldTargets.remove(entry);
+          serviceLoad.remove(entry.id);
         }
       }),
     );
@@ -375,6 +388,8 @@
       upstream,
       quarantine,
       engineReservations,
+      serviceLoad,
+      serviceQueue,
       answerBuffers: this._answerBuffers,
     };
   }
