--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -16,6 +16,8 @@
 import { allowedRegionsOf, filterCandidates } from '../common/placement/AllowedRegions.js';
 import type { CostEstimates } from '../common/placement/CostEstimates.js';
 import type { ColdTargets } from '../common/placement/ColdTargets.js';
+import type { ServiceLoad } from '../common/placement/ServiceLoad.js';
+import type { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
@@ -45,6 +47,8 @@
   readonly rateLimits: RateLimits;
   readonly costs: CostEstimates;
   readonly coldTargets: ColdTargets;
+  readonly serviceLoad: ServiceLoad;
+  readonly serviceQueue: ServiceQueue;
   readonly quarantine: CrashQuarantine;
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -24,6 +24,8 @@
   PromptScheduler,
 } from '../common/placement/PromptScheduler.js';
 import { RateLimits } from '../common/placement/RateLimits.js';
+import { ServiceLoad } from '../common/placement/ServiceLoad.js';
+import { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
 import { TargetHealth } from '../common/placement/TargetHealth.js';
 import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
@@ -283,8 +285,13 @@
       regionByZone: REGION_BY_ZONE,
       liveNodes,
     };
+    const serviceLoad = new ServiceLoad({ clock, log, liveNodes });
+    const acceptingTargets = (service: string): readonly TargetEntry[] =>
+      targets.acceptingTargets(service);
     this.dependencies = {
       ...common,
+      serviceLoad,
+      serviceQueue: new ServiceQueue({ serviceLoad, acceptingTargets, liveNodes }),
       metrics,
       quarantine: new CrashQuarantine({ clock, log, metrics }),
       log,
