Publish readiness when a held configuration comes into force

So a node that was ready stayed unlisted until the next record arrived; with a store in which nothing changed, no node was ever listed (CutOff.test and CallerCrowd.test made no request). The view announces the configuration itself as well. PlatformView.test has the case, which failed before.

--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -124,6 +124,16 @@
       await start(3);
     });
 
+    it('announces that requests can be routed, although no record arrives afterwards', async () => {
+      const view = create(1, 2);
+      const ready: boolean[] = [];
+      view.onUpdate(() => ready.push(view.isReady));
+      view.start();
+      await clock.advance(5_000);
+      expect(view.isReady).toBe(true);
+      expect(ready).toContain(true);
+    });
+
     it('counts as current while the platform or a connected poller responds', async () => {
       await clock.advance(10_000);
       expect(views.map(({ mayBeOutdated }) => mayBeOutdated)).toEqual([false, false, false]);
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -107,9 +107,15 @@
         hadRecentOutage: () => this._hadRecentOutage() || this._relay.isOutageReported,
       }),
     );
-    for (const table of [configurationRecords, this._targetRecords]) {
+    // The configuration is also put in force later than its record arrives, while a node starts.
+    const events = [
+      configurationRecords.onChange,
+      this._targetRecords.onChange,
+      this.configuration.onChange,
+    ];
+    for (const event of events) {
       this.register(
-        table.onChange(() => {
+        event(() => {
           if (this.isReady) {
             this._onUpdate.fire();
           }
