--- a/packages/gateway/src/common/DrainSchedule.ts
+++ b/packages/gateway/src/common/DrainSchedule.ts
@@ -1,5 +1,5 @@
 /**
- * Decides what a draining node accepts, what it tells callers that it refuses, and when it ends.
+ * Decides what a draining node accepts, when refused callers are to return, and when it ends.
  * Callers keep addresses for some seconds, so the node still accepts requests at first. It stops early
  * enough for the longest usual answers to complete before the process is killed. Addresses the load
  * pattern that all nodes of a zone are stopped at the same moment, or one after the other: while too
--- a/packages/gateway/src/common/DrainingNodes.ts
+++ b/packages/gateway/src/common/DrainingNodes.ts
@@ -7,7 +7,7 @@
 import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
 import { isAcceptingInDrain } from './DrainPeers.js';
 
-/** Time from the news that a node drains for which it is listed; the news takes up to a second. */
+/** Time for which a node is listed after it was seen to drain, which takes up to a second. */
 const LISTED_MS = 2_500;
 
 export interface DrainingNodesOptions {
--- a/packages/gateway/src/common/placement/ColdTargets.ts
+++ b/packages/gateway/src/common/placement/ColdTargets.ts
@@ -11,7 +11,7 @@
 
 /** No target takes an hour to warm up, so a longer time is a mistake of the target. */
 const MAX_COLD_MS = 3_600_000;
-/** A statement is news for other nodes if it ends the cold time later than known by more than this. */
+/** A statement is reported to other nodes if it extends the recorded cold time by more than this. */
 const NEWS_MS = 300;
 /** A statement is reported again after this time while answers repeat it. */
 const STATEMENT_REPEAT_MS = 1_000;
--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -79,7 +79,7 @@
   readonly rateLimits: RateLimits;
   readonly costs: CostEstimates;
   readonly random: RandomSource;
-  /** Whether this node is the first coordinator of a cell, as far as it can tell. */
+  /** Whether this node is the first coordinator of a cell, by its list of members. */
   readonly isFirstCoordinator: (cell: EngineCell) => boolean;
 }
 
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -130,7 +130,7 @@
   readonly regionByZone: ReadonlyMap<string, string>;
 }
 
-/** The decision on a prompt in one cell, as far as this node can tell. */
+/** The decision on a prompt in one cell, by the account of this node. */
 export interface CellExplanation extends PlacementExplanation {
   /** Undefined if the cell has the engines of all zones. */
   readonly availabilityZone: string | undefined;
@@ -198,7 +198,7 @@
     for (const cell of cells) {
       const forbidden = this._forbiddenOf(prompt, cell);
       const request = this._toRequest(prompt, cell, forbidden);
-      // A coordinator is told of so many engines only, and would choose others that are forbidden.
+      // A request to a coordinator lists so many engines only; it would choose other forbidden ones.
       const decided =
         forbidden.length > MAX_LISTED_ENGINES
           ? await this._decideHere(request, waitUntil, signal, AccountState.Partial)
@@ -309,7 +309,7 @@
       availabilityZone,
       cell,
       // The decision is that of a coordinator, which has no record of this node's pauses.
-      // The engines that are forbidden come first, as a coordinator is told of so many only.
+      // The forbidden engines come first, as a request to a coordinator lists so many only.
       excluded: new Set([...forbidden, ...prompt.excluded, ...pauses.pausedIds]),
       suspects: new Set(suspects),
     };
--- a/packages/gateway/src/common/placement/ServiceLoad.ts
+++ b/packages/gateway/src/common/placement/ServiceLoad.ts
@@ -2,8 +2,8 @@
  * Estimates how long a call waits in the queue of each target of a plain service. Load pattern: each of
  * many nodes has less than one call in flight, so its own calls say nothing of the load, and calls end
  * before a report of their start arrives. What lasts is the queue of a target, and answers show it:
- * they take longer than usual, or refuse the call since the queue is full. A node that sees that tells
- * the others, if they have not told it; in calm nothing is sent.
+ * they take longer than usual, or refuse the call since the queue is full. A node that
+ * detects this reports it unless another node has; in calm nothing is sent.
  */
 import { type Clock, DisposableOwner, Emitter } from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
--- a/packages/gateway/src/common/state/LeavingReports.ts
+++ b/packages/gateway/src/common/state/LeavingReports.ts
@@ -16,7 +16,7 @@
 
 const LEAVING_METHOD = 'target.leaving';
 
-/** Ready nodes that tell a process which has just started; a datagram may be lost. */
+/** Ready nodes that send their statements to a process which has just started; one may be lost. */
 const INFORMANTS = 2;
 
 const parseLeaving = notificationParser(LEAVING_METHOD, parseInstance);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -99,7 +99,7 @@
   /** Derived from the members; undefined after one changed. */
   private _currentDuties: PollingDuties | undefined;
   private _outageReportedAt = Number.NEGATIVE_INFINITY;
-  /** By topic: how far the ready peer is that was heard last. */
+  /** By topic: the progress of the ready peer that reported last. */
   private _readyProgress: ReadonlyMap<string, TopicProgress> | undefined;
 
   constructor(private readonly _options: PeerRelayOptions) {
@@ -170,7 +170,7 @@
     return this._fetcher.isBehind(table);
   }
 
-  /** Whether a ready peer was heard, and this node has all records that it has. */
+  /** Whether a ready peer has reported its progress, and this node has all records that it has. */
   public get isConfirmed(): boolean {
     const progress = this._readyProgress;
     return (
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -28,7 +28,7 @@
 const CONNECTION_TIMEOUT_MS = 2_700;
 /** Longer than a poll without new records takes, and than reports of pollers are apart. */
 const UNCONFIRMED_AFTER_MS = 2_000;
-/** Interval at which a starting node checks whether it knows what is in force. */
+/** Interval at which a starting node checks whether its records are current. */
 const STARTUP_CHECK_MS = 20;
 /** An outage of the platform counts as recent for this long after its end. */
 const RECENT_OUTAGE_MS = 2_500;
@@ -191,7 +191,7 @@
     void this._settle();
   }
 
-  /** Puts the configuration in force once the node knows what its ready peers know. */
+  /** Puts the configuration in force once the node has the records of its ready peers. */
   private async _settle(): Promise<void> {
     const { clock, log, membership } = this._options;
     const startedAt = clock.now();
--- a/packages/gateway/src/common/state/StartupCheck.ts
+++ b/packages/gateway/src/common/state/StartupCheck.ts
@@ -1,19 +1,19 @@
 /**
- * Decides when a node that has started knows what is in force. Load pattern: nodes restart shortly after
+ * Decides when the records of a node that has started are current. Load pattern: nodes restart shortly after
  * the platform returned from an older copy, which lacks the newest version of the configuration and the
  * removal of targets; only nodes that ran before have these. A node that served from the copy would
  * accept keys that were withdrawn and use targets that have left.
  */
 
 /**
- * Time from the start in which a node learns of its peers, if there are any. Requests wait a little
+ * Time from the start in which a node discovers its peers, if there are any. Requests wait a little
  * longer for a configuration.
  */
 const JOIN_MS = 450;
-/** After this time a node serves although no ready peer has confirmed what it knows. */
+/** After this time a node serves although no ready peer has confirmed its records. */
 const MAX_WAIT_MS = 3_000;
 
-/** What a starting node knows of its peers. */
+/** The peers of a starting node, as it has discovered them. */
 export interface PeerKnowledge {
   /** Whether any other node is ready, so that it may know more. */
   readonly hasReadyPeers: boolean;
@@ -21,7 +21,7 @@
   readonly isConfirmed: boolean;
 }
 
-/** Whether a node that started at a time may serve now by what it knows. */
+/** Whether a node that started at a time may serve now by its records. */
 export function isSettled(
   startedAt: number,
   now: number,
--- a/packages/gateway/src/node/CallerConnections.ts
+++ b/packages/gateway/src/node/CallerConnections.ts
@@ -262,7 +262,7 @@
   private _remove(connection: Connection): void {
     const { address, socket, unanswered } = connection;
     if (this._connections.delete(socket)) {
-      // Answers that wait for earlier ones on the connection are not told that it is closed.
+      // Answers that wait for earlier ones on the connection get no event when it closes.
       for (const { begin, end } of unanswered.splice(0)) {
         end();
         begin();
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -1,9 +1,10 @@
 /**
  * Connections to targets, with undici: one pool for each instance of a target, one request at a
- * time on a connection. A request without an id has a connection of its own, since an earlier answer
- * that a faulty target writes once more could not be told from its own. An exchange reports when its request starts to be sent, since from then on
- * it may have run. Right before that, it asks whether the request may still be sent, as it may have
- * waited for a connection. Retries are the forwarders' task.
+ * time on a connection. A request without an id has a connection of its own, since nothing else
+ * distinguishes its answer from an earlier one that a faulty target writes once more. An exchange
+ * reports when its request starts to be sent, since from then on it may have run. Right before that,
+ * it asks whether the request may still be sent, as it may have waited for a connection. Retries are
+ * the forwarders' task.
  */
 import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
