--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -62,6 +62,12 @@
     );
   }
 
+  /** Ages of the open calls in ms, the oldest first. */
+  public get agesMs(): readonly number[] {
+    const now = this._clock.now();
+    return [...this._open].map(({ startedAt }) => Math.round(now - startedAt));
+  }
+
   /**
    * Makes a call beside those that are late, unless one is open that is not late yet. Returns the
    * first answer of any of them. Errors: that of the new call; that of the last open one;
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -66,6 +66,12 @@
   Superseded = 'superseded',
 }
 
+/** When a call was made, and how long the platform was to wait for records. */
+interface RequestedWait {
+  readonly startedAt: number;
+  readonly waitMs: number;
+}
+
 /** Records that a call to the platform returned. */
 interface ReadSummary {
   /** End offset of the table before. */
@@ -83,6 +89,8 @@
   private _needsSnapshot = true;
   /** Longest recent time of an answer beyond the requested wait, in ms. */
   private _latenessMs = 0;
+  /** How long the call that was answered last had been open, in ms. */
+  private _answeredMs = 0;
   private readonly _snapshots: OpenCalls<void>;
   /** Calls that return whether there were records. */
   private readonly _polls: OpenCalls<boolean>;
@@ -116,6 +124,11 @@
     return this._lastFailureAt;
   }
 
+  /** Ages of the open calls that load a snapshot or poll, in ms, for the log. */
+  private get _openMs(): string {
+    return [...this._snapshots.agesMs, ...this._polls.agesMs].join(' ');
+  }
+
   public start(): void {
     void this._run();
   }
@@ -189,7 +202,7 @@
     const { clock, table, topic } = this._options;
     const startedAt = clock.now();
     const snapshot = await topic.readSnapshot(OPEN_CALL_TIMEOUT_MS, attempt);
-    this._recordCall('newest', snapshot, clock.now() - startedAt, attempt);
+    this._recordCall('newest', snapshot, { startedAt, waitMs: 0 }, attempt);
     if (snapshot.isErr) {
       return Result.err(snapshot.error);
     }
@@ -247,7 +260,7 @@
     const { end: from, epoch: epochBefore } = table;
     const startedAt = clock.now();
     const page = await topic.read(from, waitMs, waitMs + OPEN_CALL_TIMEOUT_MS, attempt);
-    this._recordCall('read', page, clock.now() - startedAt - waitMs, attempt);
+    this._recordCall('read', page, { startedAt, waitMs }, attempt);
     if (page.isErr) {
       return Result.err(page.error);
     }
@@ -293,19 +306,21 @@
     }
   }
 
-  /** Records the outcome of a call. `lateMs` is how much longer than the requested wait it took. */
   private _recordCall(
     call: string,
     answer: Result<unknown, ServiceError>,
-    lateMs: number,
+    { startedAt, waitMs }: RequestedWait,
     { signal }: CallAttempt,
   ): void {
-    const { metrics } = this._options;
+    const { clock, metrics } = this._options;
+    const tookMs = clock.now() - startedAt;
+    const lateMs = tookMs - waitMs;
     const outcome = answer.isOk ? Outcome.Answered : Outcome.Failed;
     const labels = { call, outcome: signal.aborted ? Outcome.Superseded : outcome };
     metrics.increment('tanager_platform_calls_total', labels);
     metrics.observe('tanager_platform_late_ms', lateMs, labels);
     if (answer.isOk) {
+      this._answeredMs = Math.round(tookMs);
       this._latenessMs = Math.max(lateMs, LATENESS_DECAY * this._latenessMs);
     }
   }
@@ -315,7 +330,11 @@
     this._lastResponseAt = clock.now();
     if (this._failures > 0) {
       const lostMs = Math.round(clock.now() - this._lastFailureAt);
-      log.write('platform.regained', { topic: table.name, failures: this._failures, lostMs });
+      const topic = table.name;
+      const failures = this._failures;
+      const answeredMs = this._answeredMs;
+      const openMs = this._openMs;
+      log.write('platform.regained', { topic, failures, lostMs, answeredMs, openMs });
     }
     this._failures = 0;
   }
@@ -325,7 +344,8 @@
     this._failures++;
     this._lastFailureAt = clock.now();
     if (this._failures === 1) {
-      log.write('platform.lost', { topic: table.name, end: table.end, cause: error.message });
+      const { end, name: topic } = table;
+      log.write('platform.lost', { topic, end, cause: error.message, openMs: this._openMs });
     }
   }
 }
