Reproduce the versions that are not in force after an outage of the store

Callers get answers by an older version of the configuration for seconds after the store is back, though newer ones are confirmed. The stand-in of the store can fall silent and return; no logic is changed.

--- a/packages/gateway/src/common/state/LinkedStore.ts
+++ b/packages/gateway/src/common/state/LinkedStore.ts
@@ -23,6 +23,9 @@
 
 /** A call of a node. */
 interface Call {
+  readonly startedAt: number;
+  /** Whether the store was silent when the call arrived. */
+  readonly beganInSilence: boolean;
   readonly link: MemoryLink;
   readonly isRefused: () => boolean;
   readonly timeoutMs: number;
@@ -38,6 +41,9 @@
   public bytesRead = 0;
   public calls = 0;
   private readonly _records: KeyedRecord[] = [];
+  private _isSilent = false;
+  /** Calls that began before this time, and were not answered then, get no answer. */
+  private _lostUntil = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly _clock: Clock,
@@ -49,28 +55,59 @@
     this._records.push({ key, offset: this._records.length, value });
   }
 
+  /**
+   * Answers no call that arrives until `resume`. Calls that are open are answered then, unless they
+   * are lost with their connections.
+   */
+  public silence(losesOpenCalls: boolean): void {
+    this._isSilent = true;
+    if (losesOpenCalls) {
+      this._lostUntil = this._clock.now();
+    }
+  }
+
+  public resume(): void {
+    this._isSilent = false;
+  }
+
   /** The topic as a node at `link` reads it; it gets no answers while `isRefused`. */
   public topicFor(link: MemoryLink, isRefused: () => boolean): KeyedTopic {
     return {
       name: this._name,
-      readSnapshot: (timeoutMs, attempt) =>
-        this._call({ link, isRefused, timeoutMs, expansion: SNAPSHOT_EXPANSION, attempt }, () =>
+      readSnapshot: (timeoutMs, attempt) => {
+        const begin = this._begin();
+        const expansion = SNAPSHOT_EXPANSION;
+        return this._call({ ...begin, link, isRefused, timeoutMs, expansion, attempt }, () =>
           this._snapshot(),
-        ),
+        );
+      },
       read: async (from, waitMs, timeoutMs, attempt) => {
-        this.calls++;
-        const startedAt = this._clock.now();
+        const begin = this._begin();
+        const { startedAt } = begin;
         while (this._clock.now() - startedAt < waitMs && this._records.length === from) {
           await this._clock.sleep(POLL_STEP_MS);
         }
         const leftMs = timeoutMs - (this._clock.now() - startedAt);
-        return this._call({ link, isRefused, timeoutMs: leftMs, expansion: 1, attempt }, () =>
-          this._page(from),
-        );
+        const call = { ...begin, link, isRefused, timeoutMs: leftMs, expansion: 1, attempt };
+        return this._call(call, () => this._page(from));
       },
     };
   }
 
+  private _begin(): Pick<Call, 'startedAt' | 'beganInSilence'> {
+    this.calls++;
+    return { startedAt: this._clock.now(), beganInSilence: this._isSilent };
+  }
+
+  /** Waits for the end of a silence; returns whether the call gets an answer. */
+  private async _survivesSilence({ attempt, beganInSilence, startedAt }: Call): Promise<boolean> {
+    const isLost = (): boolean => beganInSilence || startedAt <= this._lostUntil;
+    while (this._isSilent && !isLost() && attempt?.signal.aborted !== true) {
+      await this._clock.sleep(POLL_STEP_MS);
+    }
+    return !isLost();
+  }
+
   private _snapshot(): KeyedSnapshot {
     const newest = new Map(this._records.map((each) => [each.key, each]));
     return { epoch: undefined, records: [...newest.values()], end: this._records.length };
@@ -88,9 +125,10 @@
   }
 
   private async _call<T extends KeyedPage | KeyedSnapshot>(
-    { attempt, expansion, isRefused, link, timeoutMs }: Call,
+    call: Call,
     answer: () => T,
   ): Promise<Result<T, ServiceError>> {
+    const { attempt, expansion, isRefused, link, timeoutMs } = call;
     let dueAt = this._clock.now() + timeoutMs;
     const waitUntilDue = async (): Promise<undefined> => {
       while (this._clock.now() < dueAt && attempt?.signal.aborted !== true) {
@@ -101,7 +139,8 @@
     const limit = waitUntilDue();
     const transfer = async (): Promise<T | undefined> => {
       await this._clock.sleep(this.callMs);
-      if (isRefused() || attempt?.signal.aborted === true) {
+      const isAnswered = await this._survivesSilence(call);
+      if (!isAnswered || isRefused() || attempt?.signal.aborted === true) {
         await limit;
         return undefined;
       }
