Await no call after an outage that began before its end

Three causes, which the ages of open calls in the log show at once: a poll that began in the outage, 1.8 s before its end, and that never gets an answer, was awaited after it; its limit was counted from the answer to another poll; and that answer, open for as long as the outage lasted, had raised the limit to 5.2 s.

CallPace counts lateness from the return of the platform on, so that an outage is not taken for its pace, and announces the return. OpenCalls then counts the open calls as late, so that a new one begins at once, and counts the limit from the start of a call, unless parts of an answer are arriving. A call that began in a slow phase of the store is still awaited, as its answers are no return.

--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -199,7 +199,7 @@
   /** Applies the stored quarantines; returns whether the store answered. */
   private async _read(): Promise<boolean> {
     const { clock, log, quarantine, registry } = this._options;
-    const listed = await this._lists.ask(ANSWER_LIMIT_MS, (attempt) =>
+    const listed = await this._lists.ask({ limitMs: () => ANSWER_LIMIT_MS }, (attempt) =>
       registry.list(OPEN_CALL_TIMEOUT_MS, attempt),
     );
     if (listed.isErr) {
--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -59,8 +59,9 @@
     const { clock, log, membership, registry } = this._options;
     const { name, peerAddress } = membership.self;
     while (!this.disposalSignal.aborted) {
-      const announced = await this._announcements.ask(ANSWER_LIMIT_MS, (attempt) =>
-        registry.announce(name, peerAddress, OPEN_CALL_TIMEOUT_MS, attempt),
+      const announced = await this._announcements.ask(
+        { limitMs: () => ANSWER_LIMIT_MS },
+        (attempt) => registry.announce(name, peerAddress, OPEN_CALL_TIMEOUT_MS, attempt),
       );
       if (announced.isOk) {
         return;
@@ -75,7 +76,7 @@
     const { disposalSignal: signal } = this;
     await clock.sleep(SEED_WAIT_MS, signal);
     while (!signal.aborted && membership.live.length < 2) {
-      const listed = await this._lists.ask(ANSWER_LIMIT_MS, (attempt) =>
+      const listed = await this._lists.ask({ limitMs: () => ANSWER_LIMIT_MS }, (attempt) =>
         registry.list(OPEN_CALL_TIMEOUT_MS, attempt),
       );
       if (listed.isErr) {
--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -2,7 +2,8 @@
  * Calls to the platform that stay open when their answers are late. Whether an answer is slow or was
  * lost with its connection shows only when it arrives, so a late call is repeated on another
  * connection, and the first answer of either counts. A platform that answers each call late is thus
- * read at its own pace, and a connection that went silent is replaced in time.
+ * read at its own pace, and a connection that went silent is replaced in time. When the platform
+ * returns from an outage, calls that began before are not awaited any more.
  */
 import {
   type Clock,
@@ -15,6 +16,7 @@
 } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
 import type { CallAttempt } from '../services/Services.js';
+import { CallPace, type RequestedWait } from './CallPace.js';
 
 /** Time until the answer of an open call must begin. */
 export const OPEN_CALL_TIMEOUT_MS = 10_000;
@@ -26,12 +28,21 @@
 /** Makes one call. */
 type Call<T> = (attempt: CallAttempt) => Promise<Result<T, ServiceError>>;
 
-interface OpenCall {
+interface OpenCall extends RequestedWait {
   readonly abort: AbortController;
-  readonly startedAt: number;
+  /** When a part of its answer last arrived. */
+  progressAt: number;
   isLate: boolean;
 }
 
+/** When an awaited call is late. */
+export interface CallLimit {
+  /** How long the platform is asked to wait for records; 0 by default. */
+  readonly waitMs?: number;
+  /** Time from the start of the call until its answer must begin. */
+  readonly limitMs: () => number;
+}
+
 interface Settled<T> {
   readonly open: OpenCall;
   readonly result: Result<T, ServiceError>;
@@ -41,18 +52,22 @@
 export class OpenCalls<T> extends DisposableOwner {
   /** The oldest first. */
   private readonly _open = new Set<OpenCall>();
-  private _progressAt = Number.NEGATIVE_INFINITY;
   private readonly _onSettle = this.register(new Emitter<Settled<T>>());
-  private readonly _onAnswer = this.register(new Emitter<void>());
-  /** Fires when a call was answered, also while none is awaited. */
-  public readonly onAnswer = this._onAnswer.event;
 
   /** `isFinal` is whether calls that began after the answered one are needless. */
   constructor(
     private readonly _clock: Clock,
+    private readonly _pace = new CallPace(_clock),
     private readonly _isFinal: (value: T) => boolean = () => true,
   ) {
     super();
+    this.register(
+      _pace.onReturn(() => {
+        for (const each of this._open) {
+          each.isLate = true;
+        }
+      }),
+    );
     this.register(
       toDisposable(() => {
         for (const each of this._open) {
@@ -71,38 +86,61 @@
   /**
    * Makes a call beside those that are late, unless one is open that is not late yet. Returns the
    * first answer of any of them. Errors: that of the new call; that of the last open one;
-   * `DeadlineExceeded` after `limitMs` without a part of an answer, which leaves the call open.
+   * `DeadlineExceeded` at the limit, which leaves the call open. While parts of an answer arrive,
+   * the limit counts from the last one.
    */
-  public ask(limitMs: number, call: Call<T>): Promise<Result<T, ServiceError>> {
-    const own = [...this._open].find(({ isLate }) => !isLate) ?? this._start(call);
+  public ask({ limitMs, waitMs = 0 }: CallLimit, call: Call<T>): Promise<Result<T, ServiceError>> {
+    const start = (): OpenCall => this._start(waitMs, call);
+    let own = [...this._open].find(({ isLate }) => !isLate) ?? start();
     return new Promise((resolve) => {
       let timer: Disposable | undefined;
+      const subscriptions: Disposable[] = [];
       const finish = (result: Result<T, ServiceError>): void => {
-        timer?.dispose();
-        subscription.dispose();
+        for (const each of [timer, ...subscriptions]) {
+          each?.dispose();
+        }
         resolve(result);
       };
       const check = (): void => {
-        const lateAt = Math.max(own.startedAt, this._progressAt) + limitMs;
-        const leftMs = lateAt - this._clock.now();
+        timer?.dispose();
+        const limit = limitMs();
+        const leftMs = Math.max(own.startedAt, this._progressAt) + limit - this._clock.now();
         if (leftMs <= 0) {
           own.isLate = true;
-          finish(Result.err(lateError(limitMs)));
+          this._pace.recordFailure();
+          finish(Result.err(lateError(limit)));
         } else {
           timer = this._clock.schedule(leftMs, check);
         }
       };
-      const subscription = this._onSettle.event(({ open, result }) => {
-        if (result.isOk || open === own || this._open.size === 0) {
-          finish(result);
-        }
-      });
+      subscriptions.push(
+        this._onSettle.event(({ open, result }) => {
+          if (result.isOk || open === own || this._open.size === 0) {
+            finish(result);
+          }
+        }),
+        this._pace.onReturn(() => {
+          own = start();
+          check();
+        }),
+      );
       check();
     });
   }
 
-  private _start(call: Call<T>): OpenCall {
-    const open = { abort: new AbortController(), startedAt: this._clock.now(), isLate: false };
+  /** When a part of an answer that is still arriving was last received. */
+  private get _progressAt(): number {
+    return Math.max(...[...this._open].map(({ progressAt }) => progressAt));
+  }
+
+  private _start(waitMs: number, call: Call<T>): OpenCall {
+    const open = {
+      abort: new AbortController(),
+      startedAt: this._clock.now(),
+      waitMs,
+      progressAt: Number.NEGATIVE_INFINITY,
+      isLate: false,
+    };
     const needsNewConnection = this._open.size > 0;
     const [oldest] = this._open;
     if (oldest !== undefined && this._open.size >= MAX_OPEN_CALLS) {
@@ -117,7 +155,7 @@
     const { signal } = open.abort;
     const onProgress = (receivedBytes: number): void => {
       if (!signal.aborted) {
-        this._progressAt = this._clock.now();
+        open.progressAt = this._clock.now();
         if (receivedBytes >= LONG_ANSWER_BYTES) {
           this._closeOthers(open, true);
         }
@@ -131,10 +169,13 @@
       this._closeOthers(open, this._isFinal(result.value));
     }
     this._open.delete(open);
-    if (result.isOk) {
-      this._onAnswer.fire();
-    }
     this._onSettle.fire({ open, result });
+    // A rejection for want of the records is an answer, too.
+    if (result.isOk || result.error.kind === ErrorKind.RecordsExpired) {
+      this._pace.recordAnswer(open);
+    } else if (!open.isLate) {
+      this._pace.recordFailure();
+    }
   }
 
   /** Closes the calls that are older than `open`, or all others. */
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -16,6 +16,7 @@
 import type { CallAttempt, KeyedPage, KeyedRecord, KeyedTopic } from '../services/Services.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
+import { CallPace, type RequestedWait } from './CallPace.js';
 import { OPEN_CALL_TIMEOUT_MS, OpenCalls } from './OpenCalls.js';
 
 /** Snapshots usually begin within a few ms; a lost call must not delay the start of a node. */
@@ -24,12 +25,6 @@
 const POLL_WAIT_MS = 1_200;
 /** Time beyond the requested wait after which a poll is repeated. */
 const POLL_MARGIN_MS = 1_000;
-/** Limit of these times, however late the answers are. */
-const MAX_MARGIN_MS = 4_000;
-/** Answers may take this many times as long as recent ones until their calls are repeated. */
-const MARGIN_FACTOR = 2;
-/** Weight of the longest recent time when an answer is on time. */
-const LATENESS_DECAY = 0.7;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
 /** Applies to a node that polls only while no poller is connected; it receives records from peers. */
@@ -66,12 +61,6 @@
   Superseded = 'superseded',
 }
 
-/** When a call was made, and how long the platform was to wait for records. */
-interface RequestedWait {
-  readonly startedAt: number;
-  readonly waitMs: number;
-}
-
 /** Records that a call to the platform returned. */
 interface ReadSummary {
   /** End offset of the table before. */
@@ -87,10 +76,9 @@
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
   private _needsSnapshot = true;
-  /** Longest recent time of an answer beyond the requested wait, in ms. */
-  private _latenessMs = 0;
   /** How long the call that was answered last had been open, in ms. */
   private _answeredMs = 0;
+  private readonly _pace: CallPace;
   private readonly _snapshots: OpenCalls<void>;
   /** Calls that return whether there were records. */
   private readonly _polls: OpenCalls<boolean>;
@@ -103,10 +91,11 @@
   constructor(private readonly _options: TopicFollowerOptions) {
     super();
     const { clock } = _options;
-    this._snapshots = this.register(new OpenCalls(clock));
+    this._pace = this.register(new CallPace(clock));
+    this._snapshots = this.register(new OpenCalls(clock, this._pace));
     // A poll without records leaves open those that began later.
-    this._polls = this.register(new OpenCalls(clock, (hasRecords) => hasRecords));
-    this._catchUps = this.register(new OpenCalls(clock));
+    this._polls = this.register(new OpenCalls(clock, this._pace, (hasRecords) => hasRecords));
+    this._catchUps = this.register(new OpenCalls(clock, this._pace));
   }
 
   /** Name of the topic. */
@@ -173,24 +162,20 @@
   }
 
   private async _pause(delayMs: number): Promise<void> {
-    const answered = new AbortController();
-    const subscriptions = [this._snapshots, this._polls].map(({ onAnswer }) =>
-      onAnswer(() => {
-        answered.abort();
-      }),
-    );
-    const signal = AbortSignal.any([this.disposalSignal, answered.signal]);
+    const returned = new AbortController();
+    const subscription = this._pace.onReturn(() => {
+      returned.abort();
+    });
+    const signal = AbortSignal.any([this.disposalSignal, returned.signal]);
     await this._options.clock.sleep(delayMs, signal);
-    for (const each of subscriptions) {
-      each.dispose();
-    }
+    subscription.dispose();
   }
 
   private _loadSnapshot(): Promise<Result<void, ServiceError>> {
     // An answer that is slow to begin for many nodes at once must not be asked for again and again.
     const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
-    const limitMs = Math.max(SNAPSHOT_MARGIN_MS * 2 ** doublings, this._marginMs(0));
-    return this._snapshots.ask(limitMs, async (attempt) => {
+    const limitMs = (): number => this._pace.marginMs(SNAPSHOT_MARGIN_MS * 2 ** doublings);
+    return this._snapshots.ask({ limitMs }, async (attempt) => {
       const loaded = await this._readSnapshot(attempt);
       return loaded.map(() => {
         this._recordSuccess();
@@ -221,7 +206,8 @@
    * the platform answered in time; records that arrive later are applied as well.
    */
   public async catchUp(): Promise<boolean> {
-    const answer = await this._catchUps.ask(this._marginMs(READ_MARGIN_MS), async (attempt) => {
+    const limitMs = (): number => this._pace.marginMs(READ_MARGIN_MS);
+    const answer = await this._catchUps.ask({ limitMs }, async (attempt) => {
       const read = await this._readRecords(0, attempt);
       const isExpired = read.isErr && read.error.kind === ErrorKind.RecordsExpired;
       return isExpired || this._isFarBehind
@@ -235,8 +221,8 @@
   }
 
   private _poll(): Promise<Result<boolean, ServiceError>> {
-    const limitMs = POLL_WAIT_MS + this._marginMs(POLL_MARGIN_MS);
-    return this._polls.ask(limitMs, async (attempt) => {
+    const limitMs = (): number => POLL_WAIT_MS + this._pace.marginMs(POLL_MARGIN_MS);
+    return this._polls.ask({ waitMs: POLL_WAIT_MS, limitMs }, async (attempt) => {
       const read = await this._readRecords(POLL_WAIT_MS, attempt);
       return read.map((count) => {
         this._needsSnapshot = this._isFarBehind;
@@ -246,11 +232,6 @@
     });
   }
 
-  /** Time beyond the requested wait after which a call is repeated, in ms. */
-  private _marginMs(minMs: number): number {
-    return Math.max(minMs, Math.min(MARGIN_FACTOR * this._latenessMs, MAX_MARGIN_MS));
-  }
-
   /** Reads and applies a page of records; returns their number. */
   private async _readRecords(
     waitMs: number,
@@ -321,7 +302,6 @@
     metrics.observe('tanager_platform_late_ms', lateMs, labels);
     if (answer.isOk) {
       this._answeredMs = Math.round(tookMs);
-      this._latenessMs = Math.max(lateMs, LATENESS_DECAY * this._latenessMs);
     }
   }
 
