Probe the platform at a bounded interval while it does not answer

A poller that gets no answers now makes a short read each 0.48 to 0.8 s, at random, so the interval bounds how long all nodes go on without the newest records after the return. More calls may be open, since one that is closed too soon is never answered by a store that is slow by seconds (SlowStore.test).

--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -20,8 +20,11 @@
 
 /** Time until the answer of an open call must begin. */
 export const OPEN_CALL_TIMEOUT_MS = 10_000;
-/** Calls that may be open at the same time; the oldest is closed for a further one. */
-const MAX_OPEN_CALLS = 3;
+/**
+ * Calls that may be open at the same time; the oldest is closed for a further one. As many as probes
+ * of an outage are made in several seconds, since a platform may answer each call that late.
+ */
+export const MAX_OPEN_CALLS = 12;
 /** Bytes of an answer from which on it is not awaited twice; the links of small hosts are narrow. */
 const LONG_ANSWER_BYTES = 4_096;
 
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -2,7 +2,8 @@
  * Follows one keyed topic of the platform: loads a snapshot, then long-polls from its end offset,
  * and loads a new snapshot when records expired before they were read, or when the log was restored
  * from an older copy. Every call is repeated when its answer is late, since a connection may stop
- * responding without being closed; the late answer counts as well if it arrives.
+ * responding without being closed; the late answer counts as well if it arrives. While nothing is
+ * answered, short reads are repeated at an interval that the callers' bound on a change allows.
  */
 import {
   type Clock,
@@ -35,8 +36,15 @@
  */
 const POLLING_CHECK_INTERVAL_MS = 500;
 const READ_MARGIN_MS = 800;
-/** Failed calls in a row after which the time until a snapshot is repeated is not raised any more. */
+/** Failures in a row after which the time until a call is repeated is not raised any more. */
 const MAX_TIMEOUT_DOUBLINGS = 2;
+/**
+ * Longest time between two probes of a poller while the platform does not answer. It bounds how long
+ * all nodes go on without the newest records after its return.
+ */
+const PROBE_INTERVAL_MS = 800;
+/** Share of it by which an interval may be shorter, so that the pollers probe at different times. */
+const PROBE_JITTER = 0.4;
 /** Bytes of a snapshot for each byte of its values. */
 const SNAPSHOT_EXPANSION = 4 / 3;
 
@@ -76,6 +84,8 @@
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
   private _needsSnapshot = true;
+  /** Snapshots that were asked for since the last one was loaded. */
+  private _lateSnapshots = 0;
   /** How long the call that was answered last had been open, in ms. */
   private _answeredMs = 0;
   private readonly _pace: CallPace;
@@ -130,13 +140,20 @@
         await clock.sleep(POLLING_CHECK_INTERVAL_MS, signal);
         continue;
       }
-      const answer = this._needsSnapshot ? await this._loadSnapshot() : await this._poll();
+      const answer = await this._callNext();
       if (answer.isErr) {
         await this._recover(answer.error);
       }
     }
   }
 
+  private _callNext(): Promise<Result<unknown, ServiceError>> {
+    if (this._pace.isLost) {
+      return this._probe();
+    }
+    return this._needsSnapshot ? this._loadSnapshot() : this._poll();
+  }
+
   /**
    * Waits until the next call, but not longer than until the answer to a late one. Calls that are
    * repeated because they are late are far enough apart without a wait.
@@ -173,16 +190,44 @@
 
   private _loadSnapshot(): Promise<Result<void, ServiceError>> {
     // An answer that is slow to begin for many nodes at once must not be asked for again and again.
-    const doublings = Math.min(this._failures, MAX_TIMEOUT_DOUBLINGS);
-    const limitMs = (): number => this._pace.marginMs(SNAPSHOT_MARGIN_MS * 2 ** doublings);
-    return this._snapshots.ask({ limitMs }, async (attempt) => {
+    const minMs = doubled(SNAPSHOT_MARGIN_MS, this._lateSnapshots);
+    this._lateSnapshots++;
+    return this._snapshots.ask({ limitMs: () => this._pace.marginMs(minMs) }, async (attempt) => {
       const loaded = await this._readSnapshot(attempt);
       return loaded.map(() => {
+        this._lateSnapshots = 0;
         this._recordSuccess();
       });
     });
   }
 
+  /**
+   * A short read, which shows whether the platform answers again. A snapshot may be long, and a poll
+   * waits, so neither is made before.
+   */
+  private _probe(): Promise<Result<boolean, ServiceError>> {
+    const limitMs = this._probeLimitMs();
+    return this._polls.ask({ limitMs: () => limitMs }, async (attempt) => {
+      const read = await this._readRecords(0, attempt);
+      const isExpired = read.isErr && read.error.kind === ErrorKind.RecordsExpired;
+      if (read.isErr && !isExpired) {
+        return Result.err(read.error);
+      }
+      this._needsSnapshot ||= isExpired || this._isFarBehind;
+      this._recordSuccess();
+      return Result.ok(read.unwrapOr(0) > 0);
+    });
+  }
+
+  private _probeLimitMs(): number {
+    const { isAppointedPoller, random } = this._options;
+    if (isAppointedPoller()) {
+      return PROBE_INTERVAL_MS * (1 - PROBE_JITTER * random.next());
+    }
+    // Nodes that do not poll get the records from peers.
+    return this._needsSnapshot ? doubled(PROBE_INTERVAL_MS, this._failures) : PROBE_INTERVAL_MS;
+  }
+
   private async _readSnapshot(attempt: CallAttempt): Promise<Result<void, ServiceError>> {
     const { clock, table, topic } = this._options;
     const startedAt = clock.now();
@@ -208,6 +253,9 @@
   public async catchUp(): Promise<boolean> {
     const limitMs = (): number => this._pace.marginMs(READ_MARGIN_MS);
     const answer = await this._catchUps.ask({ limitMs }, async (attempt) => {
+      if (!this._options.table.hasSnapshot) {
+        return this._readSnapshot(attempt);
+      }
       const read = await this._readRecords(0, attempt);
       const isExpired = read.isErr && read.error.kind === ErrorKind.RecordsExpired;
       return isExpired || this._isFarBehind
@@ -251,8 +299,8 @@
       return Result.err(restoredError(table.name));
     }
     this._expirations = 0;
-    // Otherwise the records begin at an offset of another epoch.
-    if (epoch === epochBefore) {
+    // Otherwise the records begin at an offset of another epoch, or older ones are missing.
+    if (epoch === epochBefore && table.hasSnapshot) {
       table.apply(records, end, epoch);
       this._isFarBehind = this._isSnapshotShorter(page.value);
     }
@@ -334,6 +382,10 @@
   return records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
 }
 
+function doubled(delayMs: number, times: number): number {
+  return delayMs * 2 ** Math.min(times, MAX_TIMEOUT_DOUBLINGS);
+}
+
 function retryDelayMs(failures: number, maxDelayMs: number, random: RandomSource): number {
   const delayMs = Math.min(maxDelayMs, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
   return delayMs * (0.5 + random.next() / 2);
