Count a node as current only up to the time of the call that confirms it

After an outage of the store, a caller got 404 for a confirmed route from a node that had just counted itself up to date: an answer without records that had been open since before the outage confirmed the configuration at its arrival, and a peer's report of a connected poller at the arrival of the report, up to 2.7 s after that poller's last answer.

An answer now confirms the records up to the start of its call, plus its wait if there were none. Pollers state the age of that in their reports once it is over 1.5 s, relays the newest that they know, and a node takes it only if it has all records that the peer reports. Pollers state only what the platform confirmed to themselves, since two that repeat each other's reports would stay current without it. Reports of earlier releases count as before.

SlowStore.test: with answers that are 5 s late no node may count as current at any time, which failed before; with answers at once all nodes must.

--- a/packages/gateway/src/common/state/PeerRelay.test.ts
+++ b/packages/gateway/src/common/state/PeerRelay.test.ts
@@ -51,6 +51,7 @@
         membership: new FixedMembership(self, members),
         tables: [table],
         isConnected: () => connected.has(index),
+        confirmedAt: () => Number.NEGATIVE_INFINITY,
         hadRecentOutage: () => recentOutage.has(index),
         catchUp: (topic) => {
           caughtUp.push(topic);
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -55,6 +55,8 @@
 const POLLER_TIMEOUT_MS = 2_500;
 /** How long the report of a poller is valid for a relay that forwards it. */
 const POLLER_REPORT_TTL_MS = 1_200;
+/** A node with all records of this long ago counts as current; longer than a poll takes. */
+const CURRENT_MS = 1_500;
 /** How long a peer's report of an outage is valid; senders repeat it while the outage lasts. */
 const OUTAGE_REPORT_TTL_MS = 1_200;
 /**
@@ -77,6 +79,8 @@
   readonly tables: readonly KeyedTable[];
   /** Whether the platform responded to this node recently. */
   readonly isConnected: () => boolean;
+  /** Time up to which the platform has confirmed to this node that it has all records. */
+  readonly confirmedAt: () => number;
   /** Whether this node recently observed an outage of the platform. */
   readonly hadRecentOutage: () => boolean;
   /** Reads the missing records of a topic from the platform; returns whether it answered. */
@@ -93,7 +97,10 @@
   private readonly _senders: ReadonlyMap<KeyedTable, RecordSender>;
   private _wholeCopySentAt = Number.NEGATIVE_INFINITY;
   private _repeatedNotice: Disposable | undefined;
+  private readonly _startedAt: number;
   private _pollerConnectedAt: number;
+  /** Time up to which a peer has confirmed that this node has all records. */
+  private _peerConfirmedAt: number;
   /** When a poller itself last reported that it is connected. */
   private _directReportAt = Number.NEGATIVE_INFINITY;
   /** Derived from the members; undefined after one changed. */
@@ -111,7 +118,9 @@
         this._welcome(member);
       }),
     );
-    this._pollerConnectedAt = clock.now();
+    this._startedAt = clock.now();
+    this._pollerConnectedAt = this._startedAt;
+    this._peerConfirmedAt = this._startedAt;
     this._fetcher = this.register(new RecordFetcher(_options));
     const queuedBytes = (): number => transport.traffic.queuedBytes;
     this._senders = new Map(
@@ -153,11 +162,11 @@
   }
 
   /**
-   * When a poller was last reported to be connected to the platform, on this node's clock; the start
-   * of this node before the first report.
+   * Latest time, on this node's clock, up to which this node is known to have had all records, by the
+   * platform or by peers; the start of this node before either.
    */
-  public get pollerConnectedAt(): number {
-    return this._pollerConnectedAt;
+  public get confirmedAt(): number {
+    return Math.max(this._ownConfirmedAt, this._peerConfirmedAt);
   }
 
   /** Whether a peer recently reported an outage of the platform. */
@@ -182,6 +191,10 @@
     );
   }
 
+  private get _ownConfirmedAt(): number {
+    return Math.max(this._options.confirmedAt(), this._startedAt);
+  }
+
   private get _duties(): PollingDuties {
     const { live, self } = this._options.membership;
     this._currentDuties ??= pollingDutiesOf(self.name, live);
@@ -275,14 +288,18 @@
   }
 
   private _sendProgressTo(peers: readonly Member[]): void {
-    const { hadRecentOutage, isConnected, membership, tables, transport } = this._options;
+    const { clock, hadRecentOutage, isConnected, membership, tables, transport } = this._options;
     const ends = tables.map(({ name, end }) => [name, end]);
     const epochs = tables.map(({ earlierDigest, epoch }) => [epoch, earlierDigest]);
     const isDirect = this.isPoller && isConnected();
+    // Pollers that repeated each other's reports would stay current without the platform.
+    const confirmedAt = isDirect ? this._ownConfirmedAt : this.confirmedAt;
+    const confirmedMs = Math.round(clock.now() - confirmedAt);
     const params = {
       from: transport.address,
       inTouch: isDirect || this._isForwardingReport,
       isDirect,
+      confirmedMs: confirmedMs > CURRENT_MS ? confirmedMs : undefined,
       unsettled: hadRecentOutage(),
       ends,
       epochs,
@@ -312,7 +329,15 @@
         return [name, { end, epoch, earlierDigest }];
       }),
     );
-    const { membership, tables } = this._options;
+    const { clock, membership, tables } = this._options;
+    const { confirmedMs = parsed.inTouch ? 0 : undefined } = parsed;
+    const hasAll = tables.every((table) => {
+      const each = progress.get(table.name);
+      return each !== undefined && !isBehind(table, each);
+    });
+    if (confirmedMs !== undefined && hasAll) {
+      this._peerConfirmedAt = Math.max(this._peerConfirmedAt, clock.now() - confirmedMs);
+    }
     if (membership.serving.some(({ peerAddress }) => peerAddress === parsed.from)) {
       this._readyProgress = progress;
     }
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -132,6 +132,7 @@
         ..._options,
         tables: [configurationRecords, this._targetRecords],
         isConnected: () => this._isConnected(),
+        confirmedAt: () => Math.min(...this._followers.map((each) => each.confirmedAt)),
         hadRecentOutage: () => this._hadRecentOutage(),
         catchUp: (topic) => this._catchUp(topic),
         timerDelayMs: () => this._timerDelay.recentMs,
@@ -158,23 +159,19 @@
     return this.configuration.current?.version ?? 0;
   }
 
-  /**
-   * Time since the platform last responded to this node, for the topic that waits the longest, or
-   * to another poller, whichever is more recent.
-   */
-  public get silenceMs(): number {
-    const lastResponseAt = Math.min(...this._followers.map((each) => each.lastResponseAt));
-    return this._options.clock.now() - Math.max(lastResponseAt, this._relay.pollerConnectedAt);
+  /** Time since this node is known to have had all records that were confirmed by then. */
+  public get unconfirmedMs(): number {
+    return this._options.clock.now() - this._relay.confirmedAt;
   }
 
   /**
    * Whether a newer configuration may be in force than this node has: a peer has reported one, or
-   * neither the platform nor a connected poller has responded for a while. What the present one does
+   * neither the platform nor a peer has confirmed the records for a while. What the present one does
    * not allow must not be denied for good then.
    */
   public get mayBeOutdated(): boolean {
     return (
-      this.silenceMs > UNCONFIRMED_AFTER_MS || this._relay.isBehind(this._configurationRecords)
+      this.unconfirmedMs > UNCONFIRMED_AFTER_MS || this._relay.isBehind(this._configurationRecords)
     );
   }
 
--- a/packages/gateway/src/common/state/RelayMessages.ts
+++ b/packages/gateway/src/common/state/RelayMessages.ts
@@ -16,6 +16,11 @@
   inTouch: z.boolean(),
   /** Whether the sender is connected itself; a relay must not forward what a relay reports. */
   isDirect: z.boolean().optional(),
+  /**
+   * How long ago the sender was last known to have all records, in ms, if it is not current. Nodes of
+   * earlier releases do not state it.
+   */
+  confirmedMs: z.number().nonnegative().optional(),
   /** Whether the sender recently observed an outage of the platform. */
   unsettled: z.boolean(),
   /** Name and end offset of each topic. */
--- a/packages/gateway/src/common/state/SlowStore.test.ts
+++ b/packages/gateway/src/common/state/SlowStore.test.ts
@@ -140,6 +140,22 @@
     expect(operatorStore.calls - before - usual).toBeLessThan(2 * usual);
   });
 
+  it('counts no node as current by answers that are seconds old', async () => {
+    slowDown(5_000);
+    await clock.advance(6_000);
+    for (let sample = 0; sample < 100; sample++) {
+      expect(views.map(({ mayBeOutdated }) => mayBeOutdated)).toEqual(members.map(() => true));
+      await clock.advance(100);
+    }
+  });
+
+  it('counts all nodes as current while it answers at once', async () => {
+    for (let sample = 0; sample < 100; sample++) {
+      expect(views.map(({ mayBeOutdated }) => mayBeOutdated)).toEqual(members.map(() => false));
+      await clock.advance(100);
+    }
+  });
+
   it('does not delay a version by itself when the answers are on time again', async () => {
     slowDown(2_200);
     await publish(1_450);
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -81,6 +81,7 @@
 /** Keeps a table up to date with a topic, and records when the platform responded or failed. */
 export class TopicFollower extends DisposableOwner {
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
+  private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
   private _failures = 0;
   private _needsSnapshot = true;
@@ -118,6 +119,14 @@
     return this._lastResponseAt;
   }
 
+  /**
+   * Latest time, on this node's clock, up to which the table is known to have had all records. An
+   * answer may be seconds old when it arrives, so it confirms only the time of its call.
+   */
+  public get confirmedAt(): number {
+    return this._confirmedAt;
+  }
+
   /** When a call to the platform last failed, on this node's clock. */
   public get lastFailureAt(): number {
     return this._lastFailureAt;
@@ -243,6 +252,7 @@
       return Result.err(restoredError(table.name));
     }
     this._needsSnapshot = false;
+    this._confirmedAt = Math.max(this._confirmedAt, startedAt);
     return Result.ok(undefined);
   }
 
@@ -303,6 +313,11 @@
     if (epoch === epochBefore && table.hasSnapshot) {
       table.apply(records, end, epoch);
       this._isFarBehind = this._isSnapshotShorter(page.value);
+      if (page.value.logEnd <= table.end) {
+        // Without records, the platform has waited for them.
+        const confirmedAt = startedAt + (records.length === 0 ? waitMs : 0);
+        this._confirmedAt = Math.max(this._confirmedAt, Math.min(clock.now(), confirmedAt));
+      }
     }
     return Result.ok(records.length);
   }
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -421,7 +421,7 @@
     metrics.gauge('tanager_targets_leaving', () => this._platform.targets.leavingCount);
     metrics.gauge('tanager_zones_evacuated', () => this._platform.evacuations.zones.length);
     metrics.gauge('tanager_platform_epoch', () => this._platform.epoch);
-    metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.silenceMs));
+    metrics.gauge('tanager_platform_silence_ms', () => Math.round(this._platform.unconfirmedMs));
     metrics.gauge('tanager_timer_delay_ms', () => this._platform.timerDelayMs);
     metrics.gauge('tanager_log_lines_dropped', () => log.dropped);
   }
--- a/packages/gateway/src/node/SilentLinks.test.ts
+++ b/packages/gateway/src/node/SilentLinks.test.ts
@@ -99,6 +99,7 @@
         membership: new FixedMembership(self, members),
         tables: [table],
         isConnected: () => index === 0,
+        confirmedAt: () => Number.NEGATIVE_INFINITY,
         hadRecentOutage: () => false,
         catchUp: () => Promise.resolve(false),
         timerDelayMs: () => 0,
