Let a node that polls in place of others go on polling

A node that takes over reports that it is connected. A relay of its zone forwards that to the whole zone, so the node gets its own report back, takes another one for the poller and stops; the others notice after 2.5 s. Two nodes of a zone that take over together stop each other in the same way.

Relays send no node a report that comes from itself or from a node that ranks after it, and a connected node that polls leaves it only to one that ranks before it. Messages are unchanged.

--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -28,7 +28,7 @@
 import { Result } from 'true-myth';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { KeyedTable } from './KeyedTable.js';
-import { type PollingDuties, pollingDutiesOf, relaysOf } from './PollerChoice.js';
+import { type PollingDuties, pollingDutiesOf, rankedNames, relaysOf } from './PollerChoice.js';
 import { RecordFetcher } from './RecordFetcher.js';
 import { PIECE_BYTES, RecordSender } from './RecordSender.js';
 import {
@@ -101,10 +101,12 @@
   private _pollerConnectedAt: number;
   /** Time up to which a peer has confirmed that this node has all records. */
   private _peerConfirmedAt: number;
-  /** When a poller itself last reported that it is connected. */
-  private _directReportAt = Number.NEGATIVE_INFINITY;
+  /** By peer address: when a poller itself last reported that it is connected. */
+  private readonly _directReports = new Map<string, number>();
   /** Derived from the members; undefined after one changed. */
   private _currentDuties: PollingDuties | undefined;
+  /** By peer address: place among the nodes that may poll. Derived from the members, too. */
+  private _currentRanks: ReadonlyMap<string, number> | undefined;
   private _outageReportedAt = Number.NEGATIVE_INFINITY;
   /** By topic: the progress of the ready peer that reported last. */
   private _readyProgress: ReadonlyMap<string, TopicProgress> | undefined;
@@ -115,6 +117,7 @@
     this.register(
       membership.onChange((member) => {
         this._currentDuties = undefined;
+        this._currentRanks = undefined;
         this._welcome(member);
       }),
     );
@@ -201,10 +204,10 @@
     return this._currentDuties;
   }
 
-  /** Whether this relay can report to its zone that a poller is connected. */
-  private get _isForwardingReport(): boolean {
-    const { clock } = this._options;
-    return this._duties.isRelay && clock.now() - this._directReportAt < POLLER_REPORT_TTL_MS;
+  private get _ranks(): ReadonlyMap<string, number> {
+    const { live } = this._options.membership;
+    this._currentRanks ??= ranksByAddress(live);
+    return this._currentRanks;
   }
 
   private get _isWithoutPoller(): boolean {
@@ -295,30 +298,55 @@
     // Pollers that repeated each other's reports would stay current without the platform.
     const confirmedAt = isDirect ? this._ownConfirmedAt : this.confirmedAt;
     const confirmedMs = Math.round(clock.now() - confirmedAt);
-    const params = {
-      from: transport.address,
-      inTouch: isDirect || this._isForwardingReport,
-      isDirect,
-      confirmedMs: confirmedMs > CURRENT_MS ? confirmedMs : undefined,
-      unsettled: hadRecentOutage(),
-      ends,
-      epochs,
-    };
-    const payload = encodeNotification(PROGRESS_METHOD, params);
+    const encode = (inTouch: boolean): string =>
+      encodeNotification(PROGRESS_METHOD, {
+        from: transport.address,
+        inTouch,
+        isDirect,
+        confirmedMs: confirmedMs > CURRENT_MS ? confirmedMs : undefined,
+        unsettled: hadRecentOutage(),
+        ends,
+        epochs,
+      });
+    const payloads = new Map<boolean, string>();
     for (const { name, peerAddress } of peers) {
       if (name !== membership.self.name) {
+        const inTouch = isDirect || this._forwardsReportTo(peerAddress);
+        const payload = payloads.get(inTouch) ?? encode(inTouch);
+        payloads.set(inTouch, payload);
         transport.sendDatagram(peerAddress, payload);
       }
     }
   }
 
+  /**
+   * Whether this relay can report to a peer that a poller is connected. A node that polls in place of
+   * the appointed ones must not be told by its own report, or that of a node that should leave
+   * polling to it; it would stop, and nobody would poll until the others notice.
+   */
+  private _forwardsReportTo(peerAddress: string): boolean {
+    const { clock } = this._options;
+    return (
+      this._duties.isRelay &&
+      [...this._directReports].some(
+        ([reporter, at]) =>
+          clock.now() - at < POLLER_REPORT_TTL_MS && this._isRankedBefore(reporter, peerAddress),
+      )
+    );
+  }
+
+  private _isRankedBefore(address: string, other: string): boolean {
+    const rankOf = (each: string): number => this._ranks.get(each) ?? Number.POSITIVE_INFINITY;
+    return rankOf(address) < rankOf(other);
+  }
+
   private _onDatagram(payload: string): void {
     const parsed = parseProgress(payload);
     if (parsed === undefined) {
       return;
     }
     if (parsed.inTouch) {
-      this._recordReport(parsed.isDirect === true);
+      this._recordReport(parsed.from, parsed.isDirect === true);
     }
     if (parsed.unsettled) {
       this._outageReportedAt = this._options.clock.now();
@@ -349,12 +377,22 @@
     }
   }
 
-  private _recordReport(isDirect: boolean): void {
-    const now = this._options.clock.now();
-    this._pollerConnectedAt = now;
+  private _recordReport(from: string, isDirect: boolean): void {
+    const { clock, isConnected, transport } = this._options;
+    const now = clock.now();
     if (isDirect) {
-      this._directReportAt = now;
+      this._directReports.set(from, now);
+      for (const [reporter, at] of this._directReports) {
+        if (now - at >= POLLER_REPORT_TTL_MS) {
+          this._directReports.delete(reporter);
+        }
+      }
+      if (this.isPoller && isConnected() && this._isRankedBefore(transport.address, from)) {
+        // The peer will leave polling to this node.
+        return;
+      }
     }
+    this._pollerConnectedAt = now;
   }
 
   private _respond(request: RecordsRequest): Result<unknown, ServiceError> {
@@ -428,3 +466,10 @@
     });
   }
 }
+
+function ranksByAddress(live: readonly Member[]): ReadonlyMap<string, number> {
+  const ranks = new Map(rankedNames(live).map((name, rank) => [name, rank]));
+  return new Map(
+    live.map(({ name, peerAddress }) => [peerAddress, ranks.get(name) ?? ranks.size] as const),
+  );
+}
--- a/packages/gateway/src/common/state/PollerChoice.ts
+++ b/packages/gateway/src/common/state/PollerChoice.ts
@@ -24,10 +24,9 @@
 
 /** The duties of the node `self` among the live members, itself included. */
 export function pollingDutiesOf(self: string, live: readonly Member[]): PollingDuties {
-  const zones = [...membersByZoneOf(live)].sort(([a], [b]) => (a < b ? -1 : 1));
-  const names = zones.map(([, members]) => members.map(({ name }) => name).sort());
-  const relays = ranking(names.map((zone) => zone.slice(0, RELAYS_PER_ZONE)));
-  const takeoverRank = Math.max(0, ranking(names).indexOf(self));
+  const ranked = rankedNames(live);
+  const relays = ranking(namesByZone(live).map((zone) => zone.slice(0, RELAYS_PER_ZONE)));
+  const takeoverRank = Math.max(0, ranked.indexOf(self));
   return {
     isPoller: relays.slice(0, MAX_POLLERS).includes(self),
     isRelay: relays.includes(self),
@@ -35,6 +34,11 @@
   };
 }
 
+/** Names of the live members; those before another one poll rather than it. */
+export function rankedNames(live: readonly Member[]): readonly string[] {
+  return ranking(namesByZone(live));
+}
+
 /** The relays of all zones. */
 export function relaysOf(live: readonly Member[]): readonly Member[] {
   return [...membersByZoneOf(live).values()].flatMap((members) =>
@@ -42,6 +46,11 @@
   );
 }
 
+function namesByZone(live: readonly Member[]): readonly (readonly string[])[] {
+  const zones = [...membersByZoneOf(live)].sort(([a], [b]) => (a < b ? -1 : 1));
+  return zones.map(([, members]) => members.map(({ name }) => name).sort());
+}
+
 /** Names in turn from each zone: the first of all zones, then the second, and so on. */
 function ranking(zones: readonly (readonly string[])[]): readonly string[] {
   const longest = Math.max(0, ...zones.map(({ length }) => length));
--- a/packages/gateway/src/common/state/StoreOutage.test.ts
+++ b/packages/gateway/src/common/state/StoreOutage.test.ts
@@ -130,6 +130,16 @@
     });
   });
 
+  it('that only the nodes that poll see, versions go on being in force within 2 s', async () => {
+    for (const index of POLLERS) {
+      fleet.ignored.add(index);
+    }
+    await clock.advance(10_000);
+    for (let round = 0; round < 10; round++) {
+      expect(await publish()).toBeLessThan(CALLERS_BOUND_MS);
+    }
+  });
+
   it.each(OUTAGES_MS)('of %d ms, late answers before it delay no version', async (silentMs) => {
     fleet.operatorStore.callMs = 2_200;
     await clock.advance(15_000);
