Probe like a poller from a node that polled until the outage

If the store answers the appointed pollers nothing before, during and after an outage, versions after it are in force up to 1.64 s late: the nodes that polled in their place pause for up to 3 s between two calls of an outage, as pauses grow with each failure, and nobody else is answered.

A node whose poll was answered within 6 s before the outage now probes as often as an appointed poller. These are few; nodes that begin to poll during the outage pause as before.

--- a/packages/gateway/src/common/state/StoreOutage.test.ts
+++ b/packages/gateway/src/common/state/StoreOutage.test.ts
@@ -122,6 +122,18 @@
       expect(await publish()).toBeLessThan(APPLY_MS);
     });
 
+    it.each(PHASES_MS)(
+      'the same if other nodes poll in place of the first (%d)',
+      async (phaseMs) => {
+        for (const index of POLLERS) {
+          fleet.ignored.add(index);
+        }
+        await clock.advance(10_000 + phaseMs);
+        await passOutage(silentMs, { losesOpenCalls: true });
+        expect(await publish()).toBeLessThan(APPLY_MS);
+      },
+    );
+
     it('each node makes a bounded number of calls during it', async () => {
       const before = fleet.calls;
       await passOutage(silentMs, { losesOpenCalls: true });
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -43,6 +43,11 @@
  * all nodes go on without the newest records after its return.
  */
 const PROBE_INTERVAL_MS = 800;
+/**
+ * A node whose poll was answered this recently before an outage probes like a poller: the appointed
+ * ones may have got no answers before. Longer than a late poll takes.
+ */
+const RECENT_POLL_MS = 6_000;
 /** Share of it by which an interval may be shorter, so that the pollers probe at different times. */
 const PROBE_JITTER = 0.4;
 /** Bytes of a snapshot for each byte of its values. */
@@ -83,6 +88,9 @@
   private _lastResponseAt = Number.NEGATIVE_INFINITY;
   private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _lastFailureAt = Number.NEGATIVE_INFINITY;
+  private _lastPollAt = Number.NEGATIVE_INFINITY;
+  /** Whether a poll of this node was answered shortly before the platform was lost. */
+  private _wasPoller = false;
   private _failures = 0;
   private _needsSnapshot = true;
   /** Snapshots that were asked for since the last one was loaded. */
@@ -179,7 +187,7 @@
       return;
     }
     this._recordFailure(error);
-    const isSubstitute = !this._needsSnapshot && !this._options.isAppointedPoller();
+    const isSubstitute = !this._needsSnapshot && !this._probesLikePoller;
     if (error.kind === ErrorKind.DeadlineExceeded && !isSubstitute) {
       return;
     }
@@ -228,9 +236,13 @@
     });
   }
 
+  private get _probesLikePoller(): boolean {
+    return this._options.isAppointedPoller() || this._wasPoller;
+  }
+
   private _probeLimitMs(): number {
-    const { isAppointedPoller, random } = this._options;
-    if (isAppointedPoller()) {
+    const { random } = this._options;
+    if (this._probesLikePoller) {
       return PROBE_INTERVAL_MS * (1 - PROBE_JITTER * random.next());
     }
     // Nodes that do not poll get the records from peers.
@@ -284,6 +296,7 @@
       const read = await this._readRecords(POLL_WAIT_MS, attempt);
       return read.map((count) => {
         this._needsSnapshot = this._isFarBehind;
+        this._lastPollAt = this._options.clock.now();
         this._recordSuccess();
         return count > 0;
       });
@@ -387,6 +400,7 @@
     this._failures++;
     this._lastFailureAt = clock.now();
     if (this._failures === 1) {
+      this._wasPoller = clock.now() - this._lastPollAt < RECENT_POLL_MS;
       const { end, name: topic } = table;
       log.write('platform.lost', { topic, end, cause: error.message, openMs: this._openMs });
     }
