Show that an answer whose head breaks off is no answer

A report of other operators: a server stopped in the middle of the head of its answer, and callers got a 200 with an empty or short body that looked whole. It does not happen here: no code is changed.

--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -3,6 +3,7 @@
 export * from './common/MemoryLink.js';
 export * from './common/MemoryLog.js';
 export * from './common/MemoryNetwork.js';
+export * from './node/BrokenHeads.js';
 export * from './node/FaultProxy.js';
 export * from './node/Loopback.js';
 export * from './node/SlowClock.js';
--- a/packages/gateway/src/node/paths/Relay.test.ts
+++ b/packages/gateway/src/node/paths/Relay.test.ts
@@ -1,6 +1,8 @@
 /** Requests over connections through another node, between real sockets. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import {
+  BROKEN_HEAD_ENDINGS,
+  BROKEN_HEADS,
   closeServer,
   FixedMembership,
   listenOnLoopback,
@@ -230,6 +232,21 @@
     expect(clock.now() - startedAt).toBeLessThan(1_000);
   });
 
+  describe.each(BROKEN_HEAD_ENDINGS)(
+    'with an answer that ends within its head and %s',
+    (_how, end) => {
+      it.each(BROKEN_HEADS)('fails, %s', async (_where, head) => {
+        answer = (socket) => {
+          end(socket, head);
+        };
+        const { body, error, status } = await send();
+        expect({ body, status }).toEqual({ body: '', status: undefined });
+        expect(error).toBeInstanceOf(Error);
+        expect(error).not.toBeInstanceOf(RelayLinkError);
+      });
+    },
+  );
+
   describe('with an answer that ends with its connection', () => {
     const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nsome';
 
