Ask an engine whether it has ended a prompt whose stream is overdue

On a connection that went silent, the end of a large prompt is lost.

The node could not tell an engine that has finished from one that reads for long. Engines state of each reservation whether a request uses it, and how many requests wait. LostAnswerCheck asks the first engine once a second while an event is overdue, and ends the attempt after two answers that nothing uses the reservation and nothing waits. A slow engine keeps its prompt.

--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -3,7 +3,11 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
-import type { EngineReservation, EngineReservations } from '../services/Services.js';
+import type {
+  EngineReservation,
+  EngineReservations,
+  ReservationUse,
+} from '../services/Services.js';
 import { ForwardingFixture } from '../../node/ForwardingFixture.js';
 import { PromptReservations } from './PromptReservations.js';
 import { TargetPauses } from './TargetPauses.js';
@@ -56,6 +60,10 @@
     });
   }
 
+  public inspect(): Promise<Result<ReservationUse, ServiceError>> {
+    return Promise.resolve(Result.err(errorOf(ErrorKind.TargetFailed)));
+  }
+
   private async _call(timeoutMs: number, effect: () => void): Promise<Result<void, ServiceError>> {
     this.calls++;
     if (this.callOutcome === CallOutcome.Answered) {
--- a/packages/gateway/src/common/placement/PromptReservations.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -84,6 +84,18 @@
     return failed;
   }
 
+  /**
+   * Whether the first engine has ended the prompt: it uses the reservation no more, and nothing waits
+   * there that might still use it. False if the engine does not say.
+   */
+  public async hasEnded(): Promise<boolean> {
+    const { engineReservations } = this._options;
+    const { id, targets } = this._request;
+    const [first] = targets;
+    const use = first && (await engineReservations.inspect(first, id, CALL_TIMEOUT_MS));
+    return use?.isOk === true && !use.value.isUsed && use.value.waiting === 0;
+  }
+
   private _isUsable(id: string): boolean {
     const { pauses, targets } = this._options;
     return targets.acceptsRequests(id) && !pauses.isPaused(id);
--- a/packages/gateway/src/common/services/Services.ts
+++ b/packages/gateway/src/common/services/Services.ts
@@ -140,6 +140,14 @@
   readonly timeToLiveMs: number;
 }
 
+/** What an engine states of a reservation, as of some hundred ms ago. */
+export interface ReservationUse {
+  /** Whether a request uses the reserved memory. */
+  readonly isUsed: boolean;
+  /** Requests that wait at the engine, this one or others. */
+  readonly waiting: number;
+}
+
 /** Reserves memory on engines, under ids that the gateway chooses. */
 export interface EngineReservations {
   /**
@@ -153,4 +161,10 @@
   ): Promise<Result<void, ServiceError>>;
   /** Releases a reservation; succeeds also when it does not exist. */
   release(target: TargetEntry, id: string, timeoutMs: number): Promise<Result<void, ServiceError>>;
+  /** Reads what an engine states of a reservation. Errors: `TargetFailed`. */
+  inspect(
+    target: TargetEntry,
+    id: string,
+    timeoutMs: number,
+  ): Promise<Result<ReservationUse, ServiceError>>;
 }
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -49,9 +49,10 @@
 const EVACUATION_PREFIX = 'evacuate/';
 
 /** Refuses every reservation. */
-const noReservations: EngineReservations = {
+export const noReservations: EngineReservations = {
   reserve: () => Promise.resolve(Result.err(refusal('reservations are not supported'))),
   release: () => Promise.resolve(Result.ok(undefined)),
+  inspect: () => Promise.resolve(Result.err(refusal('reservations are not supported'))),
 };
 
 /** The only node coordinates all cells, so it asks nobody. */
--- a/packages/gateway/src/node/PausedTarget.test.ts
+++ b/packages/gateway/src/node/PausedTarget.test.ts
@@ -6,7 +6,7 @@
 import type { EngineReservations } from '../common/services/Services.js';
 import { forwardCall } from './CallForwarder.js';
 import { RequestOutcome, type RequestReport } from './ForwardedRequest.js';
-import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
+import { ForwardingFixture, targetEntry, noReservations } from './ForwardingFixture.js';
 import { SimulatedCaller, simulatedRequest } from './SimulatedCaller.js';
 import { forwardStream } from './StreamForwarder.js';
 import { type RequestSender, WithheldRequest } from './Upstream.js';
@@ -207,6 +207,7 @@
 
     it('gets at most two requests and reservations during it', async () => {
       const engineReservations: EngineReservations = {
+        ...noReservations,
         reserve: ({ id }) => {
           arrivals.push({ id, at: clock.now() });
           const details = { remedy: 'none', retryAfterMs: PAUSE_MS };
@@ -216,7 +217,6 @@
               : Result.ok(undefined),
           );
         },
-        release: () => Promise.resolve(Result.ok(undefined)),
       };
       node = new ForwardingFixture({ clock, upstream: sender, engineReservations });
       for (const id of ['t0', 't1', 't2']) {
--- a/packages/gateway/src/node/SimulatedCaller.ts
+++ b/packages/gateway/src/node/SimulatedCaller.ts
@@ -17,6 +17,7 @@
   readonly maxAttempts: number;
   readonly sharedParts?: readonly string[];
   readonly promptTokens?: number;
+  readonly deadlineMs?: number;
   readonly body?: Buffer;
   /** Of the route; all regions by default. */
   readonly allowedRegions?: readonly string[];
@@ -32,6 +33,7 @@
   options: SimulatedRequestOptions,
 ): ForwardedRequest {
   const { body = BODY, id = 'r1', maxAttempts, promptTokens = 1_000 } = options;
+  const { deadlineMs = DEADLINE_MS } = options;
   const { allowedRegions, sharedParts = [], signal } = options;
   const route = configuration.routes.find((each) => each.kind === kind);
   const service = configuration.services.find(({ name }) => name === route?.shares[0]?.service);
@@ -46,7 +48,7 @@
     caller: {
       attemptId: 'a1',
       host: 'test',
-      remainingMs: DEADLINE_MS,
+      remainingMs: deadlineMs,
       key: 'k',
       promptTokens,
       outputTokens: 100,
@@ -60,7 +62,7 @@
     service,
     workspace: undefined,
     receivedAt: clock.now(),
-    deadlineAt: clock.now() + DEADLINE_MS,
+    deadlineAt: clock.now() + deadlineMs,
     response: new CallerResponse(caller as unknown as ServerResponse, () => false),
     signal,
   };
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -40,6 +40,8 @@
   Broken = 'broken',
   /** No event arrived in time, and another target replaces this one. */
   Silent = 'silent',
+  /** The target has ended the request, and its answer did not arrive. */
+  Lost = 'lost',
   /** Nothing was sent, since the target may not get the request any more. */
   Withheld = 'withheld',
   /** The deadline passed or the caller disconnected. */
@@ -49,6 +51,7 @@
 /** Why the exchange is aborted, by how it ends; by default, its answer is not needed any more. */
 const ABORT_REASONS: Readonly<Partial<Record<StreamEnd, AbortReason>>> = {
   [StreamEnd.Silent]: AbortReason.Silence,
+  [StreamEnd.Lost]: AbortReason.Silence,
 };
 
 /** The outcome of an exchange. */
@@ -85,6 +88,8 @@
   /** Longest wait for each later event. */
   readonly nextEventTimeoutMs: number;
   readonly onFirstEvent: () => void;
+  /** Aborts when the target has ended the request, so that its answer was lost. */
+  readonly lostSignal?: AbortSignal | undefined;
   /**
    * Called while the target is silent; resolves with whether another one replaces it. The signal
    * aborts when the target sends an event again or the exchange ends.
@@ -119,6 +124,10 @@
     this._abort(StreamEnd.Cancelled, CALLER_DISCONNECTED_CAUSE);
   };
 
+  private readonly _onLost = (): void => {
+    this._abort(StreamEnd.Lost, 'the engine has ended the prompt, and its answer was lost');
+  };
+
   private readonly _pace: StreamPace;
   /** Whether the caller has received a part of the stream. */
   private readonly _isResumed: boolean;
@@ -144,6 +153,7 @@
       }
       this._restartEventTimer(this._pace.timeoutMs);
       signal.addEventListener('abort', this._onAbort, { once: true });
+      this._options.lostSignal?.addEventListener('abort', this._onLost, { once: true });
       this._exchange = upstream.send(target, connections, request, {
         findObstacle: this._options.findObstacle,
         onSendStart: () => {
@@ -316,6 +326,7 @@
     this._stopWaiting();
     this._deadlineTimer?.dispose();
     this._options.signal.removeEventListener('abort', this._onAbort);
+    this._options.lostSignal?.removeEventListener('abort', this._onLost);
     this._resolve({
       end,
       cause,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -29,6 +29,7 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
+import { LostAnswerCheck } from './LostAnswerCheck.js';
 import { costRequestOf, promptOf, waitsUntil } from './PromptOfRequest.js';
 import {
   exchangeStream,
@@ -46,14 +47,6 @@
 /** Retry-After if the engines refused the prompt although the scheduler had found capacity. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
-/** Memory reservations of an attempt; `id` is undefined if it needs none. */
-interface ReservationHandle {
-  readonly id: string | undefined;
-  dispose(): void;
-}
-
-const NO_RESERVATIONS: ReservationHandle = { id: undefined, dispose: () => undefined };
-
 /** Forwards one stream, with one or more attempts. */
 class StreamForwarding {
   private readonly _splitter: EventStreamSplitter;
@@ -151,12 +144,13 @@
    * Returns undefined if an engine had no memory for its part of the prompt.
    */
   private async _runAttempt(placed: PlacedPrompt): Promise<StreamOutcome | undefined> {
-    let reservations: ReservationHandle | undefined;
     try {
-      reservations = await this._reserve(placed);
-      return reservations && (await this._sendToEngines(placed, reservations.id));
+      if (placed.reservedTokens === 0) {
+        return await this._sendToEngines(placed);
+      }
+      const reservations = await this._reserve(placed);
+      return reservations && (await this._sendReserved(placed, reservations));
     } finally {
-      reservations?.dispose();
       placed.end();
     }
   }
@@ -240,11 +234,8 @@
   }
 
   /** Reserves memory for a shared prompt; excludes a full engine and returns undefined. */
-  private async _reserve(placed: PlacedPrompt): Promise<ReservationHandle | undefined> {
+  private async _reserve(placed: PlacedPrompt): Promise<PromptReservations | undefined> {
     const { log, random } = this._dependencies;
-    if (placed.reservedTokens === 0) {
-      return NO_RESERVATIONS;
-    }
     const id = random.identifier();
     const { reservedTokens: tokens, targets } = placed;
     const reservations = new PromptReservations(this._dependencies, { id, targets, tokens });
@@ -264,9 +255,30 @@
     return undefined;
   }
 
+  /** Sends a prompt whose memory is reserved; the reservations end with the attempt. */
+  private async _sendReserved(
+    placed: PlacedPrompt,
+    reservations: PromptReservations,
+  ): Promise<StreamOutcome> {
+    const check = new LostAnswerCheck({
+      clock: this._dependencies.clock,
+      firstEventMs: placed.firstEventMs,
+      nextEventMs: nextEventTimeoutMs(this._request.route),
+      eventCount: () => this._splitter.eventCount,
+      hasEnded: () => reservations.hasEnded(),
+    });
+    try {
+      return await this._sendToEngines(placed, reservations.id, check.lostSignal);
+    } finally {
+      check.dispose();
+      reservations.dispose();
+    }
+  }
+
   private _sendToEngines(
     placed: PlacedPrompt,
-    reservation: string | undefined,
+    reservation?: string,
+    lostSignal?: AbortSignal,
   ): Promise<StreamOutcome> {
     const { deadlineAt, response, route } = this._request;
     const [target, ...others] = placed.targets;
@@ -292,6 +304,7 @@
       onFirstEvent: () => {
         placed.markGenerating();
       },
+      lostSignal,
       findReplacement: (silence, signal) => this._findReplacement(placed, silence, signal),
     });
   }
