Split the selection of engines and the refusals from the scheduler of prompts

EngineSelection looks at the engines of one prompt: their loads, health, limits and evacuated zones, and the time until some have capacity. PromptRefusals words refusals and hands out the turns to retry. The scheduler keeps the queue, its evaluation and the account. No behaviour is changed; tests change imports only.

--- a/packages/gateway/src/common/placement/EngineScheduler.ts
+++ b/packages/gateway/src/common/placement/EngineScheduler.ts
@@ -5,92 +5,39 @@
  * is refused at arrival if its turn is not expected while it can wait.
  */
 import {
-  type Clock,
   type Disposable,
   DisposableOwner,
-  type Event,
   type RandomSource,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import type { TargetEntry } from '../Messages.js';
-import type { ZoneChange } from '../state/ZoneEvacuations.js';
-import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
-import { capacityWaitMs } from './CapacityWait.js';
-import type { CostEstimates } from './CostEstimates.js';
-import { type EngineCell, isInCell, keyOfCell } from './EngineCells.js';
-import type { EngineLoad } from './EngineLoad.js';
-import { EngineLoads } from './EngineLoads.js';
-import { prefillMs } from './EngineTiming.js';
-import { evacuationRetryMs } from './EvacuatedTargets.js';
+import type { ActiveRequest } from './ActiveRequestTable.js';
+import { keyOfCell } from './EngineCells.js';
+import { AccountState, EngineSelection, type EngineSelectionOptions } from './EngineSelection.js';
 import {
   expectedOutputTokens,
   PlacementRefusal,
   type PromptRequest,
-  RefusedPrompt,
+  type RefusedPrompt,
 } from './PlacementDecision.js';
 import {
-  AVOIDED,
   explainCandidate,
   ExplainedOutcome,
   orderCandidates,
   type PlacementExplanation,
-  PlacementObstacle,
 } from './PlacementExplanation.js';
 import { placementJitter } from './PlacementJitter.js';
-import { type PromptRequirements, promptValue } from './PlacementLoss.js';
+import { promptValue } from './PlacementLoss.js';
 import { placePrompt, type PromptPlacement, type RandomLoss } from './PromptPlacer.js';
 import { PromptQueue, type WaitingPrompt } from './PromptQueue.js';
-import { RateDecider, type RateLimits } from './RateLimits.js';
-import { RetrySchedule } from './RetrySchedule.js';
-import type { TargetHealth } from './TargetHealth.js';
+import { PromptRefusals } from './PromptRefusals.js';
 
 /** The queue is evaluated again after this time even if no request changed. */
 const RECHECK_MS = 40;
 /** Least time between two evaluations; in a burst, requests change every millisecond. */
 const MIN_EVALUATION_INTERVAL_MS = 10;
-/** Loads are computed again after this time, since the backlog of the engines shrinks. */
-const MAX_LOAD_AGE_MS = 5;
 /** Prompts without capacity after which an evaluation ends; the rest rank behind them. */
 const MAX_FAILURES_PER_EVALUATION = 3;
-/** Retry time of a prompt that would be a net loss; the load that makes it so lasts for seconds. */
-const NET_LOSS_RETRY_MS = 3_000;
-/**
- * Nodes that must report an engine before it is avoided. One alone may be cut off from it, and the
- * others would lose its capacity.
- */
-const MIN_REPORTERS = 2;
-/** Retry time while no engine accepts requests. */
-const NO_ENGINE_RETRY_MS = 1_500;
-
-/** The targets that accept requests. */
-export interface TargetSource {
-  acceptingTargets(service: string): readonly TargetEntry[];
-  /** Targets that would accept requests if their zones were not evacuated. */
-  evacuatedTargets(service: string): readonly TargetEntry[];
-  readonly onEvacuation: Event<ZoneChange>;
-}
-
-/** Dependencies of the scheduler. */
-export interface SchedulerOptions {
-  readonly clock: Clock;
-  readonly targets: TargetSource;
-  readonly activeRequests: ActiveRequestTable;
-  readonly health: TargetHealth;
-  readonly rateLimits: RateLimits;
-  readonly costs: CostEstimates;
-  readonly random: RandomSource;
-  /** Whether this node is the first coordinator of a cell, by its list of members. */
-  readonly isFirstCoordinator: (cell: EngineCell) => boolean;
-}
-
-/** How far a decision can rely on the account. */
-export enum AccountState {
-  /** All placements of the cell are decided on this account. */
-  Complete = 'complete',
-  /** Other nodes place prompts that this account doesn't have. */
-  Partial = 'partial',
-}
-
 /** Random losses of the engines, by account. */
 const RANDOM_LOSSES: Record<AccountState, (random: RandomSource) => RandomLoss> = {
   [AccountState.Complete]: () => () => 0,
@@ -99,12 +46,6 @@
 
 type Decision = PromptPlacement | RefusedPrompt;
 
-interface CellLoads {
-  readonly key: string;
-  readonly at: number;
-  readonly loads: readonly EngineLoad[];
-}
-
 interface QueuedPrompt extends WaitingPrompt {
   readonly waitUntil: number;
   readonly account: AccountState;
@@ -120,30 +61,19 @@
   readonly refusal: PlacementRefusal | undefined;
 }
 
-/** A refusal before a turn to retry is handed out. */
-interface DescribedRefusal {
-  readonly reason: PlacementRefusal;
-  readonly engineCount: number;
-  /** Time until capacity is expected, and for which the prompt will take it. */
-  readonly earliestMs: number;
-  readonly turnMs: number;
-  /** Time to retry when it does not depend on turns. */
-  readonly retryAfterMs: number | undefined;
-}
-
 /** Places prompts in turn, each on the account that includes those before it. */
 export class EngineScheduler extends DisposableOwner {
   private readonly _queues = new Map<string, PromptQueue<QueuedPrompt>>();
-  private readonly _retries = new RetrySchedule();
-  private readonly _engineLoads: EngineLoads;
+  private readonly _selection: EngineSelection;
+  private readonly _refusals: PromptRefusals;
   private _timer: Disposable | undefined;
-  /** Loads of a cell at the start of an evaluation; undefined after a request changed. */
-  private _loads: CellLoads | undefined;
   private _evaluateAt = Number.POSITIVE_INFINITY;
 
-  constructor(private readonly _options: SchedulerOptions) {
+  constructor(private readonly _options: EngineSelectionOptions) {
     super();
-    this._engineLoads = new EngineLoads(_options.activeRequests);
+    // Before the other listeners, which look at the loads.
+    this._selection = this.register(new EngineSelection(_options));
+    this._refusals = new PromptRefusals({ ..._options, selection: this._selection });
     this.register(
       toDisposable(() => {
         this._timer?.dispose();
@@ -151,7 +81,6 @@
     );
     this.register(
       _options.activeRequests.onChange(() => {
-        this._loads = undefined;
         if (this.waiting > 0) {
           this._scheduleEvaluation(MIN_EVALUATION_INTERVAL_MS);
         }
@@ -164,7 +93,6 @@
     );
     this.register(
       _options.targets.onEvacuation(({ isEvacuated }) => {
-        this._loads = undefined;
         if (isEvacuated) {
           this._refuseLate();
         }
@@ -195,10 +123,12 @@
     const verdict = this._judge(request, waitUntil, account, () => RANDOM_LOSSES[account](random));
     const { ahead, placement, refusal } = verdict;
     if (ahead === 0 && signal.aborted) {
-      return Promise.resolve(this._refuse(request, PlacementRefusal.CallerDisconnected, 0));
+      return Promise.resolve(
+        this._refusals.refuse(request, PlacementRefusal.CallerDisconnected, 0),
+      );
     }
     if (refusal !== undefined) {
-      return Promise.resolve(this._refuse(request, refusal, ahead));
+      return Promise.resolve(this._refusals.refuse(request, refusal, ahead));
     }
     if (placement !== undefined) {
       return Promise.resolve(this._commit(request, placement, account));
@@ -221,20 +151,20 @@
     const now = this._options.clock.now();
     const verdict = this._judge(request, waitUntil, account, () => () => 0);
     const { ahead, expectedWaitMs, placement, refusal } = verdict;
-    const requirements = this._requirementsOf(request);
-    const candidates = this._loadsOf(request).map((load) => {
+    const requirements = this._selection.requirementsOf(request);
+    const candidates = this._selection.loadsOf(request).map((load) => {
       const alone = placePrompt(request.profile, requirements, [load]);
-      const obstacle = this._findObstacle(
+      const obstacle = this._selection.findObstacle(
         request,
         load.entry.id,
-        this._deciderOf(request, account),
+        this._selection.deciderOf(request, account),
       );
       return explainCandidate(load, alone, obstacle, now);
     });
     const isPlaced = refusal === undefined && placement !== undefined;
     const undecided = refusal === undefined ? ExplainedOutcome.Waits : ExplainedOutcome.Refused;
     const refused =
-      refusal === undefined ? undefined : this._describeRefusal(request, refusal, ahead);
+      refusal === undefined ? undefined : this._refusals.preview(request, refusal, ahead);
     return {
       outcome: isPlaced ? ExplainedOutcome.Placed : undecided,
       refusal: refused?.reason,
@@ -243,12 +173,7 @@
       cost: placement === undefined ? undefined : Math.round(placement.cost * 100) / 100,
       ahead,
       expectedWaitMs: Math.round(expectedWaitMs),
-      retryAfterMs:
-        refused === undefined
-          ? undefined
-          : Math.round(
-              refused.retryAfterMs ?? this._retries.peek(now, refused.earliestMs, refused.turnMs),
-            ),
+      retryAfterMs: refused === undefined ? undefined : Math.round(refused.retryAfterMs),
       candidates: orderCandidates(candidates),
     };
   }
@@ -263,17 +188,18 @@
     const now = this._options.clock.now();
     const queue = this._queues.get(keyOfCell(request.cell));
     const ahead = queue?.countAhead({ request, arrivedAt: now }, now) ?? 0;
-    const placement = ahead === 0 ? this._choose(request, account, createRandomLoss) : undefined;
+    const placement =
+      ahead === 0 ? this._selection.choose(request, account, createRandomLoss) : undefined;
     if (placement !== undefined) {
       const refusal = placement.isNetLoss ? PlacementRefusal.NetLoss : undefined;
       return { ahead, expectedWaitMs: 0, placement, refusal };
     }
-    const decider = this._deciderOf(request, account);
-    const expectedWaitMs = this._expectedWaitMs(request, ahead, decider);
+    const decider = this._selection.deciderOf(request, account);
+    const expectedWaitMs = this._selection.expectedWaitMs(request, ahead, decider);
     const mayWait =
       account === AccountState.Complete ||
-      this._options.rateLimits.permitsWaiting(this._usableIds(request), ahead, decider);
-    const isEvacuated = this._evacuationRetryMs(request) !== undefined;
+      this._options.rateLimits.permitsWaiting(this._selection.usableIds(request), ahead, decider);
+    const isEvacuated = this._selection.evacuationRetryMs(request) !== undefined;
     const isRefused = isEvacuated || !mayWait || now + expectedWaitMs >= waitUntil;
     const refusal = isRefused ? PlacementRefusal.NoCapacity : undefined;
     return { ahead, expectedWaitMs, placement, refusal };
@@ -322,11 +248,11 @@
       let ahead = 0;
       for (const prompt of queue.inOrder(now)) {
         const { request, resolve, waitUntil } = prompt;
-        if (now + this._expectedWaitMs(request, ahead) < waitUntil) {
+        if (now + this._selection.expectedWaitMs(request, ahead) < waitUntil) {
           ahead++;
         } else {
           queue.remove(prompt);
-          resolve(this._refuse(request, PlacementRefusal.NoCapacity, ahead));
+          resolve(this._refusals.refuse(request, PlacementRefusal.NoCapacity, ahead));
         }
       }
     }
@@ -342,7 +268,9 @@
       let decision = mayTry || isOver ? this._decideNow(request, account, signal) : undefined;
       if (decision === undefined) {
         failures++;
-        decision = isOver ? this._refuse(request, PlacementRefusal.NoCapacity, index) : undefined;
+        decision = isOver
+          ? this._refusals.refuse(request, PlacementRefusal.NoCapacity, index)
+          : undefined;
       }
       if (decision !== undefined) {
         queue.remove(prompt);
@@ -358,31 +286,23 @@
     signal: AbortSignal,
   ): Decision | undefined {
     if (signal.aborted) {
-      return this._refuse(request, PlacementRefusal.CallerDisconnected, 0);
+      return this._refusals.refuse(request, PlacementRefusal.CallerDisconnected, 0);
     }
     const { random } = this._options;
-    const placement = this._choose(request, account, () => RANDOM_LOSSES[account](random));
+    const placement = this._selection.choose(request, account, () =>
+      RANDOM_LOSSES[account](random),
+    );
     if (placement === undefined) {
-      const isEvacuated = this._evacuationRetryMs(request) !== undefined;
-      return isEvacuated ? this._refuse(request, PlacementRefusal.NoCapacity, 0) : undefined;
+      const isEvacuated = this._selection.evacuationRetryMs(request) !== undefined;
+      return isEvacuated
+        ? this._refusals.refuse(request, PlacementRefusal.NoCapacity, 0)
+        : undefined;
     }
     return placement.isNetLoss
-      ? this._refuse(request, PlacementRefusal.NetLoss, 0)
+      ? this._refusals.refuse(request, PlacementRefusal.NetLoss, 0)
       : this._commit(request, placement, account);
   }
 
-  /** The best placement now, also if it is a net loss; `undefined` when no engine has capacity. */
-  private _choose(
-    request: PromptRequest,
-    account: AccountState,
-    createRandomLoss: () => RandomLoss,
-  ): PromptPlacement | undefined {
-    const loads = this._loadsOf(request);
-    return loads.length === 0
-      ? undefined
-      : this._place(request, account, loads, createRandomLoss());
-  }
-
   /** Enters a placement in the account, before the entry node reports it. */
   private _commit(
     request: PromptRequest,
@@ -392,7 +312,7 @@
     const { activeRequests: table, clock, rateLimits } = this._options;
     table.set(request.node, toActiveRequest(request, placement, clock.now()));
     this._expectFirstEvent(request, placement);
-    const decider = this._deciderOf(request, account);
+    const decider = this._selection.deciderOf(request, account);
     rateLimits.reserve(idsOf(placement.targets), requestKey(request), decider);
     return placement;
   }
@@ -405,164 +325,6 @@
       speeds.expectFirstEvent(requestKey(request), service, targets[0].id, configuredFirstEventMs);
     }
   }
-
-  private _deciderOf({ cell }: PromptRequest, account: AccountState): RateDecider {
-    if (account === AccountState.Partial) {
-      return RateDecider.Alone;
-    }
-    return this._options.isFirstCoordinator(cell) ? RateDecider.Shared : RateDecider.Standby;
-  }
-
-  /** Loads of the engines that the prompt may use; kept while an evaluation finds no capacity. */
-  private _loadsOf(request: PromptRequest): readonly EngineLoad[] {
-    const { clock, costs } = this._options;
-    const now = clock.now();
-    const key = keyOfCell(request.cell);
-    if (this._loads?.key !== key || now - this._loads.at > MAX_LOAD_AGE_MS) {
-      const loads = this._enginesOf(request).map((engine) =>
-        this._engineLoads.loadOf(request.profile, engine, now, costs.slowdown(engine.id)),
-      );
-      this._loads = { key, at: now, loads };
-    }
-    return this._loads.loads;
-  }
-
-  private _enginesOf({ cell }: PromptRequest): readonly TargetEntry[] {
-    return this._options.targets
-      .acceptingTargets(cell.service)
-      .filter((engine) => isInCell(cell, engine));
-  }
-
-  private _place(
-    request: PromptRequest,
-    account: AccountState,
-    loads: readonly EngineLoad[],
-    randomLoss: RandomLoss,
-  ): PromptPlacement | undefined {
-    const decider = this._deciderOf(request, account);
-    const eligible: EngineLoad[] = [];
-    const healthy: EngineLoad[] = [];
-    for (const load of loads) {
-      const obstacle = this._findObstacle(request, load.entry.id, decider);
-      if (obstacle === undefined) {
-        healthy.push(load);
-      }
-      if (obstacle === undefined || AVOIDED.has(obstacle)) {
-        eligible.push(load);
-      }
-    }
-    const candidates = healthy.length === 0 ? eligible : healthy;
-    return placePrompt(request.profile, this._requirementsOf(request), candidates, randomLoss);
-  }
-
-  /** Why an engine should not get the prompt, other than by its load. */
-  private _findObstacle(
-    request: PromptRequest,
-    id: string,
-    decider: RateDecider,
-  ): PlacementObstacle | undefined {
-    const { health, rateLimits } = this._options;
-    if (request.excluded.has(id)) {
-      return PlacementObstacle.Excluded;
-    }
-    if (!rateLimits.permits(id, decider)) {
-      return PlacementObstacle.RateLimited;
-    }
-    if (request.suspects.has(id) || health.isSuspect(id)) {
-      return PlacementObstacle.Suspect;
-    }
-    return health.countReporters(id) < MIN_REPORTERS ? undefined : PlacementObstacle.Reported;
-  }
-
-  private _requirementsOf(request: PromptRequest): PromptRequirements {
-    const now = this._options.clock.now();
-    return {
-      promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
-      expectedOutputTokens: expectedOutputTokens(request),
-      dueInMs: request.dueAt - now,
-      deadlineInMs: request.deadlineAt - now,
-      latencyTargetMs: request.latencyTargetMs,
-      pauseTargetMs: request.pauseTargetMs,
-      availabilityZone: request.availabilityZone,
-    };
-  }
-
-  /** Time until `ahead` waiting prompts and this one get capacity, and a request may be sent. */
-  private _expectedWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
-    return Math.max(
-      this._capacityWaitMs(request, ahead),
-      this._rateWaitMs(request, ahead, decider),
-    );
-  }
-
-  private _rateWaitMs(request: PromptRequest, ahead: number, decider?: RateDecider): number {
-    const { rateLimits } = this._options;
-    return rateLimits.hasLimits ? rateLimits.waitMs(this._usableIds(request), ahead, decider) : 0;
-  }
-
-  private _usableIds(request: PromptRequest): readonly string[] {
-    return idsOf(this._enginesOf(request)).filter((id) => !request.excluded.has(id));
-  }
-
-  /** Time until `ahead` waiting prompts and this one get capacity. */
-  private _capacityWaitMs(request: PromptRequest, ahead: number): number {
-    const loads = this._loadsOf(request);
-    const active = loads.flatMap(({ primaryRequests }) => primaryRequests);
-    const freeSlots = loads.reduce(
-      (sum, { entry, primaryRequests }) => sum + Math.max(0, entry.slots - primaryRequests.length),
-      0,
-    );
-    return capacityWaitMs(active, ahead, freeSlots, this._options.clock.now());
-  }
-
-  /** Time to retry since all engines of the cell are evacuated; `undefined` if they are not. */
-  private _evacuationRetryMs(request: PromptRequest): number | undefined {
-    const { random, targets } = this._options;
-    const { cell } = request;
-    const evacuated = targets.evacuatedTargets(cell.service);
-    const ofCell = evacuated.filter((engine) => isInCell(cell, engine));
-    return evacuationRetryMs(this._enginesOf(request), ofCell, random);
-  }
-
-  private _refuse(request: PromptRequest, refusal: PlacementRefusal, ahead: number): RefusedPrompt {
-    const described = this._describeRefusal(request, refusal, ahead);
-    const { earliestMs, engineCount, reason, turnMs } = described;
-    const now = this._options.clock.now();
-    const retryAfterMs = described.retryAfterMs ?? this._retries.next(now, earliestMs, turnMs);
-    return new RefusedPrompt(
-      reason,
-      engineCount,
-      retryAfterMs,
-      reason === PlacementRefusal.NoEngine ? 0 : ahead,
-    );
-  }
-
-  private _describeRefusal(
-    request: PromptRequest,
-    refusal: PlacementRefusal,
-    ahead: number,
-  ): DescribedRefusal {
-    const { rateLimits } = this._options;
-    const engineCount = this._enginesOf(request).length;
-    if (engineCount === 0 && refusal === PlacementRefusal.NoCapacity) {
-      const reason = PlacementRefusal.NoEngine;
-      const retryAfterMs = this._evacuationRetryMs(request) ?? NO_ENGINE_RETRY_MS;
-      return { reason, engineCount, earliestMs: 0, turnMs: 0, retryAfterMs };
-    }
-    const earliestMs =
-      refusal === PlacementRefusal.NetLoss
-        ? NET_LOSS_RETRY_MS
-        : this._expectedWaitMs(request, ahead + 1);
-    const turnMs = Math.max(
-      prefillMs(request.profile, request.promptTokens) / Math.max(1, engineCount),
-      rateLimits.intervalMs(this._usableIds(request)),
-    );
-    const isRateLimited =
-      refusal === PlacementRefusal.NoCapacity && this._rateWaitMs(request, ahead) > 0;
-    const reason = isRateLimited ? PlacementRefusal.RateLimited : refusal;
-    return { reason, engineCount, earliestMs, turnMs, retryAfterMs: undefined };
-  }
 }
 
 /** The record of a prompt that was just placed. */
--- a/packages/gateway/src/common/placement/PlacementFixtures.ts
+++ b/packages/gateway/src/common/placement/PlacementFixtures.ts
@@ -2,7 +2,7 @@
 import { Emitter } from '@tanagerdyke/kernel';
 import type { EngineProfile, TargetEntry } from '../Messages.js';
 import type { ZoneChange } from '../state/ZoneEvacuations.js';
-import type { TargetSource } from './EngineScheduler.js';
+import type { TargetSource } from './EngineSelection.js';
 import type { PromptRequest } from './PlacementDecision.js';
 import type { PromptRequirements } from './PlacementLoss.js';
 
--- a/packages/gateway/src/common/placement/PlacementServer.ts
+++ b/packages/gateway/src/common/placement/PlacementServer.ts
@@ -7,7 +7,8 @@
 import { encodeNotification, notificationParser, type Transport } from '@tanagerdyke/mesh';
 import { LRUCache } from 'lru-cache';
 import type { EngineProfile } from '../Messages.js';
-import { AccountState, type EngineScheduler } from './EngineScheduler.js';
+import type { EngineScheduler } from './EngineScheduler.js';
+import { AccountState } from './EngineSelection.js';
 import type { ActiveRequestTable } from './ActiveRequestTable.js';
 import {
   CANCEL_METHOD,
--- a/packages/gateway/src/common/placement/PromptScheduler.ts
+++ b/packages/gateway/src/common/placement/PromptScheduler.ts
@@ -10,13 +10,8 @@
 import { type AllowedRegions, filterCandidates } from './AllowedRegions.js';
 import { chooseCells } from './CellChoice.js';
 import { cellsOf, type EngineCell, isInCell } from './EngineCells.js';
-import {
-  AccountState,
-  type EngineScheduler,
-  requestKey,
-  type TargetSource,
-  toActiveRequest,
-} from './EngineScheduler.js';
+import { type EngineScheduler, requestKey, toActiveRequest } from './EngineScheduler.js';
+import { AccountState, type TargetSource } from './EngineSelection.js';
 import { evacuationRetryMs } from './EvacuatedTargets.js';
 import { MAX_LISTED_ENGINES } from './PlacementCodec.js';
 import type { CoordinatorAnswer } from './PlacementClient.js';
--- a/packages/gateway/src/node/RequestExplainer.test.ts
+++ b/packages/gateway/src/node/RequestExplainer.test.ts
@@ -4,7 +4,7 @@
  */
 import { ManualClock } from '@tanagerdyke/kernel';
 import { beforeEach, describe, expect, it } from 'vitest';
-import { AccountState } from '../common/placement/EngineScheduler.js';
+import { AccountState } from '../common/placement/EngineSelection.js';
 import { ExplainedOutcome } from '../common/placement/PlacementExplanation.js';
 import { RefusedPrompt } from '../common/placement/PlacementDecision.js';
 import type { CellExplanation } from '../common/placement/PromptScheduler.js';
