--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -1,27 +1,17 @@
 /**
- * The HTTP server for callers: buffers a request, determines its route, workspace and deadline, and
- * passes it to the forwarder of its kind. Requests that can't be forwarded are answered
- * immediately.
+ * The HTTP server for callers: admits a request and passes it to the forwarder of its kind. Requests
+ * that can't be forwarded are answered immediately.
  *
  * It uses node:http directly, since the raw header list has to be forwarded unchanged and the
  * Headers type of fetch would merge repeated headers.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { awaitEvent, describeCause, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
-import { Result } from 'true-myth';
+import { describeCause, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
 import { type CallerLimits, callerLimits } from '../common/callers/CallerLimits.js';
-import { type CallerHolding, CallerMemory, HoldingState } from '../common/callers/CallerMemory.js';
-import {
-  CallKind,
-  type CallerRequest,
-  type EngineProfile,
-  type ForwardingConfiguration,
-  type RawHeaders,
-} from '../common/Messages.js';
+import { CallerMemory, HoldingState } from '../common/callers/CallerMemory.js';
+import { CallKind, type EngineProfile, type ForwardingConfiguration } from '../common/Messages.js';
 import { didNotRun } from '../common/Execution.js';
-import { fingerprintsOf } from '../common/quarantine/RequestFingerprint.js';
-import { chooseService } from '../common/RouteShares.js';
-import { BodyFailure, BodyReader, type BodyReception } from './BodyReader.js';
+import { BodyFailure, BodyReader } from './BodyReader.js';
 import { CallerConnections, MAX_FIELDS, SERVER_OPTIONS } from './CallerConnections.js';
 import { CallerResponse, type GatewayAnswer } from './CallerResponse.js';
 import { forwardCall } from './CallForwarder.js';
@@ -31,48 +21,16 @@
   RequestOutcome,
   type RequestReport,
 } from './ForwardedRequest.js';
-import {
-  BODY_TOO_LARGE,
-  BODY_TOO_SLOW,
-  CALLER_DISCONNECTED,
-  DRAINING,
-  ENDING,
-  HEADERS_TOO_LARGE,
-  INTERNAL_ERROR,
-  NO_MEMORY,
-  NO_ROUTE,
-  OUTDATED,
-  TOO_MANY_FIELDS,
-  TOO_MANY_PIECES,
-  UNKNOWN_KEY,
-  UNREADY,
-} from './GatewayAnswers.js';
+import { BODY_TOO_SLOW, ENDING, INTERNAL_ERROR, TOO_MANY_FIELDS } from './GatewayAnswers.js';
+import { type FrontState, type RequestArrival, RequestAdmission } from './RequestAdmission.js';
 import { ResidentMemory } from './ResidentMemory.js';
 import { forwardStream } from './StreamForwarder.js';
 
 /** Added to the configured idle time, so that callers close idle connections first. */
 const IDLE_MARGIN_MS = 1_000;
-/** Size of a colon and a space, or of a line end. */
-const SEPARATOR_BYTES = 2;
-/** How long a request waits for the first configuration; changing the address takes longer. */
-const CONFIGURATION_WAIT_MS = 500;
 /** A body up to this size is read to its end after an early answer, and the connection is kept. */
 const MAX_KEPT_BODY_BYTES = 64 * 1024;
 
-/** Drain state of the node. */
-export interface FrontState {
-  /** Whether new requests are refused. */
-  readonly isClosed: () => boolean;
-  /** Whether a request may be accepted that ends at its deadline at the latest. */
-  readonly admits: (deadlineAt: number) => boolean;
-  /** Time after which a request that is refused since the node drains may be sent again. */
-  readonly retryAfterMs: () => number;
-  /** Whether connections close after their answer. */
-  readonly isDraining: () => boolean;
-  /** Time on the clock by which every request must be answered; infinity while not draining. */
-  readonly lastAnswerAt: () => number;
-}
-
 /** A request that is not answered yet. */
 interface UnansweredRequest {
   readonly arrival: RequestArrival;
@@ -89,6 +47,7 @@
   private readonly _resident: ResidentMemory;
   private readonly _bodyReader: BodyReader;
   private readonly _connections: CallerConnections;
+  private readonly _admission: RequestAdmission;
   private readonly _unanswered = new Set<UnansweredRequest>();
   private _running = 0;
   private _lastRequestAt = Number.NEGATIVE_INFINITY;
@@ -126,6 +85,13 @@
         },
       }),
     );
+    this._admission = new RequestAdmission({
+      dependencies: _dependencies,
+      state: _state,
+      onRefused: (reason, { socket }) => {
+        this._connections.record('caller.refused', reason, socket.remoteAddress);
+      },
+    });
     metrics.gauge('tanager_caller_bytes', () => memory.bytes);
     metrics.gauge('tanager_caller_connections', () => this._connections.count);
     this._server = createServer(
@@ -169,7 +135,7 @@
   public refuseIncomplete(): void {
     for (const { arrival, isForwarded } of this._unanswered) {
       if (!isForwarded) {
-        this._reject(arrival, this._draining());
+        this._reject(arrival, this._admission.drainingAnswer);
       }
     }
   }
@@ -183,10 +149,6 @@
     }
   }
 
-  private _draining(): GatewayAnswer {
-    return { ...DRAINING, retryAfterMs: this._state.retryAfterMs() };
-  }
-
   private _applyLimits({ limits }: ForwardingConfiguration): void {
     this._server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     this._server.headersTimeout = limits.headerTimeoutMs;
@@ -297,7 +259,7 @@
     if (!this._state.isClosed()) {
       this._lastRequestAt = receivedAt;
     }
-    const admitted = await this._admit(arrival);
+    const admitted = await this._admission.admit(arrival);
     unanswered.isForwarded = admitted.isOk;
     const request = admitted.isOk ? admitted.value : undefined;
     const report = admitted.isOk ? await this._forward(admitted.value) : undefined;
@@ -341,114 +303,15 @@
     const { response, signal } = request;
     if (signal.aborted && !response.isClosed) {
       // The caller is still there: the node ends, and nobody else answers the request.
-      response.sendGatewayAnswer(didNotRun(report.execution) ? this._draining() : ENDING);
+      response.sendGatewayAnswer(
+        didNotRun(report.execution) ? this._admission.drainingAnswer : ENDING,
+      );
       return { ...report, ending: RequestOutcome.Ended };
     }
     return report;
   }
-
-  /**
-   * Waits for the first configuration, which a node has some hundred ms after its start, except in
-   * an outage. Returns undefined after `CONFIGURATION_WAIT_MS`.
-   */
-  private _awaitConfiguration(): Promise<ForwardingConfiguration | undefined> {
-    const { clock, configuration } = this._dependencies;
-    return awaitEvent(clock, configuration.onChange, () => true, CONFIGURATION_WAIT_MS).value;
-  }
-
-  /** Checks and buffers a request, and determines what it needs to be forwarded. */
-  private async _admit(arrival: RequestArrival): Promise<Result<ForwardedRequest, GatewayAnswer>> {
-    const { configuration, mayBeOutdated, random } = this._dependencies;
-    const { caller, holding, incoming, receivedAt, reception, response, signal } = arrival;
-    const { rawHeaders } = incoming;
-    const current = configuration.current ?? (await this._awaitConfiguration());
-    if (current === undefined || this._state.isClosed()) {
-      return Result.err(current === undefined ? UNREADY : this._draining());
-    }
-    if (headerBytesOf(rawHeaders) > current.limits.headerBytes) {
-      return Result.err(HEADERS_TOO_LARGE);
-    }
-    const path = incoming.url ?? '/';
-    const route = configuration.findRoute(caller.host, withoutQuery(path));
-    if (route === undefined) {
-      return Result.err(mayBeOutdated() ? OUTDATED : NO_ROUTE);
-    }
-    const workspace =
-      caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
-    if (workspace === undefined && configuration.needsKeys && !route.allowsAnonymous) {
-      return Result.err(mayBeOutdated() ? OUTDATED : UNKNOWN_KEY);
-    }
-    const service = configuration.service(chooseService(route.shares, random.next()));
-    if (service === undefined) {
-      return Result.err(UNREADY);
-    }
-    const timeoutMs = Math.min(caller.remainingMs ?? route.timeoutMs, route.timeoutMs);
-    const deadlineAt = receivedAt + timeoutMs;
-    const read = await reception.read(current.limits.bodyBytes, deadlineAt, signal);
-    if (read.isErr) {
-      return this._refuse(incoming, read.error, BODY_ANSWERS[read.error]);
-    }
-    if (this._state.isClosed() || !this._state.admits(deadlineAt)) {
-      return Result.err(this._draining());
-    }
-    holding.state = HoldingState.Running;
-    const body = read.value;
-    const method = incoming.method ?? 'GET';
-    const { ownPart, sharedParts } = caller;
-    const parts = ownPart === undefined ? sharedParts : [...sharedParts, ownPart];
-    return Result.ok({
-      id: caller.attemptId ?? random.identifier(),
-      method,
-      path,
-      headers: rawHeaders,
-      body,
-      caller,
-      fingerprints: fingerprintsOf({ method, path, body, workspace: workspace?.name, parts }),
-      route,
-      service,
-      workspace,
-      receivedAt,
-      deadlineAt: Math.min(deadlineAt, this._state.lastAnswerAt()),
-      response,
-      signal,
-    });
-  }
-
-  private _refuse(
-    { socket }: IncomingMessage,
-    reason: string,
-    answer: GatewayAnswer,
-  ): Result<ForwardedRequest, GatewayAnswer> {
-    // A connection that is held was counted.
-    if (answer !== CALLER_DISCONNECTED && answer !== TOO_MANY_PIECES) {
-      this._connections.record('caller.refused', reason, socket.remoteAddress);
-    }
-    return Result.err(answer);
-  }
-}
-
-/** A request whose head has arrived. */
-interface RequestArrival {
-  readonly incoming: IncomingMessage;
-  readonly caller: CallerRequest;
-  readonly receivedAt: number;
-  readonly holding: CallerHolding;
-  readonly reception: BodyReception;
-  readonly response: CallerResponse;
-  /** Aborts when the caller disconnects. */
-  readonly signal: AbortSignal;
 }
 
-/** The answers to requests without a body that can be forwarded. */
-const BODY_ANSWERS: Readonly<Record<BodyFailure, GatewayAnswer>> = {
-  [BodyFailure.TooLarge]: BODY_TOO_LARGE,
-  [BodyFailure.NoMemory]: NO_MEMORY,
-  [BodyFailure.TooSlow]: BODY_TOO_SLOW,
-  [BodyFailure.Overdue]: BODY_TOO_SLOW,
-  [BodyFailure.TooManyPieces]: TOO_MANY_PIECES,
-  [BodyFailure.Disconnected]: CALLER_DISCONNECTED,
-};
-
 /** The host where nothing else is stated. */
 const DEFAULT_HOST = { memoryBytes: 350_000_000, maxDescriptors: 4_096 } as const;
 
@@ -468,16 +331,6 @@
       : forwardStream(dependencies, request, profile),
 };
 
-/** Size of a header block, including the separators of each line. */
-function headerBytesOf(headers: RawHeaders): number {
-  return headers.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, 0);
-}
-
-function withoutQuery(path: string): string {
-  const query = path.indexOf('?');
-  return query === -1 ? path : path.slice(0, query);
-}
-
 function describeRequest({
   caller,
   route,
