Split the components of the forwarding from the gateway node

GatewayNode had 465 lines, a quarter of them one method that creates what the forwarders share. That is ForwardingComponents; the node keeps its life: start, readiness and drain. No behaviour is changed.

--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -9,13 +9,7 @@
   type RandomSource,
   TimeLine,
 } from '@tanagerdyke/kernel';
-import {
-  type Member,
-  MemberStatus,
-  SwimMembership,
-  type Transport,
-  ZoneBroadcast,
-} from '@tanagerdyke/mesh';
+import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
 import type { buildConnector } from 'undici';
 import type { DecisionLog } from '../common/DecisionLog.js';
 import { callerLimits } from '../common/callers/CallerLimits.js';
@@ -23,28 +17,14 @@
 import { type DrainActivity, DrainSchedule } from '../common/DrainSchedule.js';
 import { DrainingNodes } from '../common/DrainingNodes.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
-import type { TargetEntry } from '../common/Messages.js';
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
 import { CellDirectory } from '../common/placement/CellDirectory.js';
-import { ColdReports } from '../common/placement/ColdReports.js';
 import { ColdTargets } from '../common/placement/ColdTargets.js';
 import { CoordinatorChannel } from '../common/placement/CoordinatorChannel.js';
-import { CostEstimates } from '../common/placement/CostEstimates.js';
-import { EngineScheduler } from '../common/placement/EngineScheduler.js';
-import { FailureReports } from '../common/placement/FailureReports.js';
 import { LoadReporter } from '../common/placement/LoadReporter.js';
-import { PlacementClient } from '../common/placement/PlacementClient.js';
-import { PlacementServer } from '../common/placement/PlacementServer.js';
-import { PromptScheduler } from '../common/placement/PromptScheduler.js';
-import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import { type NodeCounts, RateLimits } from '../common/placement/RateLimits.js';
-import { ServiceLoad } from '../common/placement/ServiceLoad.js';
-import { ServiceLoadReports } from '../common/placement/ServiceLoadReports.js';
-import { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
-import { TargetHealth } from '../common/placement/TargetHealth.js';
-import { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
-import { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
+import type { QuarantineReports } from '../common/quarantine/QuarantineReports.js';
 import type {
   Dialect,
   EngineReservations,
@@ -53,13 +33,11 @@
   QuarantineRegistry,
   RecordDecoder,
 } from '../common/services/Services.js';
-import { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import { NodeDirectory } from '../common/state/NodeDirectory.js';
-import { LeavingReports } from '../common/state/LeavingReports.js';
 import { PlatformView } from '../common/state/PlatformView.js';
 import { AnswerBuffers } from './AnswerBuffers.js';
 import { ControlServer } from './ControlServer.js';
-import type { ForwardingDependencies } from './ForwardedRequest.js';
+import { ForwardingComponents } from './ForwardingComponents.js';
 import { GatewayFront } from './GatewayFront.js';
 import { explainRequest } from './RequestExplainer.js';
 import { TargetConnections } from './paths/TargetConnections.js';
@@ -92,7 +70,7 @@
   private readonly _platform: PlatformView;
   private readonly _loadReporter: LoadReporter;
   private readonly _nodeDirectory: NodeDirectory;
-  private _quarantineReports: QuarantineReports | undefined;
+  private readonly _quarantineReports: QuarantineReports;
   private readonly _front: GatewayFront;
   private readonly _answerBuffers: AnswerBuffers;
   private readonly _pauses: TargetPauses;
@@ -161,7 +139,22 @@
       lastAnswerAt: () => this._drain?.lastAnswerAt ?? Number.POSITIVE_INFINITY,
       isDraining: () => this._drain !== undefined,
     };
-    const forwarding = this._createForwardingDependencies(activeRequests, cells, channel);
+    const components = this.register(
+      new ForwardingComponents({
+        ..._options,
+        ...{ membership, activeRequests, cells, channel, coldTargets },
+        platform: this._platform,
+        connections: this._connections,
+        pauses: this._pauses,
+        rateLimits: this._rateLimits,
+        loadReporter: this._loadReporter,
+        answerBuffers: this._answerBuffers,
+        liveNodes: () => this._countNodesForShares(),
+        isCoordinated: () => this._isCoordinated(),
+      }),
+    );
+    const { dependencies: forwarding } = components;
+    this._quarantineReports = components.quarantineReports;
     this._front = this.register(new GatewayFront(forwarding, state, limits));
     this._controlServer = this.register(
       new ControlServer({
@@ -199,7 +192,7 @@
     this._platform.start();
     this._loadReporter.start();
     this._nodeDirectory.start();
-    this._quarantineReports?.start();
+    this._quarantineReports.start();
   }
 
   /**
@@ -291,127 +284,6 @@
     return coldTargets;
   }
 
-  private _createForwardingDependencies(
-    activeRequests: ActiveRequestTable,
-    cells: CellDirectory,
-    channel: CoordinatorChannel,
-  ): ForwardingDependencies {
-    const { clock, random, settings, transport } = this._options;
-    const { configuration, targets } = this._platform;
-    const { regionByZone } = settings;
-    const { availabilityZone, name: node } = settings.node;
-    const health = this.register(new TargetHealth(clock, () => this._connections.cutOffSince));
-    const broadcast = this.register(
-      new ZoneBroadcast({ clock, transport, membership: this._membership }),
-    );
-    this.register(new FailureReports({ broadcast, health, node }));
-    this.register(new LeavingReports({ broadcast, membership: this._membership, targets }));
-    const { _coldTargets: coldTargets, _pauses: pauses, _rateLimits: rateLimits } = this;
-    const costs = this.register(new CostEstimates(this._options));
-    this.register(
-      costs.speeds.onChange(({ isSlow, slowdown, target }) => {
-        const factor = Math.round(slowdown * 100) / 100;
-        this._options.log.write(isSlow ? 'target.slow' : 'target.usual-speed', { target, factor });
-      }),
-    );
-    const isKnown = (id: string): boolean => targets.find(id) !== undefined;
-    this.register(new RateLimitReports({ broadcast, rateLimits, isKnown }));
-    this.register(new ColdReports({ broadcast, coldTargets }));
-    const liveNodes = (): number => this._countNodesForShares();
-    const { log, metrics } = this._options;
-    const serviceLoad = this.register(new ServiceLoad({ clock, log, liveNodes }));
-    this.register(new ServiceLoadReports({ broadcast, serviceLoad, isKnown }));
-    const serviceQueue = new ServiceQueue({
-      serviceLoad,
-      acceptingTargets: (service) => targets.acceptingTargets(service),
-      liveNodes,
-    });
-    metrics.gauge('tanager_calls_waiting', () => serviceQueue.size);
-    const quarantine = this.register(new CrashQuarantine(this._options));
-    this._quarantineReports = this.register(
-      new QuarantineReports({
-        ...this._options,
-        broadcast,
-        membership: this._membership,
-        quarantine,
-        registry: this._options.quarantineRegistry,
-      }),
-    );
-    const { connect, upstream } = this._connections;
-    this.register(
-      targets.onChange((entry) => {
-        if (targets.find(entry.id) === undefined) {
-          upstream.closeTarget(entry);
-          health.remove(entry.id);
-          rateLimits.remove(entry.id);
-          costs.speeds.remove(entry.id);
-          coldTargets.remove(entry);
-          serviceLoad.remove(entry.id);
-        }
-      }),
-    );
-    this.register(
-      this._membership.onChange((member) => {
-        if (member.status === MemberStatus.Dead || member.status === MemberStatus.Left) {
-          activeRequests.removeNode(member.name);
-        }
-      }),
-    );
-    const common = {
-      ...{ clock, random, targets, health, pauses },
-      ...{ rateLimits, costs, coldTargets, availabilityZone, regionByZone, liveNodes },
-    };
-    const engineScheduler = this.register(
-      new EngineScheduler({
-        ...common,
-        activeRequests,
-        isFirstCoordinator: (cell) => cells.isFirst(cell),
-      }),
-    );
-    this._options.metrics.gauge('tanager_prompts_waiting', () => engineScheduler.waiting);
-    this.register(
-      new PlacementServer({
-        clock,
-        transport,
-        scheduler: engineScheduler,
-        activeRequests,
-        findProfile: (service) => configuration.service(service)?.engine,
-      }),
-    );
-    const findEngine = (id: string): TargetEntry | undefined =>
-      targets.acceptsRequests(id) ? targets.find(id) : undefined;
-    const scheduler = new PromptScheduler({
-      ...common,
-      node,
-      scheduler: engineScheduler,
-      publisher: this._loadReporter,
-      cells,
-      isCoordinated: () => this._isCoordinated(),
-      client: this.register(
-        new PlacementClient({ clock, transport, log: this._options.log, findEngine }),
-      ),
-      onPlaced: (cell) => {
-        channel.recordUse(cell);
-      },
-    });
-    const budget = new SharedRetryBudget(clock, settings.retries, liveNodes);
-    const engineReservations = this._options.createEngineReservations(connect);
-    return {
-      ...this._options,
-      ...common,
-      configuration,
-      mayBeOutdated: () => this._platform.mayBeOutdated,
-      scheduler,
-      budget,
-      upstream,
-      quarantine,
-      engineReservations,
-      serviceLoad,
-      serviceQueue,
-      answerBuffers: this._answerBuffers,
-    };
-  }
-
   private _registerGauges(): void {
     const { log, metrics } = this._options;
     metrics.gauge('tanager_members_live', () => this._membership.live.length);
