Read removals that no node had read when the store was restored

The removal is written as the store returns from a silence, and the store is restored from an older copy some ms later. A removal in a part of the log that was lost and written again remains open, see docs/design/evacuation.md.

PlatformView.test has the case, which failed before.

--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -233,6 +233,20 @@
       expect(evacuated()).toEqual(NONE);
     });
 
+    it('ends with a removal that no node had read when the log was restored', async () => {
+      operatorLog.write('evacuate/a', '{}');
+      await clock.advance(1_000);
+      access.fill(Access.Refuses);
+      await clock.advance(3_000);
+      operatorLog.write('evacuate/a', undefined);
+      operatorLog.write('config', '2');
+      operatorLog.restoreWithout(1);
+      operatorLog.write('config', '3');
+      access.fill(Access.Answers);
+      await clock.advance(3_000);
+      expect(evacuated()).toEqual(NONE);
+    });
+
     it('does not return with a copy that lacks its end, which is written again', async () => {
       operatorLog.write('evacuate/a', '{}');
       operatorLog.write('evacuate/a', undefined);
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -50,6 +50,8 @@
 const RECENT_POLL_MS = 6_000;
 /** Share of it by which an interval may be shorter, so that the pollers probe at different times. */
 const PROBE_JITTER = 0.4;
+/** Limit of the pages that are read for removals after a restore. */
+const MAX_TAIL_PAGES = 20;
 /** Bytes of a snapshot for each byte of its values. */
 const SNAPSHOT_EXPANSION = 4 / 3;
 
@@ -259,15 +261,40 @@
     }
     this._isFarBehind = false;
     const { end, records } = snapshot.value;
-    this._logRead('newest', { after: table.end, end, records, startedAt });
+    const { end: endBefore, epoch: epochBefore, hasSnapshot } = table;
+    this._logRead('newest', { after: endBefore, end, records, startedAt });
     if (!table.applySnapshot(snapshot.value)) {
       return Result.err(restoredError(table.name));
     }
+    if (hasSnapshot && table.epoch > epochBefore) {
+      await this._readRemovals(endBefore, end, attempt);
+    }
     this._needsSnapshot = false;
     this._confirmedAt = Math.max(this._confirmedAt, startedAt);
     return Result.ok(undefined);
   }
 
+  /**
+   * Reads the records that were written between the table's end in the epoch before and the snapshot
+   * that began this one. The snapshot does not show which of its missing keys were removed there,
+   * and which the restore has lost.
+   */
+  private async _readRemovals(from: number, end: number, attempt: CallAttempt): Promise<void> {
+    const { log, table, topic } = this._options;
+    const { epoch } = table;
+    let at = from;
+    for (let pages = 0; at < end && pages < MAX_TAIL_PAGES; pages++) {
+      const page = await topic.read(at, 0, OPEN_CALL_TIMEOUT_MS, attempt);
+      if (page.isErr || (page.value.epoch ?? epoch) !== epoch || page.value.end <= at) {
+        const cause = page.isErr ? page.error.message : 'the log was restored again';
+        log.write('platform.tail-unread', { topic: table.name, at, end, cause });
+        return;
+      }
+      table.apply(page.value.records, page.value.end, epoch);
+      at = page.value.end;
+    }
+  }
+
   /**
    * Reads the records beyond the table's end offset, without waiting for new ones. Returns whether
    * the platform answered in time; records that arrive later are applied as well.
