Join through a few registered nodes, not through all at once

When all hosts start again at the same moment, their seeds are not up yet, and each node reads the registered nodes from the platform and joined through all of them at once. Callers waited for seconds meanwhile.

A node without peers now joins through 3 registered nodes at random, and twice as many each further time, as most of them may be gone.

NodeDirectory.test: 150 joins at once before, 3 now; the only live one of 150 is found within 6 s.

--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -2,7 +2,7 @@
  * Discovers other nodes through the platform, for when the seed addresses in the settings are
  * stale. Each node registers its peer address there when it starts, and again when the platform was
  * restored from an older copy, which may lack it; a node without peers reads the registered
- * addresses.
+ * addresses, and joins through a few of them. When all nodes start at the same moment, all read them.
  */
 import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
 import type { SwimMembership } from '@tanagerdyke/mesh';
@@ -15,6 +15,11 @@
 const RETRY_MS = 700;
 /** Time for seeds to respond before the platform is queried. */
 const SEED_WAIT_MS = 600;
+/**
+ * Registered nodes that a node without peers joins through at first; twice as many each further time,
+ * since most of them may be gone.
+ */
+const FIRST_JOINS = 3;
 /** All nodes notice a restore at the same moment; they register again within this time. */
 const RENEWAL_SPREAD_MS = 2_000;
 
@@ -74,6 +79,7 @@
   private async _findPeers(): Promise<void> {
     const { clock, log, membership, registry } = this._options;
     const { disposalSignal: signal } = this;
+    let joins = FIRST_JOINS;
     await clock.sleep(SEED_WAIT_MS, signal);
     while (!signal.aborted && membership.live.length < 2) {
       const listed = await this._lists.ask({ limitMs: () => ANSWER_LIMIT_MS }, (attempt) =>
@@ -83,9 +89,22 @@
         log.write('peers.unlisted', { cause: listed.error.message });
       } else {
         const others = listed.value.filter((each) => each !== membership.self.peerAddress);
-        await Promise.all(others.map((address) => membership.joinThrough(address)));
+        const chosen = this._choose(others, joins);
+        await Promise.all(chosen.map((address) => membership.joinThrough(address)));
+        joins *= 2;
       }
       await clock.sleep(RETRY_MS, signal);
     }
   }
+
+  /** A random selection, so that no node is chosen by many. */
+  private _choose(addresses: readonly string[], count: number): readonly string[] {
+    const { random } = this._options;
+    const left = [...addresses];
+    const chosen: string[] = [];
+    while (chosen.length < count && left.length > 0) {
+      chosen.push(...left.splice(random.integer(left.length), 1));
+    }
+    return chosen;
+  }
 }
