Quarantine parts of prompts whose ids are longer than the key of a record

Cause: a quarantined part is stored with its id as key, and the format of records states the length of a key in one byte. For an id of more than 255 bytes encodeRecord throws; nothing handles that, so the process ends. The next node in rank announces the quarantine, stores it and ends, and so does the first one again once it has started.

So it fits a key and, many of them, a datagram; two long ids never share one; and an id of up to 255 bytes is named as before, so that nodes of the earlier release compare it and store it. Ids of parts in their messages are named in the same way on arrival, and the digest that they get is a key that they can store. The answer to a quarantined prompt repeats the first 64 characters of the id.

--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -19,6 +19,7 @@
 import { MIN_TARGETS_IF_ANSWERED, type TargetCrash } from './CrashEvidence.js';
 import type { QuarantinedCause } from './BlockedCauses.js';
 import type { AnsweredCause, CrashQuarantine, LiveTarget } from './CrashQuarantine.js';
+import { causeOfPart } from './PartCause.js';
 
 const CRASH_METHOD = 'part.crash';
 const ANSWER_METHOD = 'part.answered';
@@ -246,14 +247,17 @@
 
 type Params = Readonly<Record<string, unknown>>;
 
-/** Validates a received crash; returns `undefined` when it is malformed. */
+/**
+ * Validates a received crash; returns `undefined` when it is malformed. Nodes of earlier releases send
+ * the ids of parts as they are, however long.
+ */
 function parseTargetCrash(params: unknown): TargetCrash | undefined {
   const { engine, parts, request } = (params ?? {}) as Params;
   return typeof engine === 'string' &&
     typeof request === 'string' &&
     Array.isArray(parts) &&
     parts.every((each) => typeof each === 'string')
-    ? { target: engine, request, causes: parts }
+    ? { target: engine, request, causes: parts.map(causeOfPart) }
     : undefined;
 }
 
@@ -269,7 +273,7 @@
 function parseAnsweredCause(params: unknown): AnsweredCause | undefined {
   const { ageMs, part } = (params ?? {}) as Params;
   return typeof part === 'string' && typeof ageMs === 'number' && ageMs >= 0
-    ? { cause: part, ageMs }
+    ? { cause: causeOfPart(part), ageMs }
     : undefined;
 }
 
@@ -282,6 +286,6 @@
     typeof engines === 'number' &&
     typeof remainingMs === 'number' &&
     remainingMs > 0
-    ? { cause: part, targets: engines, remainingMs, trials }
+    ? { cause: causeOfPart(part), targets: engines, remainingMs, trials }
     : undefined;
 }
--- a/packages/gateway/src/node/CrashingPart.test.ts
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -21,6 +21,9 @@
 const NODES = 5;
 const ENGINES = 12;
 const CRASHING = 'crashing';
+/** Longer than the key of a record may be. */
+const LONG_ID = 'ab'.repeat(150);
+const MAX_KEY_BYTES = 255;
 /** Both kinds of prompts have it. */
 const COMMON = 'common';
 const DOCUMENTS = 3;
@@ -51,16 +54,20 @@
   let sound: SoundPrompt[];
   let requestCount: number;
   let stored: Map<string, StoredQuarantine>;
+  /** Id of the part that crashes engines. */
+  let crashing: string;
   let registry: QuarantineRegistry;
 
   beforeEach(() => {
     clock = new ManualClock();
     random = new SeededRandom(1);
     network = new MemoryNetwork(clock, random);
-    engines = new CrashingEngines(clock, (request) => partsOf(request).includes(CRASHING));
+    crashing = CRASHING;
+    engines = new CrashingEngines(clock, (request) => partsOf(request).includes(crashing));
     stored = new Map();
     registry = {
       store: (quarantine) => {
+        expect(Buffer.byteLength(quarantine.cause)).toBeLessThanOrEqual(MAX_KEY_BYTES);
         stored.set(quarantine.cause, quarantine);
         return Promise.resolve(Result.ok(undefined));
       },
@@ -127,7 +134,7 @@
       sound.push({ at: clock.now(), report: send(parts) });
       if (clock.now() >= crashingAt) {
         crashingAt += crashingIntervalMs;
-        void send([COMMON, CRASHING]);
+        void send([COMMON, crashing]);
       }
       await clock.advance(SOUND_INTERVAL_MS);
     }
@@ -200,12 +207,28 @@
       expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
     });
 
-    it('when all nodes restart at the same moment', async () => {
+    // Guards against a quarantine that can't be stored, as its key is longer than the store accepts.
+    it.each([
+      ['short', CRASHING],
+      ['longer than the key of a record', LONG_ID],
+    ])('when all nodes restart at the same moment and its id is %s', async (_how, id) => {
+      crashing = id;
       clock.schedule(8_000, () => {
         nodes = members.map((_each, index) => createNode(index));
       });
       await play(400);
+      expect(engines.crashedAt.length).toBeGreaterThan(FIFTH);
       expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+      expect(stored.size).toBe(1);
+      expect([...blockedParts()]).toEqual([...stored.keys()]);
+    });
+
+    it('with an answer that shows the start of a long id', async () => {
+      crashing = LONG_ID;
+      await play(400);
+      const caller = new SimulatedCaller();
+      await send([COMMON, crashing], caller);
+      expect(caller.body).toContain(`part ${LONG_ID.slice(0, 64)}… of the prompt`);
     });
   });
 
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -25,6 +25,7 @@
 import type { TargetPauses } from '../common/placement/TargetPauses.js';
 import type { TargetHealth } from '../common/placement/TargetHealth.js';
 import type { CrashQuarantine } from '../common/quarantine/CrashQuarantine.js';
+import { causeOfPart } from '../common/quarantine/PartCause.js';
 import type { Dialect, EngineReservations } from '../common/services/Services.js';
 import type { SharedRetryBudget } from '../common/SharedRetryBudget.js';
 import type { AnswerBuffers } from './AnswerBuffers.js';
@@ -166,7 +167,7 @@
 
 /** What crashes under a request may be attributed to, the most specific at the end. */
 export function possibleCausesOf({ caller, fingerprints }: ForwardedRequest): readonly string[] {
-  return [...caller.sharedParts, ...fingerprints];
+  return [...caller.sharedParts.map(causeOfPart), ...fingerprints];
 }
 
 /** Identifies one instance of a target; a restart under the same id is another one. */
--- a/packages/gateway/src/node/UnservedAnswer.ts
+++ b/packages/gateway/src/node/UnservedAnswer.ts
@@ -4,6 +4,7 @@
  */
 import { didNotRun, type Execution } from '../common/Execution.js';
 import { CauseKind, kindOfCause } from '../common/quarantine/CrashEvidence.js';
+import { causeOfPart } from '../common/quarantine/PartCause.js';
 import { type GatewayAnswer, GatewayStatus } from './CallerResponse.js';
 import {
   type ForwardedRequest,
@@ -12,6 +13,9 @@
   RequestOutcome,
 } from './ForwardedRequest.js';
 
+/** How much of the id of a part an answer repeats. */
+const SHOWN_ID_LENGTH = 64;
+
 /** State of the request that determines the status, and the texts for the caller. */
 export interface UnservedRequest {
   readonly execution: Execution;
@@ -27,12 +31,19 @@
 
 /** The answer to a quarantined request, by what is blocked. */
 const QUARANTINE_ANSWERS: Readonly<
-  Record<CauseKind, (cause: string) => Pick<GatewayAnswer, 'kind' | 'remedy'>>
+  Record<
+    CauseKind,
+    (cause: string, request: ForwardedRequest) => Pick<GatewayAnswer, 'kind' | 'remedy'>
+  >
 > = {
-  [CauseKind.Part]: (part) => ({
-    kind: 'part-quarantined',
-    remedy: `engines crash under part ${part} of the prompt; send it without that part`,
-  }),
+  [CauseKind.Part]: (cause, { caller }) => {
+    const id = caller.sharedParts.find((each) => causeOfPart(each) === cause) ?? cause;
+    const part = id.length > SHOWN_ID_LENGTH ? `${id.slice(0, SHOWN_ID_LENGTH)}…` : id;
+    return {
+      kind: 'part-quarantined',
+      remedy: `engines crash under part ${part} of the prompt; send it without that part`,
+    };
+  },
   [CauseKind.Request]: () => ({
     kind: 'request-quarantined',
     remedy: 'targets crash when they run this request; change its path or body',
@@ -50,7 +61,7 @@
   if (didNotRun(execution) && blocked !== undefined) {
     response.sendGatewayAnswer({
       status: GatewayStatus.Refused,
-      ...QUARANTINE_ANSWERS[kindOfCause(blocked.cause)](blocked.cause),
+      ...QUARANTINE_ANSWERS[kindOfCause(blocked.cause)](blocked.cause, request),
       retryAfterMs: blocked.remainingMs,
     });
     return RequestOutcome.Refused;
