Report crashes under prompts with hundreds of parts in several datagrams

Engines crash under prompts with a common part, and the nodes do not find out together: a report with all parts of a prompt is longer than a datagram, so the socket drops it. Found by looking for further encoders that do not take what a caller sends; not seen by callers.

The network of the tests drops datagrams that are longer than UDP carries.

Before: CrashingPart.test 'when its prompts have hundreds of parts' fails with 4 late requests, 3 are allowed; all reports are lost. After: it passes.

--- a/packages/fakes/src/common/MemoryNetwork.ts
+++ b/packages/fakes/src/common/MemoryNetwork.ts
@@ -15,6 +15,9 @@
 import { Result } from 'true-myth';
 import { MemoryLink } from './MemoryLink.js';
 
+/** The most that a datagram over UDP and IPv4 holds. */
+const MAX_DATAGRAM_BYTES = 65_507;
+
 /** Connects the transports that join it, with the faults that the test sets. */
 export class MemoryNetwork {
   /** One-way delay. */
@@ -130,7 +133,8 @@
     const { delayMs, loss, random } = this._network;
     this.bytesSent += payload.length;
     const isLost = this._network.isCut(this.address, address) || random.next() < loss;
-    if (isLost || this.isFrozen) {
+    const isTooLong = Buffer.byteLength(payload) > MAX_DATAGRAM_BYTES;
+    if (isLost || isTooLong || this.isFrozen) {
       return;
     }
     const peer = this._network.find(address);
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -5,7 +5,7 @@
  * quarantine every second, for nodes that restarted or missed the report; the next one in rank takes
  * over when it is silent. A node that lost most of the others reads the stored quarantines.
  */
-import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import { chunksOf, type Clock, DisposableOwner } from '@tanagerdyke/kernel';
 import {
   encodeNotification,
   type Membership,
@@ -35,6 +35,8 @@
 /** Datagrams get lost; receivers count a crash once. */
 const REPEATED_REPORT_DELAY_MS = 100;
 const STORE_INTERVAL_MS = 10_000;
+/** A prompt may have thousands of parts, and a datagram has at most 64 KiB. */
+const CAUSES_PER_REPORT = 40;
 
 const parseCrash = notificationParser(CRASH_METHOD, parseTargetCrash);
 const parseLife = notificationParser(LIFE_METHOD, parseLiveTarget);
@@ -137,12 +139,17 @@
 
   private _reportCrash({ causes, request, target }: TargetCrash): void {
     const { broadcast, clock } = this._options;
-    const report = { engine: target, request, parts: causes };
-    const payload = encodeNotification(CRASH_METHOD, report);
-    broadcast.send(payload);
+    const payloads = chunksOf(causes, CAUSES_PER_REPORT).map((parts) =>
+      encodeNotification(CRASH_METHOD, { engine: target, request, parts }),
+    );
+    payloads.forEach((each) => {
+      broadcast.send(each);
+    });
     clock.schedule(REPEATED_REPORT_DELAY_MS, () => {
       if (!this.isDisposed) {
-        broadcast.send(payload);
+        payloads.forEach((each) => {
+          broadcast.send(each);
+        });
       }
     });
   }
--- a/packages/gateway/src/node/CrashingPart.test.ts
+++ b/packages/gateway/src/node/CrashingPart.test.ts
@@ -56,6 +56,8 @@
   let stored: Map<string, StoredQuarantine>;
   /** Id of the part that crashes engines. */
   let crashing: string;
+  /** Further parts of the prompts that crash engines. */
+  let otherParts: readonly string[];
   let registry: QuarantineRegistry;
 
   beforeEach(() => {
@@ -63,6 +65,7 @@
     random = new SeededRandom(1);
     network = new MemoryNetwork(clock, random);
     crashing = CRASHING;
+    otherParts = [];
     engines = new CrashingEngines(clock, (request) => partsOf(request).includes(crashing));
     stored = new Map();
     registry = {
@@ -134,7 +137,7 @@
       sound.push({ at: clock.now(), report: send(parts) });
       if (clock.now() >= crashingAt) {
         crashingAt += crashingIntervalMs;
-        void send([COMMON, crashing]);
+        void send([COMMON, crashing, ...otherParts]);
       }
       await clock.advance(SOUND_INTERVAL_MS);
     }
@@ -197,6 +200,14 @@
       expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
     });
 
+    // Guards against reports of crashes that no datagram has room for, and that get lost.
+    it('when its prompts have hundreds of parts', async () => {
+      otherParts = Array.from({ length: 300 }, (_each, index) => `${index}`.padStart(250, 'f'));
+      await play(1_700);
+      expect(engines.crashedAt.length).toBeGreaterThan(FIFTH);
+      expect(lateCrashing()).toBeLessThanOrEqual(ALLOWED_REQUESTS);
+    });
+
     it('when nodes restart one after the other', async () => {
       members.forEach((_each, index) => {
         clock.schedule(5_000 + index * 2_000, () => {
