--- a/packages/gateway/src/node/TimedCall.ts
+++ b/packages/gateway/src/node/TimedCall.ts
@@ -4,7 +4,7 @@
  */
 import { type Clock, describeCause, type Disposable } from '@tanagerdyke/kernel';
 import { Result } from 'true-myth';
-import { type Dispatcher, request } from 'undici';
+import { Agent, type buildConnector, type Dispatcher, request } from 'undici';
 import { scheduleSocketWait } from '../common/SocketWait.js';
 import type { CallAttempt } from '../common/services/Services.js';
 
@@ -38,6 +38,15 @@
   readonly wholeMs: number;
 }
 
+/**
+ * Opens a connection for each call. The answers have no id, so on a kept connection an earlier one
+ * that is written once more would count as the next one.
+ */
+export function createCallAgent(connect: buildConnector.connector): Dispatcher {
+  // Without pipelining, connections are not kept.
+  return new Agent({ connect, pipelining: 0, headersTimeout: 0, bodyTimeout: 0 });
+}
+
 /**
  * Sends the request and aborts it at its time limits, when an answer that has begun goes silent, or
  * by its attempt.
