--- a/eslint.config.js
+++ b/eslint.config.js
@@ -74,6 +74,16 @@
   },
 };
 
+/** Work that nothing waits for has an owner, which keeps a defect in it from ending the process. */
+const backgroundRules = {
+  files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+  ignores: ['**/*.test.ts', 'packages/fakes/**', 'packages/standins/**'],
+  rules: {
+    'no-void': 'error',
+    '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
+  },
+};
+
 export default tseslint.config(
   { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**'] },
   ...tseslint.configs.strictTypeChecked,
@@ -105,5 +115,6 @@
   ...layerRules,
   environmentRules,
   clockRules,
+  backgroundRules,
   { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
 );
--- a/packages/claims/src/common/AtMostOnceCaller.ts
+++ b/packages/claims/src/common/AtMostOnceCaller.ts
@@ -9,6 +9,7 @@
   type InvariantMonitor,
   NotRun,
   type RandomSource,
+  runInBackground,
   type ServiceError,
   type TimeLine,
 } from '@tanagerdyke/kernel';
@@ -73,9 +74,12 @@
     return new Promise((resolve) => {
       const completion = this._claimAndDispatch(call, state);
       const timer = clock.schedule(call.deadline - ANSWER_MARGIN_MS - clock.now(), () => {
-        void this._answerAtDeadline(call, state, completion).then(resolve);
+        runInBackground('claim.answer', async () => {
+          resolve(await this._answerAtDeadline(call, state, completion));
+        });
       });
-      void completion.then((answer) => {
+      runInBackground('claim.call', async () => {
+        const answer = await completion;
         timer.dispose();
         resolve(answer);
       });
@@ -180,7 +184,7 @@
     const { attempt } = state;
     // The process may have been paused past the deadline right after the claim was won.
     if (state.isPastDeadline || clock.now() > call.deadline - DISPATCH_MARGIN_MS) {
-      void ledger.release(call.key, attempt);
+      runInBackground('claim.release', () => ledger.release(call.key, attempt));
       return this._refuse(call, state, claimAbandoned());
     }
     state.phase = CallPhase.Dispatched;
@@ -207,7 +211,7 @@
     }
     if (answer.error.notRun === NotRun.True) {
       this._dispatchInvariants.recordNothingSent(call.key);
-      void this._options.ledger.release(call.key, attempt);
+      runInBackground('claim.release', () => this._options.ledger.release(call.key, attempt));
       return answer;
     }
     const lookedUp = await this._outcomes.lookUpAtTarget(call);
--- a/packages/claims/src/common/ClaimLedger.ts
+++ b/packages/claims/src/common/ClaimLedger.ts
@@ -4,7 +4,14 @@
  * then in the current one. An attempt that misses its deadline is abandoned before its verdict is
  * returned, so that a late response can't revive it, and is voided in the log by a release record.
  */
-import { type Clock, DisposableOwner, type Logger, type TimeLine } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  keepRunning,
+  type Logger,
+  runInBackground,
+  type TimeLine,
+} from '@tanagerdyke/kernel';
 import type { PlatformLog } from '@tanagerdyke/contracts';
 import type { Membership, Transport } from '@tanagerdyke/mesh';
 import { keyTime } from './IdempotencyKey.js';
@@ -79,7 +86,9 @@
   }
 
   public start(): void {
-    void this._assignmentTask();
+    keepRunning(this._options.clock, this.disposalSignal, 'claim.assignment', () =>
+      this._assignmentTask(),
+    );
   }
 
   /** Whether this node has replayed the shards it is a committer of to their tails. */
@@ -98,7 +107,7 @@
     const isLate = clock.now() >= deadline && verdict !== ClaimVerdict.Lost;
     const decided = isLate ? ClaimVerdict.Abandoned : verdict;
     if (decided === ClaimVerdict.Abandoned) {
-      void this.release(entry.key, entry.attempt);
+      runInBackground('claim.release', () => this.release(entry.key, entry.attempt));
     }
     timeLine.record('claim.decided', {
       key: entry.key,
@@ -153,7 +162,7 @@
   /** Releases a claim that won only some layouts, so that it does not hold the key there. */
   private _releasePartialClaim(entry: ClaimEntry, verdict: ClaimVerdict): ClaimVerdict {
     if (verdict === ClaimVerdict.Lost) {
-      void this.release(entry.key, entry.attempt);
+      runInBackground('claim.release', () => this.release(entry.key, entry.attempt));
     }
     return verdict === ClaimVerdict.Refused ? ClaimVerdict.Abandoned : verdict;
   }
--- a/packages/claims/src/common/ClaimShard.ts
+++ b/packages/claims/src/common/ClaimShard.ts
@@ -9,9 +9,11 @@
   DisposableOwner,
   Emitter,
   ErrorKind,
+  keepRunning,
   type Logger,
   LogLevel,
   type PendingEvent,
+  runInBackground,
 } from '@tanagerdyke/kernel';
 import type { LogPage, PlatformLog } from '@tanagerdyke/contracts';
 import { ClaimIndex } from './ClaimIndex.js';
@@ -74,8 +76,8 @@
   }
 
   public start(): void {
-    void this._readTask();
-    void this._expiryTask();
+    keepRunning(this._options.clock, this.disposalSignal, 'claim.log', () => this._readTask());
+    keepRunning(this._options.clock, this.disposalSignal, 'claim.expiry', () => this._expiryTask());
   }
 
   /** Whether the stream has been read to its tail since the start. */
@@ -146,7 +148,7 @@
       this._queue.push({ entry, resolve });
       if (!this._isAppending) {
         this._isAppending = true;
-        void this._appendTask();
+        runInBackground('claim.append', () => this._appendTask());
       }
     });
   }
@@ -158,16 +160,19 @@
   private async _appendTask(): Promise<void> {
     const { batchWaitMs = DEFAULT_BATCH_WAIT_MS, clock } = this._options;
     const inFlight = new Set<Promise<void>>();
-    while (this._queue.length > 0) {
-      await clock.sleep(batchWaitMs);
-      if (inFlight.size >= MAX_APPENDS_IN_FLIGHT) {
-        await Promise.race(inFlight);
+    try {
+      while (this._queue.length > 0) {
+        await clock.sleep(batchWaitMs);
+        if (inFlight.size >= MAX_APPENDS_IN_FLIGHT) {
+          await Promise.race(inFlight);
+        }
+        const sent = this._appendBatch(this._queue.splice(0, MAX_ENTRIES_PER_APPEND));
+        inFlight.add(sent);
+        runInBackground('claim.append', () => sent.then(() => inFlight.delete(sent)));
       }
-      const sent = this._appendBatch(this._queue.splice(0, MAX_ENTRIES_PER_APPEND));
-      inFlight.add(sent);
-      void sent.then(() => inFlight.delete(sent));
+    } finally {
+      this._isAppending = false;
     }
-    this._isAppending = false;
   }
 
   private async _appendBatch(batch: readonly QueuedEntry[]): Promise<void> {
--- a/packages/claims/src/common/OutcomeResolver.ts
+++ b/packages/claims/src/common/OutcomeResolver.ts
@@ -3,7 +3,7 @@
  * call. An outcome that the holder can no longer record is looked up at the target if it offers
  * look-ups, else it stays unknown.
  */
-import { type Clock, ErrorKind } from '@tanagerdyke/kernel';
+import { type Clock, ErrorKind, runInBackground } from '@tanagerdyke/kernel';
 import type { ServiceAnswer } from '@tanagerdyke/contracts';
 import { isLive, type Membership } from '@tanagerdyke/mesh';
 import { Result } from 'true-myth';
@@ -81,7 +81,9 @@
   /** Records the answer of the attempt that holds the key; the body of a large one stays here. */
   public recordAnswer(key: string, attempt: string, answer: ServiceAnswer | undefined): void {
     const stored = answer === undefined ? undefined : this._toStored(key, answer);
-    void this._options.ledger.recordOutcome(key, attempt, stored);
+    runInBackground('claim.outcome', () =>
+      this._options.ledger.recordOutcome(key, attempt, stored),
+    );
   }
 
   /** The outcome that a state gives; `undefined` while one may still be recorded. */
@@ -162,7 +164,8 @@
       const timer = clock.schedule(remainingMs, () => {
         resolve(Result.err(ErrorKind.DeadlineExceeded));
       });
-      void result.then((settled) => {
+      runInBackground('claim.outcome', async () => {
+        const settled = await result;
         timer.dispose();
         resolve(settled.mapErr((error): E | ErrorKind => error));
       });
--- a/packages/configuration/src/common/Checkpointer.ts
+++ b/packages/configuration/src/common/Checkpointer.ts
@@ -3,7 +3,13 @@
  * rendezvous hash, and each waits longer than the one before it, so that normally only the first
  * one writes a checkpoint. A duplicate has no effect.
  */
-import { type Clock, DisposableOwner, type RandomSource, type TimeLine } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  keepRunning,
+  type RandomSource,
+  type TimeLine,
+} from '@tanagerdyke/kernel';
 import type { PlatformLog } from '@tanagerdyke/contracts';
 import { type Membership, rankByRendezvous } from '@tanagerdyke/mesh';
 import { encodeCheckpoint } from './Checkpoint.js';
@@ -34,7 +40,9 @@
   }
 
   public start(): void {
-    void this._run();
+    keepRunning(this._options.clock, this.disposalSignal, 'configuration.checkpoints', () =>
+      this._run(),
+    );
   }
 
   private async _run(): Promise<void> {
--- a/packages/configuration/src/common/ConfigurationFollower.ts
+++ b/packages/configuration/src/common/ConfigurationFollower.ts
@@ -9,6 +9,7 @@
   Emitter,
   ErrorKind,
   type InvariantMonitor,
+  keepRunning,
   type Logger,
   LogLevel,
   type ServiceError,
@@ -81,7 +82,9 @@
   }
 
   public start(): void {
-    void this._tailLog();
+    keepRunning(this._options.clock, this.disposalSignal, 'configuration.log', () =>
+      this._tailLog(),
+    );
   }
 
   public get inForce(): ConfigurationInForce {
--- a/packages/configuration/src/common/PeerCatchUp.ts
+++ b/packages/configuration/src/common/PeerCatchUp.ts
@@ -3,7 +3,7 @@
  * a peer with a greater offset, so that a node that can't reach the log but still reaches its peers
  * catches up within seconds.
  */
-import { type Clock, DisposableOwner, type ServiceError } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, keepRunning, type ServiceError } from '@tanagerdyke/kernel';
 import {
   checkedHandler,
   Delivery,
@@ -52,7 +52,9 @@
   }
 
   public start(): void {
-    void this._run();
+    keepRunning(this._options.clock, this.disposalSignal, 'configuration.catch-up', () =>
+      this._run(),
+    );
   }
 
   /**
--- a/packages/daemon/src/node/Node.ts
+++ b/packages/daemon/src/node/Node.ts
@@ -7,6 +7,7 @@
   type Clock,
   DisposableOwner,
   type InvariantMonitor,
+  keepRunning,
   type Logger,
   LogLevel,
   type Metrics,
@@ -144,7 +145,7 @@
     this.directory.start();
     this._serving.reservationService.start();
     this._fleet.start();
-    void this._publishReadiness();
+    keepRunning(this.clock, this.disposalSignal, 'node.readiness', () => this._publishReadiness());
   }
 
   /**
--- a/packages/daemon/src/node/runDaemon.ts
+++ b/packages/daemon/src/node/runDaemon.ts
@@ -8,6 +8,7 @@
   type Logger,
   LogLevel,
   Metrics,
+  onBackgroundFailure,
   setLogNamespaces,
   SystemClock,
   SystemRandom,
@@ -96,6 +97,11 @@
     return;
   }
   const metrics = new Metrics();
+  onBackgroundFailure(({ error, work }) => {
+    metrics.increment('tanager_background_failures_total', { work });
+    const stack = error instanceof Error ? error.stack : String(error);
+    logger.log(LogLevel.Error, 'background work failed', { work, stack });
+  });
   const [host, port] = settings.listen.peer.split(':');
   const sockets = await SocketTransport.listen(clock, host ?? '', Number(port), {
     count: (bytes) => {
@@ -134,7 +140,7 @@
 /** Drains on the first termination signal and forces the drain to end on the next one. */
 async function drainOnSignal(node: Node, logger: Logger): Promise<void> {
   const forceController = new AbortController();
-  await new Promise<void>((resolve) => {
+  await new Promise<void>((resolve, reject) => {
     const onSignal = (): void => {
       if (node.isDraining) {
         logger.log(LogLevel.Warn, 'second termination signal, aborting the remaining requests');
@@ -142,7 +148,7 @@
         return;
       }
       logger.log(LogLevel.Info, 'termination signal, draining');
-      void node.drain(forceController.signal).then(resolve);
+      node.drain(forceController.signal).then(resolve, reject);
     };
     process.on('SIGTERM', onSignal);
     process.on('SIGINT', onSignal);
--- a/packages/fleet/src/common/FleetController.ts
+++ b/packages/fleet/src/common/FleetController.ts
@@ -7,10 +7,12 @@
 import {
   type Clock,
   DisposableOwner,
+  keepRunning,
   type Logger,
   LogLevel,
   type Metrics,
   type RandomSource,
+  runInBackground,
   type TimeLine,
   toDisposable,
 } from '@tanagerdyke/kernel';
@@ -78,8 +80,10 @@
   }
 
   public start(): void {
-    void this._assignmentTask();
-    void this._orderTask();
+    keepRunning(this._options.clock, this._abort.signal, 'order.assignment', () =>
+      this._assignmentTask(),
+    );
+    keepRunning(this._options.clock, this._abort.signal, 'order.sending', () => this._orderTask());
   }
 
   /** Streams of the leases under which this node may currently send orders. */
@@ -115,7 +119,7 @@
     for (const [stream, { keeper }] of this._candidacies) {
       if (!streams.has(stream)) {
         this._candidacies.delete(stream);
-        void keeper.release();
+        runInBackground('lease.release', () => keeper.release());
       }
     }
   }
@@ -248,7 +252,9 @@
       return;
     }
     candidacy.inFlight.add(key);
-    void this._executeOrder(candidacy, key, planned, fencingNumber);
+    runInBackground('order.execution', () =>
+      this._executeOrder(candidacy, key, planned, fencingNumber),
+    );
   }
 
   private async _executeOrder(
--- a/packages/fleet/src/common/LeaseKeeper.ts
+++ b/packages/fleet/src/common/LeaseKeeper.ts
@@ -7,6 +7,7 @@
   type Clock,
   DisposableOwner,
   ErrorKind,
+  keepRunning,
   type Logger,
   LogLevel,
   type RandomSource,
@@ -67,8 +68,10 @@
   }
 
   public start(): void {
-    void this._readTask();
-    void this._acquireOrRenewTask();
+    keepRunning(this._options.clock, this.disposalSignal, 'lease.log', () => this._readTask());
+    keepRunning(this._options.clock, this.disposalSignal, 'lease.renewal', () =>
+      this._acquireOrRenewTask(),
+    );
   }
 
   /** The fencing number while this node may send orders, else `undefined`. */
--- a/packages/gateway/src/common/placement/LoadReporter.ts
+++ b/packages/gateway/src/common/placement/LoadReporter.ts
@@ -3,7 +3,13 @@
  * applies the reports of other nodes. Changes are sent immediately, the full state every second to
  * recover from lost datagrams.
  */
-import { chunksOf, type Clock, DisposableOwner, type Event } from '@tanagerdyke/kernel';
+import {
+  chunksOf,
+  type Clock,
+  DisposableOwner,
+  type Event,
+  keepRunning,
+} from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser } from '@tanagerdyke/mesh';
 import type { ActiveRequest, ActiveRequestTable } from './ActiveRequestTable.js';
 import {
@@ -60,7 +66,9 @@
 
   /** Starts to send the full state periodically. */
   public start(): void {
-    void this._sendFullStates();
+    keepRunning(this._options.clock, this.disposalSignal, 'load.reports', () =>
+      this._sendFullStates(),
+    );
   }
 
   /** Records a request of this node that started or changed, and reports it. */
--- a/packages/gateway/src/common/placement/PlacementServer.ts
+++ b/packages/gateway/src/common/placement/PlacementServer.ts
@@ -3,7 +3,7 @@
  * its request until it has the decision, so a copy gets the same answer. A prompt whose entry node
  * no longer repeats the request leaves the queue.
  */
-import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, runInBackground } from '@tanagerdyke/kernel';
 import { encodeNotification, notificationParser, type Transport } from '@tanagerdyke/mesh';
 import { LRUCache } from 'lru-cache';
 import type { EngineProfile } from '../Messages.js';
@@ -70,7 +70,7 @@
   private _receive(payload: string): void {
     const request = parseRequest(payload);
     if (request !== undefined) {
-      void this._handleRequest(request);
+      runInBackground('placement.request', () => this._handleRequest(request));
       return;
     }
     const cancellation = parseCancel(payload);
@@ -99,15 +99,13 @@
     }
     const opened = { withdrawn: new AbortController(), repeatedAt: clock.now() };
     this._open.set(key, opened);
-    void this._withdrawUnrepeated(opened);
+    runInBackground('placement.withdrawal', () => this._withdrawUnrepeated(opened));
     const now = clock.now();
-    const decision = await scheduler.decide(
-      decodeRequest(wire, profile, now),
-      now + wire.waitMs,
-      opened.withdrawn.signal,
-      AccountState.Complete,
-    );
-    this._open.delete(key);
+    const { signal } = opened.withdrawn;
+    const prompt = decodeRequest(wire, profile, now);
+    const decision = await scheduler
+      .decide(prompt, now + wire.waitMs, signal, AccountState.Complete)
+      .finally(() => this._open.delete(key));
     const isWithdrawn = opened.withdrawn.signal.aborted;
     opened.withdrawn.abort();
     if (!isWithdrawn) {
--- a/packages/gateway/src/common/placement/PromptReservations.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -4,7 +4,14 @@
  * that those of a dead node are freed soon. A call without an answer may take effect seconds later,
  * so the release is repeated for as long as that can happen.
  */
-import { type Clock, DisposableOwner, ErrorKind, toDisposable } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  ErrorKind,
+  keepRunning,
+  runInBackground,
+  toDisposable,
+} from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
 import type { TargetTable } from '../state/TargetTable.js';
@@ -55,7 +62,7 @@
     this.register(
       toDisposable(() => {
         if (this._isAsked) {
-          void this._releaseAll();
+          runInBackground('reservation.release', () => this._releaseAll());
         }
       }),
     );
@@ -79,7 +86,9 @@
     const answers = await Promise.all(targets.map((target) => this._reserve(target)));
     const failed = targets.find((_target, index) => answers[index] === false);
     if (failed === undefined) {
-      void this._keepRenewed();
+      keepRunning(this._options.clock, this.disposalSignal, 'reservation.renewal', () =>
+        this._keepRenewed(),
+      );
     }
     return failed;
   }
--- a/packages/gateway/src/common/quarantine/QuarantineReports.ts
+++ b/packages/gateway/src/common/quarantine/QuarantineReports.ts
@@ -5,7 +5,13 @@
  * quarantine every second, for nodes that restarted or missed the report; the next one in rank takes
  * over when it is silent. A node that lost most of the others reads the stored quarantines.
  */
-import { chunksOf, type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import {
+  chunksOf,
+  type Clock,
+  DisposableOwner,
+  keepRunning,
+  runInBackground,
+} from '@tanagerdyke/kernel';
 import {
   encodeNotification,
   type Membership,
@@ -85,7 +91,7 @@
     this.register(
       quarantine.onBlocked((blocked) => {
         this._announce(blocked);
-        void this._store(blocked);
+        runInBackground('quarantine.store', () => this._store(blocked));
       }),
     );
     this.register(
@@ -95,7 +101,7 @@
     );
     this.register(
       quarantine.onCleared((cause) => {
-        void this._removeStored(cause);
+        runInBackground('quarantine.remove', () => this._removeStored(cause));
       }),
     );
     this.register(
@@ -108,8 +114,10 @@
   /** Reads the stored quarantines, and announces those that fall to this node. */
   public start(): void {
     this._maxLive = this._options.membership.live.length;
-    void this._load();
-    void this._repeatAnnouncements();
+    keepRunning(this._options.clock, this.disposalSignal, 'quarantine.load', () => this._load());
+    keepRunning(this._options.clock, this.disposalSignal, 'quarantine.announcements', () =>
+      this._repeatAnnouncements(),
+    );
   }
 
   private _receive(payload: string): void {
@@ -165,7 +173,7 @@
       await clock.sleep(ANNOUNCEMENT_INTERVAL_MS, this.disposalSignal);
       for (const blocked of quarantine.blocked.filter(({ cause }) => this._isAnnouncer(cause))) {
         this._announce(blocked);
-        void this._store(blocked);
+        runInBackground('quarantine.store', () => this._store(blocked));
       }
       for (const { cause } of quarantine.blocked) {
         quarantine.updateTrial(cause, this._rankOf(cause) === 0);
--- a/packages/gateway/src/common/state/NodeDirectory.ts
+++ b/packages/gateway/src/common/state/NodeDirectory.ts
@@ -4,7 +4,7 @@
  * restored from an older copy, which may lack it; a node without peers reads the registered
  * addresses, and joins through a few of them. When all nodes start at the same moment, all read them.
  */
-import { type Clock, DisposableOwner, type RandomSource } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, keepRunning, type RandomSource } from '@tanagerdyke/kernel';
 import type { SwimMembership } from '@tanagerdyke/mesh';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { NodeRegistry } from '../services/Services.js';
@@ -44,8 +44,10 @@
   }
 
   public start(): void {
-    void this._announce();
-    void this._findPeers();
+    keepRunning(this._options.clock, this.disposalSignal, 'node.announcement', () =>
+      this._announce(),
+    );
+    keepRunning(this._options.clock, this.disposalSignal, 'node.peers', () => this._findPeers());
   }
 
   /** Registers this node again, once for all calls within a short time. */
--- a/packages/gateway/src/common/state/OpenCalls.ts
+++ b/packages/gateway/src/common/state/OpenCalls.ts
@@ -11,6 +11,7 @@
   DisposableOwner,
   Emitter,
   ErrorKind,
+  runInBackground,
   ServiceError,
   toDisposable,
 } from '@tanagerdyke/kernel';
@@ -150,7 +151,7 @@
       this._close(oldest);
     }
     this._open.add(open);
-    void this._run(open, call, needsNewConnection);
+    runInBackground('platform.call', () => this._run(open, call, needsNewConnection));
     return open;
   }
 
@@ -164,7 +165,14 @@
         }
       }
     };
-    const result = await call({ needsNewConnection, signal, onProgress });
+    let result: Result<T, ServiceError>;
+    try {
+      result = await call({ needsNewConnection, signal, onProgress });
+    } catch (error) {
+      // Its caller repeats it once it is late.
+      this._open.delete(open);
+      throw error;
+    }
     if (signal.aborted && !this.isDisposed) {
       return;
     }
--- a/packages/gateway/src/common/state/PeerRelay.ts
+++ b/packages/gateway/src/common/state/PeerRelay.ts
@@ -11,6 +11,7 @@
   DisposableOwner,
   ErrorKind,
   type Fields,
+  keepRunning,
   type Metrics,
   type RandomSource,
   ServiceError,
@@ -222,7 +223,7 @@
   }
 
   public start(): void {
-    void this._run();
+    keepRunning(this._options.clock, this.disposalSignal, 'records.progress', () => this._run());
   }
 
   private async _run(): Promise<void> {
--- a/packages/gateway/src/common/state/PlatformView.ts
+++ b/packages/gateway/src/common/state/PlatformView.ts
@@ -7,6 +7,7 @@
   type Disposable,
   DisposableOwner,
   Emitter,
+  keepRunning,
   type Metrics,
   type RandomSource,
   toDisposable,
@@ -185,7 +186,7 @@
       follower.start();
     }
     this._relay.start();
-    void this._settle();
+    keepRunning(this._options.clock, this.disposalSignal, 'node.settle', () => this._settle());
   }
 
   /** Puts the configuration in force once the node has the records of its ready peers. */
--- a/packages/gateway/src/common/state/RecordFetcher.ts
+++ b/packages/gateway/src/common/state/RecordFetcher.ts
@@ -12,6 +12,7 @@
   type Fields,
   type Metrics,
   type RandomSource,
+  runInBackground,
   type ServiceError,
 } from '@tanagerdyke/kernel';
 import { Delivery, type Transport } from '@tanagerdyke/mesh';
@@ -106,7 +107,7 @@
     state.sources.set(peer, progress);
     state.behindSince ??= this._options.clock.now();
     if (!state.isFetching) {
-      void this._fetch(state);
+      runInBackground('records.fetch', () => this._fetch(state));
     }
   }
 
@@ -141,24 +142,27 @@
     const { clock } = this._options;
     const { disposalSignal: signal } = this;
     state.isFetching = true;
-    if (state.table.hasSnapshot) {
-      await clock.sleep(FETCH_DELAY_MS, signal);
-    }
-    const tried = new Set<string>();
-    state.busy.clear();
-    while (!signal.aborted) {
-      const { end } = state.table;
-      const attempt = this._startNext(state, tried);
-      if (attempt === undefined) {
-        break;
+    try {
+      if (state.table.hasSnapshot) {
+        await clock.sleep(FETCH_DELAY_MS, signal);
       }
-      await this._awaitProgress(attempt, state);
-      if (state.table.end > end) {
-        // Further records may be at the same peers.
-        tried.clear();
+      const tried = new Set<string>();
+      state.busy.clear();
+      while (!signal.aborted) {
+        const { end } = state.table;
+        const attempt = this._startNext(state, tried);
+        if (attempt === undefined) {
+          break;
+        }
+        await this._awaitProgress(attempt, state);
+        if (state.table.end > end) {
+          // Further records may be at the same peers.
+          tried.clear();
+        }
       }
+    } finally {
+      state.isFetching = false;
     }
-    state.isFetching = false;
   }
 
   /** Waits for the end of an attempt, but not longer than pieces keep arriving. */
@@ -176,7 +180,8 @@
         }
       };
       check();
-      void attempt.then(() => {
+      runInBackground('records.fetch', async () => {
+        await attempt;
         timer?.dispose();
         resolve();
       });
@@ -228,17 +233,20 @@
     state.sender = peer;
     const describeTransfer = this._startTransfer();
     let outcome = Outcome.Continues;
-    while (outcome === Outcome.Continues && !this.isDisposed) {
-      outcome = await this._requestRecords(peer, state, describeTransfer);
-      state.progressAt = clock.now();
-      if (state.sender !== peer || !this._isBehind(state)) {
-        break;
+    try {
+      while (outcome === Outcome.Continues && !this.isDisposed) {
+        outcome = await this._requestRecords(peer, state, describeTransfer);
+        state.progressAt = clock.now();
+        if (state.sender !== peer || !this._isBehind(state)) {
+          break;
+        }
       }
+    } finally {
+      state.asked.delete(peer);
     }
     if (outcome === Outcome.Busy) {
       state.busy.add(peer);
     }
-    state.asked.delete(peer);
   }
 
   private async _requestRecords(
@@ -330,7 +338,7 @@
     applyRecords(table, copy.value);
     table.applyEarlier(copy.value.earlier);
     log.write('records.fetched', { topic, peer, epoch, end, ...fields, ...describeTransfer() });
-    void this._confirm(peer, table, piece);
+    runInBackground('records.confirm', () => this._confirm(peer, table, piece));
     return Outcome.Ended;
   }
 
--- a/packages/gateway/src/common/state/TopicFollower.ts
+++ b/packages/gateway/src/common/state/TopicFollower.ts
@@ -9,6 +9,7 @@
   type Clock,
   DisposableOwner,
   ErrorKind,
+  keepRunning,
   type Metrics,
   type RandomSource,
   ServiceError,
@@ -148,7 +149,7 @@
   }
 
   public start(): void {
-    void this._run();
+    keepRunning(this._options.clock, this.disposalSignal, 'platform.topic', () => this._run());
   }
 
   private async _run(): Promise<void> {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export { LATE_VALUE_SHARE, promptValue } from './common/placement/PlacementLoss.js';
 export { RateLimits } from './common/placement/RateLimits.js';
 export { TargetHealth } from './common/placement/TargetHealth.js';
+export { logFailures } from './node/FailureLog.js';
 export * from './node/GatewayNode.js';
 export * from './node/paths/AnswerHeadLimit.js';
 export * from './node/StandardOutput.js';
--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -3,6 +3,7 @@
  * node says whether the request ran: 503, with Retry-After, only if it certainly did not, and 502
  * or 504 if it may have. An incomplete answer never looks complete.
  */
+import { runInBackground } from '@tanagerdyke/kernel';
 import type { ServerResponse } from 'node:http';
 import { findHeader, keepEndToEnd } from '../common/HttpHeaders.js';
 import type { RawHeaders } from '../common/Messages.js';
@@ -74,7 +75,8 @@
    */
   public sendEarly(answer: GatewayAnswer, isDropped: Promise<void>): void {
     if (this._writeGatewayAnswer(answer, true)) {
-      void isDropped.then(() => {
+      runInBackground('answer.drop', async () => {
+        await isDropped;
         this._response.end();
       });
     }
@@ -122,7 +124,7 @@
     }
     this._writeHead(status, kept);
     this._onBuffered(body.length);
-    void this._writePieces(body);
+    runInBackground('answer.write', () => this._writePieces(body));
   }
 
   private async _writePieces(body: Buffer): Promise<void> {
--- a/packages/gateway/src/node/ControlServer.ts
+++ b/packages/gateway/src/node/ControlServer.ts
@@ -10,6 +10,7 @@
   ErrorKind,
   type Metrics,
   NotRun,
+  runInBackground,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import type { Membership } from '@tanagerdyke/mesh';
@@ -86,7 +87,9 @@
     const [hostname, port] = address.split(':');
     const serve = getRequestListener(this._app.fetch);
     const server = createServer(SERVER_OPTIONS, (incoming, outgoing) => {
-      void this._serve(incoming, outgoing, () => serve(incoming, outgoing));
+      runInBackground('control.request', () =>
+        this._serve(incoming, outgoing, () => serve(incoming, outgoing)),
+      );
     });
     this._connections.attach(server);
     this.register(
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -6,7 +6,7 @@
  * Headers type of fetch would merge repeated headers.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { describeCause, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { describeCause, DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
 import { type CallerLimits, callerLimits } from '../common/callers/CallerLimits.js';
 import { CallerMemory, HoldingState } from '../common/callers/CallerMemory.js';
 import { CallKind, type EngineProfile, type ForwardingConfiguration } from '../common/Messages.js';
@@ -94,10 +94,9 @@
     });
     metrics.gauge('tanager_caller_bytes', () => memory.bytes);
     metrics.gauge('tanager_caller_connections', () => this._connections.count);
-    this._server = createServer(
-      SERVER_OPTIONS,
-      (request, response) => void this._handleRequest(request, response),
-    );
+    this._server = createServer(SERVER_OPTIONS, (request, response) => {
+      runInBackground('request', () => this._handleRequest(request, response));
+    });
     this._connections.attach(this._server);
     this.register(
       toDisposable(() => {
@@ -289,7 +288,7 @@
       response.sendGatewayAnswer(answer, true);
     } else if (statedBytes <= MAX_KEPT_BODY_BYTES) {
       response.sendGatewayAnswer(answer);
-      void reception.drop();
+      runInBackground('request.body', () => reception.drop());
     } else {
       response.sendEarly(answer, reception.drop());
     }
--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -7,6 +7,7 @@
   DisposableOwner,
   type Metrics,
   type RandomSource,
+  runInBackground,
   TimeLine,
 } from '@tanagerdyke/kernel';
 import { type Member, MemberStatus, SwimMembership, type Transport } from '@tanagerdyke/mesh';
@@ -129,7 +130,7 @@
     );
     this.register(
       this._platform.onRestore(() => {
-        void this._nodeDirectory.renew();
+        runInBackground('node.announcement', () => this._nodeDirectory.renew());
       }),
     );
     const state = {
--- a/packages/gateway/src/node/LostAnswerCheck.ts
+++ b/packages/gateway/src/node/LostAnswerCheck.ts
@@ -4,7 +4,7 @@
  * as it is awaited, its memory stays reserved on all of them, and large prompts find no engines. A
  * silent engine is asked, as it may also be slower than predicted.
  */
-import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, runInBackground } from '@tanagerdyke/kernel';
 
 /** Time between two questions; the answers are some hundred ms old. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -31,7 +31,7 @@
 
   constructor(private readonly _options: LostAnswerCheckOptions) {
     super();
-    void this._run();
+    runInBackground('stream.lost-answer-check', () => this._run());
   }
 
   /** Aborts when the engine has ended the prompt, and its answer was lost. */
--- a/packages/gateway/src/node/RequestSimulation.ts
+++ b/packages/gateway/src/node/RequestSimulation.ts
@@ -3,7 +3,7 @@
  * the caller, for tests. The forwarders are the real ones; only the sockets are simulated. Not
  * shipped.
  */
-import { ManualClock } from '@tanagerdyke/kernel';
+import { ManualClock, runInBackground } from '@tanagerdyke/kernel';
 import { CallKind } from '../common/Messages.js';
 import { GatewayStatus } from './CallerResponse.js';
 import type {
@@ -77,7 +77,8 @@
 
   public async run(forwarders: Forwarders): Promise<void> {
     const forward = this._kind === CallKind.Stream ? forwarders.stream : forwarders.call;
-    void forward(this._createDependencies(), this._createRequest()).then(() => {
+    runInBackground('request', async () => {
+      await forward(this._createDependencies(), this._createRequest());
       this._isFinished = true;
     });
     await this._clock.advance(SIMULATED_MS);
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -4,7 +4,7 @@
  * broken, when no event arrives in time and another target replaces this one, when the deadline
  * passes or when the caller disconnects.
  */
-import type { Disposable } from '@tanagerdyke/kernel';
+import { type Disposable, runInBackground } from '@tanagerdyke/kernel';
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
 import { findHeader } from '../common/HttpHeaders.js';
@@ -290,7 +290,7 @@
   private _restartEventTimer(limitMs: number): void {
     this._stopWaiting();
     this._eventTimer = scheduleSocketWait(this._options.clock, limitMs, () => {
-      void this._replaceIfPermitted();
+      runInBackground('stream.replacement', () => this._replaceIfPermitted());
     });
   }
 
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -6,7 +6,7 @@
  * it asks whether the request may still be sent, as it may have waited for a connection. Retries are
  * the forwarders' task.
  */
-import { DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import { DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
@@ -129,8 +129,8 @@
     this.register(
       toDisposable(() => {
         for (const { kept, singleUse } of this._pools.values()) {
-          void kept.destroy();
-          void singleUse.destroy();
+          runInBackground('target.close', () => kept.destroy());
+          runInBackground('target.close', () => singleUse.destroy());
         }
       }),
     );
@@ -216,8 +216,8 @@
     const target = this._pools.get(key);
     this._pools.delete(key);
     if (target !== undefined) {
-      void target.kept.close();
-      void target.singleUse.close();
+      runInBackground('target.close', () => target.kept.close());
+      runInBackground('target.close', () => target.singleUse.close());
     }
   }
 
--- a/packages/gateway/src/node/paths/DirectConnections.ts
+++ b/packages/gateway/src/node/paths/DirectConnections.ts
@@ -1,5 +1,5 @@
 /** Connections on the own link only, for tests. Not shipped. */
-import type { Clock } from '@tanagerdyke/kernel';
+import { type Clock, runInBackground } from '@tanagerdyke/kernel';
 import type { UpstreamOptions } from '../Upstream.js';
 import { limitAnswerHead } from './AnswerHeadLimit.js';
 import { detectResets, openSocket } from './OpenSocket.js';
@@ -12,7 +12,8 @@
   return {
     connect: ({ hostname, port }, callback) => {
       const address = `${hostname}:${port}`;
-      void openSocket(clock, { address, timeoutMs: CONNECT_TIMEOUT_MS, signal }).then((opened) => {
+      runInBackground('target.connect', async () => {
+        const opened = await openSocket(clock, { address, timeoutMs: CONNECT_TIMEOUT_MS, signal });
         if (opened.isErr) {
           callback(new Error(opened.error), null);
         } else {
--- a/packages/gateway/src/node/paths/RelayServer.ts
+++ b/packages/gateway/src/node/paths/RelayServer.ts
@@ -8,10 +8,12 @@
  */
 import { createServer, type Server, type Socket } from 'node:net';
 import {
+  callContained,
   type Clock,
-  DisposableOwner,
   describeCause,
+  DisposableOwner,
   type Metrics,
+  runInBackground,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import type { DecisionLog } from '../../common/DecisionLog.js';
@@ -75,7 +77,9 @@
 
   constructor(private readonly _options: RelayServerOptions) {
     super();
-    this._server = createServer({ noDelay: true }, (socket) => void this._serve(socket));
+    this._server = createServer({ noDelay: true }, (socket) => {
+      runInBackground('relay.connection', () => this._serve(socket));
+    });
     _options.metrics.gauge('tanager_connections_relayed', () => this._relayed);
     this.register(
       toDisposable(() => {
@@ -145,7 +149,9 @@
       this._trackRetirable(socket, address);
     }
     relay(socket, target, (head) => {
-      this._options.onAnswerHead(address, head);
+      callContained('relay.answer', () => {
+        this._options.onAnswerHead(address, head);
+      });
     });
   }
 
--- a/packages/gateway/src/node/paths/SilenceMonitor.ts
+++ b/packages/gateway/src/node/paths/SilenceMonitor.ts
@@ -3,7 +3,13 @@
  * flight, its host is probed by a connection on this node's own link: a sound target that is silent
  * accepts it. Probes are limited for all targets together, since connections are billed.
  */
-import { type Clock, type Disposable, DisposableOwner, toDisposable } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  type Disposable,
+  DisposableOwner,
+  runInBackground,
+  toDisposable,
+} from '@tanagerdyke/kernel';
 import type { TargetPaths } from '../../common/paths/TargetPaths.js';
 
 const CHECK_INTERVAL_MS = 100;
@@ -123,10 +129,10 @@
     this._lastProbeAt = now;
     const others = isAllSilent && silent.size > 0 ? this._options.connectedAddresses() : [];
     for (const address of [...new Set([...silent, ...others])].slice(0, count)) {
-      void this._probeSilent(address);
+      runInBackground('target.probe', () => this._probeSilent(address));
     }
     if (lost !== undefined) {
-      void this._probeLost(lost);
+      runInBackground('target.probe', () => this._probeLost(lost));
     }
   }
 
--- a/packages/gateway/src/node/paths/TargetConnector.ts
+++ b/packages/gateway/src/node/paths/TargetConnector.ts
@@ -9,6 +9,7 @@
   DisposableOwner,
   Emitter,
   type Metrics,
+  runInBackground,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import { type Member, type Membership, MemberStatus } from '@tanagerdyke/mesh';
@@ -99,7 +100,8 @@
   /** A connector that uses nodes of the allowed regions only, besides the own link. */
   public connectWithin(allowed: AllowedRegions): buildConnector.connector {
     return ({ hostname, port }, callback) => {
-      void this._open(`${hostname}:${port}`, allowed).then((opened) => {
+      runInBackground('target.connect', async () => {
+        const opened = await this._open(`${hostname}:${port}`, allowed);
         if (opened.isErr) {
           callback(new Error(opened.error), null);
         } else {
@@ -264,7 +266,8 @@
     let failures = 0;
     const causes: string[] = [];
     attempts.forEach((attempt, index) => {
-      void attempt.then((opened) => {
+      runInBackground('target.connect', async () => {
+        const opened = await attempt;
         if (opened.isErr) {
           causes[index] = opened.error;
           failures++;
--- a/packages/kernel/src/node/SystemClock.ts
+++ b/packages/kernel/src/node/SystemClock.ts
@@ -1,5 +1,6 @@
 /** The clock of a real process. */
 import { performance } from 'node:perf_hooks';
+import { callContained } from '../common/BackgroundWork.js';
 import { toDisposable } from '../common/Disposables.js';
 import { sleepWith } from '../common/ManualClock.js';
 import type { Clock, Disposable } from '../common/services/Services.js';
@@ -18,7 +19,12 @@
   }
 
   public schedule(delayMs: number, callback: () => void): Disposable {
-    const timer = setTimeout(callback, Math.min(MAX_DELAY_MS, Math.max(0, delayMs)));
+    const timer = setTimeout(
+      () => {
+        callContained('timer', callback);
+      },
+      Math.min(MAX_DELAY_MS, Math.max(0, delayMs)),
+    );
     return toDisposable(() => {
       clearTimeout(timer);
     });
--- a/packages/mesh/src/common/MemberSync.ts
+++ b/packages/mesh/src/common/MemberSync.ts
@@ -6,7 +6,7 @@
  * times and few of its receivers are known by then. Nodes with different lists choose different
  * coordinators and notify different peers.
  */
-import { type Clock, DisposableOwner } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, runInBackground } from '@tanagerdyke/kernel';
 import { isLive, type MemberTable } from './MemberTable.js';
 import type { Member } from './Messages.js';
 
@@ -56,7 +56,7 @@
     const { clock } = this._options;
     const isDue = clock.now() - this._requestedAt >= this._intervalMs;
     if (digest !== this.digest && isDue && !this._isRequesting) {
-      void this._request(address);
+      runInBackground('member.sync', () => this._request(address));
     }
   }
 
@@ -64,8 +64,12 @@
     const { clock, request, table } = this._options;
     this._requestedAt = clock.now();
     this._isRequesting = true;
-    const received = await request(address, table.all.map(fingerprintOf));
-    this._isRequesting = false;
+    let received = 0;
+    try {
+      received = await request(address, table.all.map(fingerprintOf));
+    } finally {
+      this._isRequesting = false;
+    }
     this._intervalMs =
       received >= MIN_NEW_RECORDS
         ? FIRST_INTERVAL_MS
--- a/packages/mesh/src/common/SuspicionTracker.ts
+++ b/packages/mesh/src/common/SuspicionTracker.ts
@@ -3,7 +3,13 @@
  * starts again if this node was paused, is then pinged a few more times, and only then declared
  * dead. Dead and left members are removed from the table after a delay.
  */
-import { type Clock, DisposableOwner, type RandomSource, type TimeLine } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  type RandomSource,
+  runInBackground,
+  type TimeLine,
+} from '@tanagerdyke/kernel';
 import type { AckTable } from './AckTable.js';
 import { isLive, type MemberTable } from './MemberTable.js';
 import { type Member, MemberStatus } from './Messages.js';
@@ -64,7 +70,7 @@
       if (this._options.isRecoveringFromPause()) {
         this._awaitRefutation(suspect);
       } else {
-        void this._pingBeforeDeclaringDead(suspect);
+        runInBackground('member.last-probes', () => this._pingBeforeDeclaringDead(suspect));
       }
     });
   }
--- a/packages/mesh/src/common/SwimMembership.ts
+++ b/packages/mesh/src/common/SwimMembership.ts
@@ -8,7 +8,9 @@
   type Clock,
   DisposableOwner,
   Emitter,
+  keepRunning,
   type RandomSource,
+  runInBackground,
   type TimeLine,
   toDisposable,
 } from '@tanagerdyke/kernel';
@@ -137,9 +139,9 @@
 
   /** Starts probing and joining, until disposed. */
   public start(): void {
-    void this._runProbes();
+    keepRunning(this._options.clock, this._abort.signal, 'member.probes', () => this._runProbes());
     this._lastProbeRoundAt = this._options.clock.now();
-    void this._joiner.run();
+    keepRunning(this._options.clock, this._abort.signal, 'member.join', () => this._joiner.run());
   }
 
   public get self(): Member {
@@ -206,7 +208,7 @@
       this._detectPause();
       const target = this._probeOrder.next();
       if (target !== undefined) {
-        void this._probe(target);
+        runInBackground('member.probe', () => this._probe(target));
       }
     }
   }
@@ -278,7 +280,7 @@
     // `_receive` has already merged the members that it carries.
     [ProbeKind.Update]: () => undefined,
     [ProbeKind.IndirectPing]: (message) => {
-      void this._relayPing(message);
+      runInBackground('member.relayed-probe', () => this._relayPing(message));
     },
   };
 
@@ -318,7 +320,7 @@
     ) {
       this._membersRequestedAt = clock.now();
       const names = unknown.map(([name]) => name);
-      void this._joiner.requestMembers(sender, names);
+      runInBackground('member.request', () => this._joiner.requestMembers(sender, names));
     }
   }
 
--- a/packages/mesh/src/node/PeerLink.ts
+++ b/packages/mesh/src/node/PeerLink.ts
@@ -10,6 +10,7 @@
   type Disposable,
   DisposableOwner,
   Emitter,
+  runInBackground,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0';
@@ -90,7 +91,7 @@
     this.register(toDisposable(onClose));
     // The read loop handles the failure; without a listener it would terminate the process.
     this._socket.on('error', () => undefined);
-    void this._readResponses();
+    runInBackground('mesh.responses', () => this._readResponses());
   }
 
   /** Sends a request. Rejects if the peer returns an error, on timeout and when the link breaks. */
@@ -103,12 +104,14 @@
         const timer = this._clock.schedule(timeoutMs, () => {
           reject(this._timeoutError(timeoutMs));
         });
-        void Promise.resolve(this._client.request(method, params))
-          .then(resolve, reject)
-          .finally(() => {
-            this._unanswered--;
-            timer.dispose();
-          });
+        runInBackground('mesh.call', () =>
+          Promise.resolve(this._client.request(method, params))
+            .then(resolve, reject)
+            .finally(() => {
+              this._unanswered--;
+              timer.dispose();
+            }),
+        );
         this._probe.watch();
       });
     } finally {
--- a/packages/mesh/src/node/SocketTransport.ts
+++ b/packages/mesh/src/node/SocketTransport.ts
@@ -8,9 +8,11 @@
 import {
   type Clock,
   type Disposable,
+  callContained,
   DisposableOwner,
   Emitter,
   parseSocketAddress,
+  runInBackground,
   toDisposable,
 } from '@tanagerdyke/kernel';
 import { JSONRPCServer } from 'json-rpc-2.0';
@@ -154,14 +156,16 @@
     this._address = address;
     this._rpcServer.addMethod(PROBE_METHOD, () => null);
     this._server.on('connection', (socket) => {
-      void this._serveConnection(socket);
+      runInBackground('mesh.connection', () => this._serveConnection(socket));
     });
     // A send error is equivalent to a lost datagram, which the failure detector tolerates.
     this._datagrams.on('error', () => undefined);
     this._datagrams.on('message', (message) => {
       const payload = message.toString('utf8');
       for (const handler of this._datagramHandlers) {
-        handler(payload);
+        callContained('mesh.datagram', () => {
+          handler(payload);
+        });
       }
     });
   }
@@ -173,7 +177,7 @@
     socket.setNoDelay(true);
     socket.setTimeout(INCOMING_IDLE_TIMEOUT_MS, () => socket.destroy());
     for await (const line of readLines(socket)) {
-      void this._respond(socket, line);
+      runInBackground('mesh.request', () => this._respond(socket, line));
     }
     this.unregister(registration);
     socket.destroy();
@@ -202,16 +206,18 @@
           .call({ ...call, timeoutMs })
           .then(resolve, reject);
       });
-      void link
-        .call(call)
-        .then(resolve, (error: unknown) => {
-          if (!isRepeated) {
-            reject(error instanceof Error ? error : new Error(String(error)));
-          }
-        })
-        .finally(() => {
-          subscription.dispose();
-        });
+      runInBackground('mesh.call', () =>
+        link
+          .call(call)
+          .then(resolve, (error: unknown) => {
+            if (!isRepeated) {
+              reject(error instanceof Error ? error : new Error(String(error)));
+            }
+          })
+          .finally(() => {
+            subscription.dispose();
+          }),
+      );
     });
   }
 
--- a/packages/serving/src/common/AdmissionQueue.ts
+++ b/packages/serving/src/common/AdmissionQueue.ts
@@ -10,6 +10,7 @@
   type Disposable,
   DisposableOwner,
   ErrorKind,
+  runInBackground,
   type ServiceError,
   toDisposable,
 } from '@tanagerdyke/kernel';
@@ -142,34 +143,37 @@
       this._queuedTokens += ticket.tokens;
       if (!this._isDispatching) {
         this._isDispatching = true;
-        void this._dispatchTask();
+        runInBackground('queue.dispatch', () => this._dispatchTask());
       }
     });
   }
 
   /** Places queued requests in round-robin order until the queue is empty. */
   private async _dispatchTask(): Promise<void> {
-    for (let entry = this._nextEntry(); entry !== undefined; entry = this._nextEntry()) {
-      const placed = await entry.ticket.tryPlace();
-      if (placed.isErr && placed.error.kind === ErrorKind.Overloaded) {
-        const retryAfterMs = placed.error.retryAfterMs ?? MAX_RETRY_INTERVAL_MS;
-        const boundedMs = Math.min(
-          MAX_RETRY_INTERVAL_MS,
-          Math.max(MIN_RETRY_INTERVAL_MS, retryAfterMs),
-        );
-        await this._clock.sleep(boundedMs, this.disposalSignal);
-        continue;
-      }
-      if (entry.isSettled) {
-        placed.map(entry.ticket.releaseLate);
-        continue;
+    try {
+      for (let entry = this._nextEntry(); entry !== undefined; entry = this._nextEntry()) {
+        const placed = await entry.ticket.tryPlace();
+        if (placed.isErr && placed.error.kind === ErrorKind.Overloaded) {
+          const retryAfterMs = placed.error.retryAfterMs ?? MAX_RETRY_INTERVAL_MS;
+          const boundedMs = Math.min(
+            MAX_RETRY_INTERVAL_MS,
+            Math.max(MIN_RETRY_INTERVAL_MS, retryAfterMs),
+          );
+          await this._clock.sleep(boundedMs, this.disposalSignal);
+          continue;
+        }
+        if (entry.isSettled) {
+          placed.map(entry.ticket.releaseLate);
+          continue;
+        }
+        this._recordAdmission(entry.ticket);
+        this._settle(entry, placed);
       }
-      this._recordAdmission(entry.ticket);
-      this._settle(entry, placed);
+    } finally {
+      this._isDispatching = false;
     }
     // The time until the queue fills again must not lower the admission rate.
     this._lastAdmittedAt = undefined;
-    this._isDispatching = false;
   }
 
   /** The first entry of the next workspace whose deficit covers the cost of that entry. */
--- a/packages/serving/src/common/CompletionService.ts
+++ b/packages/serving/src/common/CompletionService.ts
@@ -9,6 +9,7 @@
   type Metrics,
   NotRun,
   type RandomSource,
+  runInBackground,
   ServiceError,
   type TimeLine,
 } from '@tanagerdyke/kernel';
@@ -129,7 +130,7 @@
       timer.dispose();
       signal.removeEventListener('abort', abortStream);
       abort.abort();
-      void placer.release(placement);
+      runInBackground('placement.release', () => placer.release(placement));
     }
   }
 
@@ -165,7 +166,9 @@
 
   private _notifyPrefillEnded({ attemptId, leader, followers }: Placement): void {
     for (const hostedTarget of [leader, ...followers]) {
-      void this._options.reservations.markStarted(hostedTarget, attemptId);
+      runInBackground('placement.started', () =>
+        this._options.reservations.markStarted(hostedTarget, attemptId),
+      );
     }
   }
 }
--- a/packages/serving/src/common/Placer.ts
+++ b/packages/serving/src/common/Placer.ts
@@ -8,6 +8,7 @@
   type Clock,
   DisposableOwner,
   type RandomSource,
+  runInBackground,
   type ServiceError,
 } from '@tanagerdyke/kernel';
 import { type Engine, HeldKind, LengthClass } from '@tanagerdyke/contracts';
@@ -118,7 +119,7 @@
       tryPlace: () =>
         this._tryPlace(request, this._ranking.chooseVersion(request.route, draw), failedTargets),
       releaseLate: (placement) => {
-        void this.release(placement);
+        runInBackground('placement.release', () => this.release(placement));
       },
     });
   }
@@ -234,7 +235,9 @@
   /** Releases a reservation of an attempt that was not sent to the engine. */
   private _releaseUnused({ attemptId, leader }: Placement): void {
     this._options.attempts.delete(leader.target.name, attemptId);
-    void this._options.reservations.release(leader, attemptId);
+    runInBackground('placement.release', () =>
+      this._options.reservations.release(leader, attemptId),
+    );
   }
 
   /**
@@ -258,7 +261,7 @@
         (hostedTarget === leader ||
           (await this._holdGangShare(task.request, hostedTarget, attemptId, shareTokens)));
       if (!isHeld) {
-        void this.release(placement);
+        runInBackground('placement.release', () => this.release(placement));
         return Result.err(overloaded(DEFAULT_RETRY_AFTER_MS));
       }
     }
--- a/packages/serving/src/common/ReservationService.ts
+++ b/packages/serving/src/common/ReservationService.ts
@@ -7,7 +7,9 @@
   type Clock,
   DisposableOwner,
   ErrorKind,
+  keepRunning,
   NotRun,
+  runInBackground,
   ServiceError,
   type TimeLine,
 } from '@tanagerdyke/kernel';
@@ -72,7 +74,9 @@
 
   /** Opens an account for every engine that this node owns, which starts its reconciliation. */
   public start(): void {
-    void this._ownershipTask();
+    keepRunning(this._options.clock, this.disposalSignal, 'owner.assignment', () =>
+      this._ownershipTask(),
+    );
   }
 
   public reserve(request: ReserveRequest): Result<ReserveResponse, ServiceError> {
@@ -124,10 +128,11 @@
     const { name } = hostedTarget.target;
     let account = this._accounts.get(name);
     if (account === undefined) {
-      account = new TargetAccount(this._options.clock, hostedTarget.target);
-      this._accounts.set(name, account);
+      const opened = new TargetAccount(this._options.clock, hostedTarget.target);
+      account = opened;
+      this._accounts.set(name, opened);
       this._options.timeLine.record('owner.opened', { target: name });
-      void this._reconcileAccount(account);
+      runInBackground('owner.reconciliation', () => this._reconcileAccount(opened));
     }
     account.update(hostedTarget.target);
     return account;
@@ -136,13 +141,17 @@
   /** Reconciles an account while this node owns its engine, then removes it. */
   private async _reconcileAccount(account: TargetAccount): Promise<void> {
     const { directory, membership, reconciler, timeLine } = this._options;
-    await reconciler.reconcileWhile(account, () => {
-      const hostedTarget = directory.find(account.target);
-      return (
-        hostedTarget !== undefined && directory.ownerOf(hostedTarget)?.name === membership.self.name
-      );
-    });
-    this._accounts.delete(account.target);
+    try {
+      await reconciler.reconcileWhile(account, () => {
+        const hostedTarget = directory.find(account.target);
+        return (
+          hostedTarget !== undefined &&
+          directory.ownerOf(hostedTarget)?.name === membership.self.name
+        );
+      });
+    } finally {
+      this._accounts.delete(account.target);
+    }
     timeLine.record('owner.closed', { target: account.target });
   }
 }
--- a/packages/serving/src/common/TargetDirectory.ts
+++ b/packages/serving/src/common/TargetDirectory.ts
@@ -2,7 +2,13 @@
  * The targets of the configuration in force at this node: their adapters, their owners, and whether
  * they are leaving.
  */
-import { type Clock, DisposableOwner, type ServiceError, type TimeLine } from '@tanagerdyke/kernel';
+import {
+  type Clock,
+  DisposableOwner,
+  keepRunning,
+  type ServiceError,
+  type TimeLine,
+} from '@tanagerdyke/kernel';
 import {
   type Engine,
   type HostList,
@@ -53,7 +59,7 @@
   }
 
   public start(): void {
-    void this._hostListTask();
+    keepRunning(this._options.clock, this.disposalSignal, 'host.list', () => this._hostListTask());
   }
 
   public find(name: string): HostedTarget | undefined {
