Refuse callers without a valid key when no key is left in the configuration

Cause: the node took callers to need keys if its table of keys had an entry. A configuration whose workspaces have lost all keys, or that has no workspace left, thus counted as one without workspaces. Evidence: configuration.in-force shows that the version without keys is in force at each node before the requests, so it is not late, and the requests run without a workspace, so no old key is still known.

Whether keys are needed is now a statement of the configuration, requiresKeys, which is true as soon as the field with the workspaces is there, whatever it holds; until there is a configuration it is true, too. The log line of a configuration in force states requiresKeys and the number of keys. The own mode has no such path: without workspaces each token is refused, and the token of operators has a minimum length.

--- a/packages/gateway/src/common/Messages.ts
+++ b/packages/gateway/src/common/Messages.ts
@@ -108,6 +108,11 @@
   readonly version: number;
   readonly routes: readonly ForwardRoute[];
   readonly services: readonly TargetService[];
+  /**
+   * Whether callers need the key of a workspace. They do as well when no workspace has a key, or when
+   * there is none any more.
+   */
+  readonly requiresKeys: boolean;
   readonly workspaces: readonly CallerWorkspace[];
   readonly limits: RequestLimits;
 }
--- a/packages/gateway/src/common/state/ConfigurationState.test.ts
+++ b/packages/gateway/src/common/state/ConfigurationState.test.ts
@@ -33,6 +33,7 @@
     version: Number(text),
     routes: [routeOf('/'), routeOf('/a/b/'), routeOf('/a/')],
     services: [{ name: 's', maxConnections: 10, warmUp: undefined, engine: undefined }],
+    requiresKeys: true,
     workspaces: [
       { name: 'w', keys: [`key-${text}`], priority: undefined, allowedRegions: undefined },
     ],
--- a/packages/gateway/src/common/state/ConfigurationState.ts
+++ b/packages/gateway/src/common/state/ConfigurationState.ts
@@ -79,9 +79,9 @@
     return this._workspaces.get(key);
   }
 
-  /** Whether any workspace is configured, so that callers need keys. */
-  public get needsKeys(): boolean {
-    return this._workspaces.size > 0;
+  /** Whether callers need the key of a workspace. */
+  public get requiresKeys(): boolean {
+    return this._current?.requiresKeys ?? true;
   }
 
   private _applyRecord({ key, offset, value }: KeyedRecord): void {
@@ -108,6 +108,8 @@
       version: next.version,
       before: previousVersion,
       offset,
+      requiresKeys: next.requiresKeys,
+      keys: this._workspaces.size,
     });
     this._onChange.fire(next);
   }
--- a/packages/gateway/src/common/state/LargeConfigurations.test.ts
+++ b/packages/gateway/src/common/state/LargeConfigurations.test.ts
@@ -34,6 +34,7 @@
       version,
       routes: [],
       services: [],
+      requiresKeys: false,
       workspaces: [],
       limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     });
--- a/packages/gateway/src/common/state/PlatformView.test.ts
+++ b/packages/gateway/src/common/state/PlatformView.test.ts
@@ -40,6 +40,7 @@
     version,
     routes: [],
     services: [],
+    requiresKeys: false,
     workspaces: [],
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
--- a/packages/gateway/src/common/state/SlowStore.test.ts
+++ b/packages/gateway/src/common/state/SlowStore.test.ts
@@ -23,6 +23,7 @@
       version: Number(value.toString()),
       routes: [],
       services: [],
+      requiresKeys: false,
       workspaces: [],
       limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     }),
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -148,6 +148,7 @@
     { name: 'app', maxConnections: 50, warmUp: undefined, engine: undefined },
     { name: 'engine', maxConnections: 50, warmUp: undefined, engine: profile },
   ],
+  requiresKeys: true,
   workspaces: [{ name: 'w', keys: ['k'], priority: undefined, allowedRegions: undefined }],
   limits: { headerBytes: 8_192, bodyBytes: 1_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 },
 };
@@ -205,6 +206,7 @@
   public readonly dependencies: ForwardingDependencies;
   /** Whether a newer configuration may be in force than the published one. */
   public mayBeOutdated = false;
+  private _published = configuration;
   private readonly _configurationRecords = new KeyedTable('configuration');
   private readonly _targetRecords = new KeyedTable('targets');
   private readonly _entries = new Map<string, TargetEntry>();
@@ -227,7 +229,7 @@
       isConfiguration: (key) => key === CONFIGURATION_KEY,
       evacuatedZone: (key) =>
         key.startsWith(EVACUATION_PREFIX) ? key.slice(EVACUATION_PREFIX.length) : undefined,
-      configuration: () => Result.ok(configuration),
+      configuration: () => Result.ok(this._published),
       target: (id) => {
         const entry = this._entries.get(id);
         return entry === undefined ? Result.err(refusal('unknown')) : Result.ok(entry);
@@ -333,6 +335,14 @@
     });
   }
 
+  /** Applies a newer configuration with some changes. */
+  public changeConfiguration(changes: Partial<ForwardingConfiguration>): void {
+    this._published = { ...this._published, ...changes, version: this._published.version + 1 };
+    const offset = this._configurationRecords.end;
+    const record = { key: CONFIGURATION_KEY, offset, value: Buffer.from('x') };
+    this._configurationRecords.apply([record], offset + 1);
+  }
+
   /** Applies a record that evacuates a zone, or that ends its evacuation. */
   public evacuate(zone: string, isEvacuated = true): void {
     const offset = this._configurationRecords.end;
--- a/packages/gateway/src/node/ForwardingHarness.ts
+++ b/packages/gateway/src/node/ForwardingHarness.ts
@@ -5,6 +5,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { closeServer, listenOnLoopback } from '@tanagerdyke/fakes';
 import { type Clock, SystemClock } from '@tanagerdyke/kernel';
+import type { ForwardingConfiguration } from '../common/Messages.js';
 import { ForwardingFixture, targetEntry } from './ForwardingFixture.js';
 import { GatewayFront } from './GatewayFront.js';
 import { directConnections } from './paths/DirectConnections.js';
@@ -80,6 +81,11 @@
     this._fixture.publishConfiguration();
   }
 
+  /** Applies a newer configuration with some changes at the front. */
+  public changeConfiguration(changes: Partial<ForwardingConfiguration>): void {
+    this._fixture.changeConfiguration(changes);
+  }
+
   public async stop(): Promise<void> {
     this.front.dispose();
     this._upstream.dispose();
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -11,6 +11,7 @@
 
 /** Shorter than the time for which a front waits for its configuration. */
 const CONFIGURATION_DELAY_MS = 50;
+const WORKSPACE = { name: 'w', keys: ['k'], priority: undefined, allowedRegions: undefined };
 
 /** Callers disconnect after a pause of two seconds; a shorter event timeout cut streams at this. */
 const TOLERATED_PAUSE_MS = 1_050;
@@ -95,6 +96,27 @@
       },
     );
 
+    // Guards against requests that run with any key once the last key is withdrawn.
+    it.each([
+      ['the last key is withdrawn', [{ ...WORKSPACE, keys: [] }]],
+      ['the last workspace is removed', []],
+    ])(
+      'is answered without a target when %s, until there is a key again',
+      async (_w, workspaces) => {
+        await harness.addTarget('t1', 'app', respondWith(200));
+        expect(await harness.post('/once/x')).toContain('HTTP/1.1 200');
+        harness.changeConfiguration({ workspaces });
+        for (const key of ['Key: k', 'Key: other', 'X-None: x']) {
+          const head = `POST /once/ HTTP/1.1\r\nHost: test\r\n${key}`;
+          const answer = await harness.send(`${head}\r\nConnection: close\r\n\r\n`);
+          expect(answer).toContain('HTTP/1.1 401');
+        }
+        expect(harness.received).toHaveLength(1);
+        harness.changeConfiguration({ workspaces: [WORKSPACE] });
+        expect(await harness.post('/once/x')).toContain('HTTP/1.1 200');
+      },
+    );
+
     it('is refused when its body is too large', async () => {
       await harness.addTarget('t1', 'app', respondWith(200));
       expect(await harness.post('/once/x', [], 'x'.repeat(2_000))).toContain('HTTP/1.1 413');
--- a/packages/gateway/src/node/RequestAdmission.ts
+++ b/packages/gateway/src/node/RequestAdmission.ts
@@ -103,7 +103,7 @@
     }
     const workspace =
       caller.key === undefined ? undefined : configuration.findWorkspace(caller.key);
-    if (workspace === undefined && configuration.needsKeys && !route.allowsAnonymous) {
+    if (workspace === undefined && configuration.requiresKeys && !route.allowsAnonymous) {
       return Result.err(mayBeOutdated() ? OUTDATED : UNKNOWN_KEY);
     }
     const service = configuration.service(chooseService(route.shares, random.next()));
