Send no request to a service without a weight in its route

A request could go to a service whose share of a route has the weight 0, in two cases: no share has a weight, or the random position is at the end of the range and the rounded sum of the weights exceeds it, as with 0.1, 0.1 and 0.4. Found by looking for further places where something that is empty or 0 counts as not stated; not seen by callers.

--- a/packages/gateway/src/common/RouteShares.ts
+++ b/packages/gateway/src/common/RouteShares.ts
@@ -1,7 +1,10 @@
 /** Weighted distribution of a route's traffic over services. */
 import type { RouteShare } from './Messages.js';
 
-/** The service whose share of [0, 1) contains `position`; empty when there are no shares. */
+/**
+ * The service whose share of [0, 1) contains `position`; empty when no share has a weight. One without
+ * a weight gets no request, also when the sums are rounded.
+ */
 export function chooseService(shares: readonly RouteShare[], position: number): string {
   const total = shares.reduce((sum, { weight }) => sum + weight, 0);
   let remaining = position * total;
@@ -11,5 +14,5 @@
       return service;
     }
   }
-  return shares.at(-1)?.service ?? '';
+  return shares.findLast(({ weight }) => weight > 0)?.service ?? '';
 }
