Limit what an answer may cost beside its payload

Beside a stream whose one event has no end, calls of others wait.

Cause: limits count bytes of payload, but a piece that is kept costs some hundred bytes besides, and each piece some microseconds; the partial event of a stream was copied and searched again for each piece. Bytes that are no payload had no limit outside the head, and empty lines before the status line ended the counting of the head. Answers of up to 128 KiB were not counted together.

AnswerMeter counts, on each connection, the bytes that are read and the payload and pieces that are parsed, for each reader of answers: calls, streams, failures, the store, reservations and reports. An answer that costs too much ends, is a failure of its target and no crash. It replaces the limit of heads, which it includes.

--- a/packages/gateway/src/common/EventStreamSplitter.test.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.test.ts
@@ -78,6 +78,24 @@
       fc.assert(property, { seed: SEED });
     });
 
+    it('splits a stream with line ends of both kinds in the same way in chunks of any size', () => {
+      const text = fc.array(fc.constantFrom('\n', '\r\n', '\r', 'data: x', ':', 'id: 1'), {
+        maxLength: 30,
+      });
+      const property = fc.property(text, fc.array(fc.nat(100)), (texts, positions) => {
+        const stream = Buffer.from(texts.join(''));
+        const whole = new EventStreamSplitter(undefined);
+        const expected = whole.push(stream);
+        const splitter = new EventStreamSplitter(undefined);
+        const chunks = split(stream, positions);
+        const passed = Buffer.concat(chunks.map((chunk) => splitter.push(chunk)));
+        expect(passed.toString()).toBe(expected.toString());
+        expect(splitter.isMalformed).toBe(whole.isMalformed);
+        expect(splitter.newEventCount).toBe(whole.newEventCount);
+      });
+      fc.assert(property, { seed: SEED, numRuns: 500 });
+    });
+
     it('never throws and never adds bytes, for any input', () => {
       const property = fc.property(fc.array(fc.uint8Array({ maxLength: 50 })), (chunks) => {
         const splitter = new EventStreamSplitter(undefined);
--- a/packages/gateway/src/common/EventStreamSplitter.ts
+++ b/packages/gateway/src/common/EventStreamSplitter.ts
@@ -5,9 +5,12 @@
  * as an error that a target writes into its stream, ends the splitting.
  */
 
+import { ByteCollector } from '@tanagerdyke/kernel';
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = 'id:';
+const EMPTY = Buffer.alloc(0);
 const BYTE_ORDER_MARK = /^\xef\xbb\xbf/;
 /** The field without which receivers dispatch no event. */
 const DATA_FIELD = 'data';
@@ -18,7 +21,9 @@
 
 /** The splitter of one stream, kept when the stream is resumed from another source. */
 export class EventStreamSplitter {
-  private _partialEvent: Buffer = Buffer.alloc(0);
+  private readonly _partialEvent = new ByteCollector();
+  /** The end of the partial event if a blank line may follow it. */
+  private _lineEnd: Buffer = EMPTY;
   private _lastEventId: string | undefined;
   private _eventCount = 0;
   private _newEventCount = 0;
@@ -58,8 +63,11 @@
 
   /** Consumes a chunk and returns the events and comments that it completes. */
   public push(chunk: Buffer): Buffer {
-    const bytes =
-      this._partialEvent.length === 0 ? chunk : Buffer.concat([this._partialEvent, chunk]);
+    if (this._partialEvent.length > 0 && !this._endsPartialEvent(chunk)) {
+      this._keep(chunk);
+      return EMPTY;
+    }
+    const bytes = this._takePartialEvent(chunk);
     const forwarded: Buffer[] = [];
     let start = 0;
     for (
@@ -81,16 +89,45 @@
       }
       start = end;
     }
-    this._partialEvent = bytes.subarray(start);
-    return forwarded.length === 1 ? (forwarded[0] ?? Buffer.alloc(0)) : Buffer.concat(forwarded);
+    if (start < bytes.length) {
+      this._keep(bytes.subarray(start));
+    }
+    return forwarded.length === 1 ? (forwarded[0] ?? EMPTY) : Buffer.concat(forwarded);
   }
 
   /** Discards what is no complete event before the stream continues from another source. */
   public discardPartialEvent(): void {
-    this._partialEvent = Buffer.alloc(0);
+    this._clearPartialEvent();
     this._isMalformed = false;
   }
 
+  /** Whether the partial event ends within the chunk; its bytes are not searched again. */
+  private _endsPartialEvent(chunk: Buffer): boolean {
+    const isAtLineEnd = this._lineEnd.length > 0;
+    const begin = isAtLineEnd ? Buffer.concat([this._lineEnd, chunk.subarray(0, 2)]) : EMPTY;
+    return nextEventEnd(begin, 0) !== undefined || nextEventEnd(chunk, 0) !== undefined;
+  }
+
+  /** Returns the partial event, which is none from then on, and the bytes that follow it. */
+  private _takePartialEvent(chunk: Buffer): Buffer {
+    if (this._partialEvent.length === 0) {
+      return chunk;
+    }
+    const bytes = Buffer.concat([this._partialEvent.toBuffer(), chunk]);
+    this._clearPartialEvent();
+    return bytes;
+  }
+
+  private _clearPartialEvent(): void {
+    this._partialEvent.clear();
+    this._lineEnd = EMPTY;
+  }
+
+  private _keep(bytes: Buffer): void {
+    this._partialEvent.add(bytes);
+    this._lineEnd = lineEndOf(bytes.length > 1 ? bytes : Buffer.concat([this._lineEnd, bytes]));
+  }
+
   /** Records the id of an event; returns `false` when the receiver already has the event. */
   private _recordIfNew(lines: readonly string[]): boolean {
     const id = findEventId(lines);
@@ -122,6 +159,13 @@
   return undefined;
 }
 
+/** The last bytes, if the blank line that ends an event may begin with them. */
+function lineEndOf(bytes: Buffer): Buffer {
+  const isOpen = bytes.at(-1) === CARRIAGE_RETURN && bytes.at(-2) === LINE_FEED;
+  const length = bytes.at(-1) === LINE_FEED ? 1 : isOpen ? 2 : 0;
+  return length === 0 ? EMPTY : Buffer.from(bytes.subarray(-length));
+}
+
 /** The lines of an event that are not blank. */
 function linesOf(event: Buffer): readonly string[] {
   const text = event.toString('latin1').replace(BYTE_ORDER_MARK, '');
--- a/packages/gateway/src/common/HttpHeaders.ts
+++ b/packages/gateway/src/common/HttpHeaders.ts
@@ -24,6 +24,12 @@
   return undefined;
 }
 
+/** The length of the body that the headers state; 0 if they state none. */
+export function statedLength(headers: RawHeaders): number {
+  const text = findHeader(headers, 'content-length') ?? '';
+  return /^\d+$/.test(text) ? Number(text) : 0;
+}
+
 /** The end-to-end headers whose lower-case names are not among `dropped`. */
 export function keepEndToEnd(headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
   const connectionHeaders = new Set(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,7 +15,6 @@
 export { TargetHealth } from './common/placement/TargetHealth.js';
 export { logFailures } from './node/FailureLog.js';
 export * from './node/GatewayNode.js';
-export * from './node/paths/AnswerHeadLimit.js';
 export * from './node/StandardOutput.js';
 export * from './node/TimedCall.js';
 export type { ZoneChange } from './common/state/ZoneEvacuations.js';
--- a/packages/gateway/src/node/BufferedExchange.ts
+++ b/packages/gateway/src/node/BufferedExchange.ts
@@ -2,7 +2,9 @@
  * One exchange with a target whose answer is buffered until it is complete, so that a broken answer
  * is never forwarded and a repeatable request can be sent again without the caller noticing.
  */
+import { ByteCollector } from '@tanagerdyke/kernel';
 import { Execution } from '../common/Execution.js';
+import { statedLength } from '../common/HttpHeaders.js';
 import type { RawHeaders, TargetAnswer } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { scheduleSocketWait } from '../common/SocketWait.js';
@@ -11,9 +13,9 @@
   type BufferedAnswer,
   CALLER_DISCONNECTED_CAUSE,
   type ExchangeOptions,
+  isEndOfTarget,
   matchesAttempt,
 } from './ExchangeOptions.js';
-import { RelayLinkError } from './paths/RelayedSocket.js';
 import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
 
 /** Node.js timers may fire up to this much early. */
@@ -63,7 +65,7 @@
     let answer: TargetAnswer | undefined;
     let headers: RawHeaders = [];
     const buffer = options.answerBuffers.open();
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
     const finish = (outcome: BufferedOutcome): void => {
       timer.dispose();
       buffer.release();
@@ -110,11 +112,13 @@
         if (!isMatched) {
           // The connection would carry the answer to this request in place of that to the next one.
           abort('the answer belongs to another request');
+        } else if (request.method !== 'HEAD' && !buffer.fits(statedLength(raw))) {
+          abort('the answer is too large to buffer');
         }
       },
       onData: (chunk) => {
         if (buffer.add(chunk.length)) {
-          chunks.push(chunk);
+          body.add(chunk);
         } else {
           abort('the answer is too large to buffer');
         }
@@ -125,12 +129,12 @@
           return;
         }
         execution = answer.isNotRun ? Execution.NotRun : Execution.Ran;
-        const complete = { head: answer, headers, body: Buffer.concat(chunks) };
+        const complete = { head: answer, headers, body: body.toBuffer() };
         finish({ answer: complete, execution, waitedMs });
       },
       onError: (error) => {
         const obstacle = error instanceof WithheldRequest ? error.obstacle : undefined;
-        const isCutOff = obstacle === undefined && !(error instanceof RelayLinkError);
+        const isCutOff = obstacle === undefined && isEndOfTarget(error);
         fail(error.message, { isCutOff, obstacle });
       },
     });
--- a/packages/gateway/src/node/ConnectionHistory.ts
+++ b/packages/gateway/src/node/ConnectionHistory.ts
@@ -3,7 +3,9 @@
  * answer once more, at the point where the next one is expected, so an answer without an id belongs
  * to a request for certain only if the connection has carried no other one.
  */
-import type { TargetConnection } from './TargetClient.js';
+import type { MeteredConnection } from './MeteredClient.js';
+
+type TargetSocket = MeteredConnection['socket'];
 
 /** Attempts that a history holds; earlier ones count as not carried. */
 const MAX_ATTEMPTS = 64;
@@ -38,10 +40,10 @@
 
 /** The histories of open connections. */
 export class ConnectionHistories {
-  private readonly _histories = new WeakMap<TargetConnection, ConnectionHistory>();
+  private readonly _histories = new WeakMap<TargetSocket, ConnectionHistory>();
 
   /** The history of a connection; a new one if it is not known. */
-  public of(connection: TargetConnection | undefined): ConnectionHistory {
+  public of(connection: TargetSocket | undefined): ConnectionHistory {
     const known = connection && this._histories.get(connection);
     const history = known ?? new ConnectionHistory();
     if (connection !== undefined && known === undefined) {
--- a/packages/gateway/src/node/EndlessAnswer.test.ts
+++ b/packages/gateway/src/node/EndlessAnswer.test.ts
@@ -47,8 +47,9 @@
     });
     const next = (): void => {
       while (!socket.destroyed) {
-        written += CHUNK.length;
-        if (!socket.write(encode(CHUNK))) {
+        const bytes = encode(CHUNK);
+        written += bytes.length;
+        if (!socket.write(bytes)) {
           socket.once('drain', next);
           return;
         }
@@ -70,6 +71,15 @@
     return answer;
   }
 
+  /** Ways to write a chunk in which most bytes are no payload, or most pieces are small. */
+  const PIECES = [
+    ['pieces of 1 byte', '1\r\nx\r\n'],
+    ['pieces of 7 bytes', '7\r\nxxxxxxx\r\n'],
+    ['lines of an event, each byte in a piece', '1\r\nd\r\n1\r\n:\r\n1\r\n\n\r\n'],
+    ['chunk extensions', `1;${'x'.repeat(1_000)}\r\nx\r\n`],
+    ["zeros before a chunk's size", '0'.repeat(1_000)],
+  ] as const;
+
   describe.each([
     ['a call that may not be repeated', '/once/x', 'app'],
     ['a repeatable call', '/idempotent/x', 'app'],
@@ -111,6 +121,27 @@
       expect(await expectEnded(path, BUFFERED_ANSWER_BYTES)).toMatch(/^HTTP\/1\.1 50[24]/);
     });
 
+    // Guards against memory and work that grow with the number of pieces, not with their size.
+    it.each([200, 500, 503].flatMap((status) => PIECES.map((each) => [status, ...each] as const)))(
+      'ends when a body of status %d comes in %s',
+      async (status, _pieces, text) => {
+        const unit = Buffer.from(text.repeat(100));
+        const refusal = status === 503 ? 'Not-Run: 1\r\n' : '';
+        await harness.addTarget('t1', service, (socket) => {
+          const head = `HTTP/1.1 ${status} Any\r\nAttempt: a1\r\n${refusal}`;
+          writeWithoutEnd(socket, `${head}Transfer-Encoding: chunked\r\n\r\n`, () => unit);
+        });
+        expect(await expectEnded(path, MIB)).toMatch(/^HTTP\/1\.1 50[24]/);
+      },
+    );
+
+    it('ends when it is empty lines before the status line', async () => {
+      await harness.addTarget('t1', service, (socket) => {
+        writeWithoutEnd(socket, '', () => Buffer.from('\r\n'.repeat(1_000)));
+      });
+      expect(await expectEnded(path, MIB)).toMatch(/^HTTP\/1\.1 50[24]/);
+    });
+
     it('does not disturb the answer that it follows', async () => {
       await harness.addTarget('t1', service, (socket) => {
         writeWithoutEnd(socket, answerText(200, [], 'id: 1\ndata: x\n\n'));
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -3,7 +3,9 @@
 import type { RawHeaders, TargetAnswer, TargetEntry } from '../common/Messages.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import type { Dialect } from '../common/services/Services.js';
+import { ExcessiveAnswer } from './AnswerMeter.js';
 import type { ConnectionHistory } from './ConnectionHistory.js';
+import { RelayLinkError } from './paths/RelayedSocket.js';
 import type { RequestSender, UpstreamRequest } from './Upstream.js';
 
 /** The cause of an exchange that ends because the caller disconnected. */
@@ -55,3 +57,8 @@
   }
   return answer.attemptId === undefined && answer.isNotRun && history?.isKept !== true;
 }
+
+/** Whether an exchange that failed shows that the target ended the connection, or ended itself. */
+export function isEndOfTarget(cause: Error): boolean {
+  return !(cause instanceof RelayLinkError || cause instanceof ExcessiveAnswer);
+}
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -4,7 +4,7 @@
  * broken, when no event arrives in time and another target replaces this one, when the deadline
  * passes or when the caller disconnects.
  */
-import { type Disposable, runInBackground } from '@tanagerdyke/kernel';
+import { ByteCollector, type Disposable, runInBackground } from '@tanagerdyke/kernel';
 import type { EventStreamSplitter } from '../common/EventStreamSplitter.js';
 import { Execution } from '../common/Execution.js';
 import { findHeader } from '../common/HttpHeaders.js';
@@ -18,9 +18,9 @@
   type BufferedAnswer,
   CALLER_DISCONNECTED_CAUSE,
   type ExchangeOptions,
+  isEndOfTarget,
   matchesAttempt,
 } from './ExchangeOptions.js';
-import { RelayLinkError } from './paths/RelayedSocket.js';
 import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
 
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -28,6 +28,7 @@
 const MAX_FAILURE_BYTES = 256 * 1024;
 /** Events hold some tokens each; a larger one is treated as broken. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+const TIMER_RESOLUTION_MS = 1;
 /** Time between two searches for a target that replaces a silent one. */
 const REPLACEMENT_RETRY_MS = 500;
 
@@ -107,8 +108,7 @@
   private _execution = Execution.NotSent;
   private _answer: TargetAnswer | undefined;
   private _headers: RawHeaders = [];
-  private readonly _failureChunks: Buffer[] = [];
-  private _failureBytes = 0;
+  private readonly _failureBody = new ByteCollector();
   private _firstEventAt: number | undefined;
   private _lastEventAt: number | undefined;
   private _longestPauseMs = 0;
@@ -116,6 +116,7 @@
   private _obstacle: SendObstacle | undefined;
   private _exchange: Exchange | undefined;
   private _eventTimer: Disposable | undefined;
+  private _timerSetAt = Number.NEGATIVE_INFINITY;
   private _deadlineTimer: Disposable | undefined;
   /** Aborts the search for a target that replaces this one. */
   private _search: AbortController | undefined;
@@ -171,7 +172,7 @@
         onError: (cause) => {
           this._obstacle = cause instanceof WithheldRequest ? cause.obstacle : undefined;
           const isWithheld = this._obstacle !== undefined;
-          this._isCutOff = !isWithheld && !(cause instanceof RelayLinkError);
+          this._isCutOff = !isWithheld && isEndOfTarget(cause);
           this._finish(isWithheld ? StreamEnd.Withheld : StreamEnd.Broken, cause.message);
         },
       });
@@ -204,9 +205,8 @@
 
   private _handleData(chunk: Buffer): void {
     if (!this._isStreaming) {
-      this._failureBytes += chunk.length;
-      if (this._failureBytes <= MAX_FAILURE_BYTES) {
-        this._failureChunks.push(chunk);
+      if (this._failureBody.length + chunk.length <= MAX_FAILURE_BYTES) {
+        this._failureBody.add(chunk);
       } else {
         this._abort(StreamEnd.Broken, 'the failure is too large to buffer');
       }
@@ -239,7 +239,10 @@
     }
     this._lastEventAt = now;
     this._pace.recordEvent(now);
-    this._restartEventTimer(this._pace.timeoutMs);
+    // Events that arrive together share a timer.
+    if (now - this._timerSetAt >= TIMER_RESOLUTION_MS) {
+      this._restartEventTimer(this._pace.timeoutMs);
+    }
   }
 
   private _forward(bytes: Buffer): void {
@@ -289,6 +292,7 @@
 
   private _restartEventTimer(limitMs: number): void {
     this._stopWaiting();
+    this._timerSetAt = this._options.clock.now();
     this._eventTimer = scheduleSocketWait(this._options.clock, limitMs, () => {
       runInBackground('stream.replacement', () => this._replaceIfPermitted());
     });
@@ -342,7 +346,7 @@
   private _failureAnswer(): BufferedAnswer | undefined {
     return this._answer === undefined
       ? undefined
-      : { head: this._answer, headers: this._headers, body: Buffer.concat(this._failureChunks) };
+      : { head: this._answer, headers: this._headers, body: this._failureBody.toBuffer() };
   }
 }
 
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -6,13 +6,18 @@
  * it asks whether the request may still be sent, as it may have waited for a connection. Retries are
  * the forwarders' task.
  */
-import { DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
+import { type Clock, DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
 import type { SendObstacle } from '../common/placement/SendCheck.js';
 import { ConnectionHistories, type ConnectionHistory } from './ConnectionHistory.js';
-import { createTargetClient, type TargetConnection, type TargetDispatch } from './TargetClient.js';
+import type { AnswerMeter } from './AnswerMeter.js';
+import {
+  createMeteredClient,
+  type MeteredConnection,
+  type MeteredDispatch,
+} from './MeteredClient.js';
 import { RelayedSocket } from './paths/RelayedSocket.js';
 import type { WatchedExchange } from './paths/SilenceMonitor.js';
 
@@ -98,6 +103,7 @@
 }
 
 export interface UpstreamOptions {
+  readonly clock: Pick<Clock, 'now'>;
   /** Opens a connection to a target. */
   readonly connect: buildConnector.connector;
   /**
@@ -144,7 +150,7 @@
   ): Exchange {
     const exchange = new PoolExchange(observer, {
       beginOn: (connection) => {
-        const history = this._histories.of(connection);
+        const history = this._histories.of(connection?.socket);
         history.begin(request.attemptId);
         return history;
       },
@@ -193,7 +199,7 @@
     { attemptId, body, headers, method, path, relayRegions }: UpstreamRequest,
     exchange: PoolExchange,
   ): void {
-    const dispatch: TargetDispatch = {
+    const dispatch: MeteredDispatch = {
       method,
       path,
       headers,
@@ -232,17 +238,18 @@
       relayRegions === undefined ? instance : `${instance} ${JSON.stringify(relayRegions)}`;
     let pools = this._pools.get(key);
     if (pools === undefined) {
+      const { clock } = this._options;
       const connect = this._connectorFor(relayRegions);
       pools = {
         instance,
         address: target.address,
         kept: createPool(target, {
-          connect,
+          ...{ clock, connect },
           connections: Math.max(MIN_CONNECTIONS, connections),
           pipelining: KEPT_PIPELINING,
         }),
         singleUse: createPool(target, {
-          connect,
+          ...{ clock, connect },
           connections: Math.max(1, Math.floor(connections * SINGLE_USE_SHARE)),
           pipelining: SINGLE_USE_PIPELINING,
         }),
@@ -259,6 +266,7 @@
 }
 
 interface PoolOptions {
+  readonly clock: Pick<Clock, 'now'>;
   readonly connect: buildConnector.connector;
   readonly connections: number;
   readonly pipelining: number;
@@ -266,13 +274,13 @@
 
 function createPool(
   { address }: TargetEntry,
-  { connect, connections, pipelining }: PoolOptions,
+  { clock, connect, connections, pipelining }: PoolOptions,
 ): Pool {
   return new Pool(`http://${address}`, {
     connections,
     pipelining,
     factory: (origin, options: Client.Options) =>
-      createTargetClient(origin, { ...options, connect }),
+      createMeteredClient(origin, { ...options, connect, clock }),
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     headersTimeout: 0,
@@ -288,7 +296,7 @@
 /** What an exchange needs of the pools. */
 interface ExchangePools {
   /** Records that the request is about to be sent on a connection; returns its history. */
-  readonly beginOn: (connection: TargetConnection | undefined) => ConnectionHistory;
+  readonly beginOn: (connection: MeteredConnection | undefined) => ConnectionHistory;
   readonly watch: () => WatchedExchange;
   /** Opens new connections for further requests to the target. */
   readonly renewConnections: () => void;
@@ -303,14 +311,15 @@
   private _watched: WatchedExchange | undefined;
   private _reassignments = 0;
   private _history: ConnectionHistory | undefined;
-  private _connection: () => TargetConnection | undefined = () => undefined;
+  private _meter: AnswerMeter | undefined;
+  private _connection: () => MeteredConnection | undefined = () => undefined;
 
   constructor(
     private readonly _observer: ExchangeObserver,
     private readonly _pools: ExchangePools,
   ) {}
 
-  public assign(connection: () => TargetConnection | undefined): void {
+  public assign(connection: () => MeteredConnection | undefined): void {
     this._connection = connection;
   }
 
@@ -343,11 +352,13 @@
       throw new WithheldRequest(obstacle);
     }
     const connection = this._connection();
-    const socket: unknown = connection;
+    const socket: unknown = connection?.socket;
     if (socket instanceof RelayedSocket && socket.isRetired) {
       throw new RetiredConnection(`${socket.relay} retired the connection to the target`);
     }
     this._history = this._pools.beginOn(connection);
+    this._meter = connection?.meter;
+    this._meter?.begin();
     this._watched = this._pools.watch();
     this._observer.onSendStart();
   }
@@ -364,10 +375,17 @@
     this._observer.onHead(statusCode, rawHeadersOf(controller, headers), this._history);
   }
 
-  public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this._isFinished) {
+  public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._meter?.addPiece(chunk.length);
+    if (this._isFinished) {
+      return;
+    }
+    const excess = this._meter?.excess;
+    if (excess === undefined) {
       this._watched?.recordBytes();
       this._observer.onData(chunk);
+    } else {
+      controller.abort(excess);
     }
   }
 
--- a/packages/gateway/src/node/paths/DirectConnections.ts
+++ b/packages/gateway/src/node/paths/DirectConnections.ts
@@ -1,7 +1,6 @@
 /** Connections on the own link only, for tests. Not shipped. */
 import { type Clock, runInBackground } from '@tanagerdyke/kernel';
 import type { UpstreamOptions } from '../Upstream.js';
-import { limitAnswerHead } from './AnswerHeadLimit.js';
 import { detectResets, openSocket } from './OpenSocket.js';
 
 const CONNECT_TIMEOUT_MS = 300;
@@ -10,6 +9,7 @@
 export function directConnections(clock: Clock): UpstreamOptions {
   const { signal } = new AbortController();
   return {
+    clock,
     connect: ({ hostname, port }, callback) => {
       const address = `${hostname}:${port}`;
       runInBackground('target.connect', async () => {
@@ -18,7 +18,6 @@
           callback(new Error(opened.error), null);
         } else {
           detectResets(opened.value);
-          limitAnswerHead(opened.value);
           callback(null, opened.value);
         }
       });
--- a/packages/gateway/src/node/paths/RelayedSocket.ts
+++ b/packages/gateway/src/node/paths/RelayedSocket.ts
@@ -78,10 +78,10 @@
       this._isRetired = true;
       this.onRetired();
     }
-    let mayContinue = true;
-    for (const chunk of chunks) {
-      mayContinue = this.push(chunk) && mayContinue;
-    }
+    // One piece, whatever the size of the frames: each piece that is queued costs memory.
+    const [first] = chunks;
+    const bytes = chunks.length === 1 ? first : Buffer.concat(chunks);
+    const mayContinue = bytes === undefined || bytes.length === 0 || this.push(bytes);
     if (isMalformed) {
       this.destroy(new RelayLinkError(`${this.relay} sent a malformed frame`));
     } else if (end === TargetEnd.Closed) {
--- a/packages/gateway/src/node/paths/TargetConnector.ts
+++ b/packages/gateway/src/node/paths/TargetConnector.ts
@@ -18,7 +18,6 @@
 import type { DecisionLog } from '../../common/DecisionLog.js';
 import type { RelayChoice } from '../../common/paths/RelayChoice.js';
 import type { TargetPaths } from '../../common/paths/TargetPaths.js';
-import { limitAnswerHead } from './AnswerHeadLimit.js';
 import { detectResets, openSocket, readLine } from './OpenSocket.js';
 import { encodeRelayRequest, MAX_LINE_BYTES, RELAY_OPENED } from './RelayFrames.js';
 import type { AllowedRegions } from '../../common/placement/AllowedRegions.js';
@@ -105,7 +104,6 @@
         if (opened.isErr) {
           callback(new Error(opened.error), null);
         } else {
-          limitAnswerHead(opened.value);
           // undici uses only what a duplex stream has, and `ref` and `unref`.
           callback(null, opened.value as Socket);
         }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,6 +1,7 @@
 /** The public API of the kernel, on which all other packages depend. */
 export * from './common/services/Services.js';
 export * from './common/BackgroundWork.js';
+export * from './common/ByteCollector.js';
 export * from './common/Chunks.js';
 export * from './common/Disposables.js';
 export * from './common/Emitter.js';
