Answer prompts by their deadline when engines fail reservations

Cause: a prompt asks for memory in rounds; of the engines that fail a round only the first is excluded, and no round looks at the time that is left. Each further prompt asks the same engines again. An order whose answer has a status but a broken body counts as unanswered, so its release is repeated for 12 s.

All engines that fail a round are excluded, a round ends with the deadline and none begins after it. The status of an order is its answer, whatever becomes of its body.

--- a/packages/gateway/src/common/placement/PromptReservations.test.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.test.ts
@@ -9,7 +9,8 @@
   ReservationUse,
 } from '../services/Services.js';
 import { ForwardingFixture } from '../../node/ForwardingFixture.js';
-import { PromptReservations } from './PromptReservations.js';
+import { PromptReservations, type ReservationOptions } from './PromptReservations.js';
+import { ReservationFailures } from './ReservationFailures.js';
 import { TargetPauses } from './TargetPauses.js';
 
 /** What happens to calls to the engines. */
@@ -23,6 +24,8 @@
 
 const LATE_MS = 5_000;
 const CAPACITY_TOKENS = 1_000;
+/** Later than the calls take. */
+const DEADLINE_AT = 100_000;
 
 /** Emulates engines that hold reservations until they are released or expire. */
 class EnginesStandIn implements EngineReservations {
@@ -82,6 +85,10 @@
   return new ServiceError(kind, 'scripted', { remedy: 'none' });
 }
 
+function idsOf(targets: readonly TargetEntry[]): readonly string[] {
+  return targets.map(({ id }) => id);
+}
+
 function targetOf(id: string): TargetEntry {
   return {
     id,
@@ -100,6 +107,8 @@
   let engines: EnginesStandIn;
   let leaving: Set<string>;
   let pauses: TargetPauses;
+  let reservationFailures: ReservationFailures;
+  let common: Omit<ReservationOptions, 'targets'>;
   const log = new DecisionLog(new ManualClock(), 'n', () => true);
   const targets = { acceptsRequests: (id: string): boolean => !leaving.has(id) };
 
@@ -112,16 +121,18 @@
       random: new SeededRandom(1),
       metrics: new Metrics(),
     });
+    reservationFailures = new ReservationFailures(clock);
+    common = { clock, log, pauses, engineReservations: engines, reservationFailures };
   });
 
   function create(tokens: number, ids = ['a', 'b', 'c']): PromptReservations {
-    const services = { clock, log, targets, pauses, engineReservations: engines };
+    const services = { ...common, targets };
     return new PromptReservations(services, { id: 'r1', targets: ids.map(targetOf), tokens });
   }
 
   it('keeps memory on every engine reserved while the prompt runs', async () => {
     const reservations = create(100);
-    expect(await reservations.acquire()).toBeUndefined();
+    expect(await reservations.acquire(DEADLINE_AT)).toEqual([]);
     await clock.advance(30_000);
     expect(engines.held).toBe(3);
   });
@@ -138,14 +149,14 @@
     ])('since it %s, calls none of them', async (_reason, change) => {
       change();
       const reservations = create(100);
-      expect((await reservations.acquire())?.id).toBe('b');
+      expect(idsOf(await reservations.acquire(DEADLINE_AT))).toEqual(['b']);
       reservations.dispose();
       await clock.advance(10);
       expect(engines.calls).toBe(0);
     });
 
     it('keeps what it reserved before, as the prompt runs', async () => {
-      await create(100).acquire();
+      await create(100).acquire(DEADLINE_AT);
       pauses.record('b', 30_000);
       await clock.advance(20_000);
       expect(engines.held).toBe(3);
@@ -165,20 +176,20 @@
 
     function createAtNode(): PromptReservations {
       const { targets: table } = node.dependencies;
-      const services = { clock, log, targets: table, pauses, engineReservations: engines };
+      const services = { ...common, targets: table };
       const ids = ['a', 'b'].map(targetOf);
       return new PromptReservations(services, { id: 'r1', targets: ids, tokens: 100 });
     }
 
     it('asks none of the engines', async () => {
       node.evacuate('x');
-      expect((await createAtNode().acquire())?.id).toBe('a');
+      expect(idsOf(await createAtNode().acquire(DEADLINE_AT))).toEqual(['a']);
       expect(engines.calls).toBe(0);
     });
 
     it('renews and releases what was reserved before, as the prompt runs', async () => {
       const reservations = createAtNode();
-      await reservations.acquire();
+      await reservations.acquire(DEADLINE_AT);
       node.evacuate('x');
       await clock.advance(20_000);
       expect(engines.held).toBe(2);
@@ -190,7 +201,7 @@
 
   it('frees all memory when the prompt ends', async () => {
     const reservations = create(100);
-    await reservations.acquire();
+    await reservations.acquire(DEADLINE_AT);
     reservations.dispose();
     await clock.advance(10);
     expect(engines.held).toBe(0);
@@ -198,7 +209,7 @@
 
   it('returns the engine without capacity and frees the others when disposed', async () => {
     const reservations = create(2_000, ['a', 'small', 'c']);
-    expect((await reservations.acquire())?.id).toBe('small');
+    expect(idsOf(await reservations.acquire(DEADLINE_AT))).toEqual(['small']);
     reservations.dispose();
     await clock.advance(10);
     expect(engines.held).toBe(0);
@@ -206,7 +217,7 @@
 
   it('frees the memory of a dead node within four seconds', async () => {
     const reservations = create(100);
-    await reservations.acquire();
+    await reservations.acquire(DEADLINE_AT);
     // The node dies, so none of its calls is received any more.
     engines.callOutcome = CallOutcome.Lost;
     await clock.advance(4_000);
@@ -216,9 +227,9 @@
   it('releases again what an unanswered call reserves after the release', async () => {
     engines.callOutcome = CallOutcome.Late;
     const reservations = create(100);
-    const failed = reservations.acquire();
+    const failed = reservations.acquire(DEADLINE_AT);
     await clock.advance(500);
-    expect(await failed).toBeDefined();
+    expect(idsOf(await failed)).toEqual(['a', 'b', 'c']);
     reservations.dispose();
     engines.callOutcome = CallOutcome.Answered;
     await clock.advance(LATE_MS + 2_000);
--- a/packages/gateway/src/common/placement/PromptReservations.ts
+++ b/packages/gateway/src/common/placement/PromptReservations.ts
@@ -15,6 +15,7 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { TargetEntry } from '../Messages.js';
 import type { TargetTable } from '../state/TargetTable.js';
+import type { ReservationFailures } from './ReservationFailures.js';
 import type { TargetPauses } from './TargetPauses.js';
 import type { EngineReservations } from '../services/Services.js';
 
@@ -37,6 +38,7 @@
   readonly engineReservations: EngineReservations;
   readonly targets: Pick<TargetTable, 'acceptsRequests'>;
   readonly pauses: TargetPauses;
+  readonly reservationFailures: ReservationFailures;
 }
 
 /** The memory to reserve for a prompt. */
@@ -73,22 +75,22 @@
   }
 
   /**
-   * Reserves on all targets; returns the first one that failed to, or `undefined` if none did. Asks
-   * none of them if one takes no requests any more.
+   * Reserves on all targets by a time on the clock; returns those that failed to, if any. Asks none of
+   * them if one takes no requests any more.
    */
-  public async acquire(): Promise<TargetEntry | undefined> {
+  public async acquire(deadlineAt: number): Promise<readonly TargetEntry[]> {
     const { targets } = this._request;
-    const unusable = targets.find(({ id }) => !this._isUsable(id));
-    if (unusable !== undefined) {
+    const unusable = targets.filter(({ id }) => !this._isUsable(id));
+    if (unusable.length > 0) {
       return unusable;
     }
     this._isAsked = true;
-    const answers = await Promise.all(targets.map((target) => this._reserve(target)));
-    const failed = targets.find((_target, index) => answers[index] === false);
-    if (failed === undefined) {
-      keepRunning(this._options.clock, this.disposalSignal, 'reservation.renewal', () =>
-        this._keepRenewed(),
-      );
+    const timeoutMs = Math.min(CALL_TIMEOUT_MS, deadlineAt - this._options.clock.now());
+    const answers = await Promise.all(targets.map((target) => this._reserve(target, timeoutMs)));
+    const failed = targets.filter((_target, index) => answers[index] === false);
+    if (failed.length === 0) {
+      const { clock } = this._options;
+      keepRunning(clock, this.disposalSignal, 'reservation.renewal', () => this._keepRenewed());
     }
     return failed;
   }
@@ -121,15 +123,18 @@
     }
   }
 
-  private async _reserve(target: TargetEntry): Promise<boolean> {
-    const { engineReservations, log, pauses } = this._options;
+  private async _reserve(target: TargetEntry, timeoutMs = CALL_TIMEOUT_MS): Promise<boolean> {
+    const { engineReservations, log, pauses, reservationFailures } = this._options;
     const { id, tokens } = this._request;
     const reservation = { id, tokens, timeToLiveMs: RESERVATION_TTL_MS };
-    const answer = await engineReservations.reserve(target, reservation, CALL_TIMEOUT_MS);
+    const answer = await engineReservations.reserve(target, reservation, timeoutMs);
     if (answer.isErr) {
-      this._hasUnconfirmedCall ||= answer.error.kind !== ErrorKind.Overloaded;
-      if (answer.error.retryAfterMs !== undefined) {
-        pauses.record(target.id, answer.error.retryAfterMs);
+      const { kind, retryAfterMs } = answer.error;
+      this._hasUnconfirmedCall ||= kind !== ErrorKind.Overloaded;
+      if (retryAfterMs !== undefined) {
+        pauses.record(target.id, retryAfterMs);
+      } else if (kind !== ErrorKind.Overloaded) {
+        reservationFailures.recordFailure(target.id);
       }
       log.write('reservation.failed', {
         id,
@@ -138,6 +143,9 @@
         cause: answer.error.message,
       });
     }
+    if (answer.isOk || answer.error.kind === ErrorKind.Overloaded) {
+      reservationFailures.recordAnswer(target.id);
+    }
     return answer.isOk;
   }
 
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -19,6 +19,7 @@
 import type { ServiceLoad } from '../common/placement/ServiceLoad.js';
 import type { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
+import type { ReservationFailures } from '../common/placement/ReservationFailures.js';
 import { type ChosenTarget, SendCheck } from '../common/placement/SendCheck.js';
 import type { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import { recordStatements } from '../common/placement/TargetStatements.js';
@@ -54,6 +55,7 @@
   readonly pauses: TargetPauses;
   readonly scheduler: PromptScheduler;
   readonly engineReservations: EngineReservations;
+  readonly reservationFailures: ReservationFailures;
   readonly budget: SharedRetryBudget;
   readonly upstream: RequestSender;
   readonly answerBuffers: AnswerBuffers;
--- a/packages/gateway/src/node/ForwardingComponents.ts
+++ b/packages/gateway/src/node/ForwardingComponents.ts
@@ -19,6 +19,7 @@
 import { PromptScheduler } from '../common/placement/PromptScheduler.js';
 import { RateLimitReports } from '../common/placement/RateLimitReports.js';
 import type { RateLimits } from '../common/placement/RateLimits.js';
+import { ReservationFailures } from '../common/placement/ReservationFailures.js';
 import { ServiceLoad } from '../common/placement/ServiceLoad.js';
 import { ServiceLoadReports } from '../common/placement/ServiceLoadReports.js';
 import { ServiceQueue } from '../common/placement/ServiceQueue.js';
@@ -99,6 +100,7 @@
       }),
     );
     const { connect, upstream } = connections;
+    const reservationFailures = new ReservationFailures(clock);
     this.register(
       targets.onChange((entry) => {
         if (targets.find(entry.id) === undefined) {
@@ -108,6 +110,7 @@
           costs.speeds.remove(entry.id);
           coldTargets.remove(entry);
           serviceLoad.remove(entry.id);
+          reservationFailures.remove(entry.id);
         }
       }),
     );
@@ -165,6 +168,7 @@
       upstream,
       quarantine,
       engineReservations,
+      reservationFailures,
       serviceLoad,
       serviceQueue,
       answerBuffers: options.answerBuffers,
--- a/packages/gateway/src/node/ForwardingFixture.ts
+++ b/packages/gateway/src/node/ForwardingFixture.ts
@@ -24,6 +24,7 @@
   PromptScheduler,
 } from '../common/placement/PromptScheduler.js';
 import { RateLimits } from '../common/placement/RateLimits.js';
+import { ReservationFailures } from '../common/placement/ReservationFailures.js';
 import { ServiceLoad } from '../common/placement/ServiceLoad.js';
 import { ServiceQueue } from '../common/placement/ServiceQueue.js';
 import { TargetPauses } from '../common/placement/TargetPauses.js';
@@ -315,6 +316,7 @@
         onPlaced: () => undefined,
       }),
       engineReservations,
+      reservationFailures: new ReservationFailures(clock),
       budget: new SharedRetryBudget(
         clock,
         { ratio: 0, windowMs: 10_000, allowance: budgetAllowance },
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -94,6 +94,9 @@
   private async _runAttempts(): Promise<RequestReport> {
     const { route, signal } = this._request;
     while (this._attempts < route.maxAttempts && this._withheld < MAX_WITHHELD && !signal.aborted) {
+      if (isOverdue(this._dependencies, this._request)) {
+        break;
+      }
       if (isQuarantined(this._dependencies, this._request)) {
         break;
       }
@@ -227,31 +230,40 @@
     signal: AbortSignal,
     ...alsoExcluded: readonly string[]
   ): Promise<PlacedPrompt | RefusedPrompt> {
-    const { clock, scheduler } = this._dependencies;
-    const excluded = new Set([...this._excludedEngines, ...alsoExcluded]);
+    const { clock, reservationFailures, scheduler } = this._dependencies;
+    const avoided = this._needsReservations ? reservationFailures.avoided : [];
+    const excluded = new Set([...this._excludedEngines, ...alsoExcluded, ...avoided]);
     const prompt = promptOf(this._request, this._profile, this._estimate, excluded);
     return scheduler.place(prompt, waitsUntil(this._request, clock.now()), signal);
   }
 
-  /** Reserves memory for a shared prompt; excludes a full engine and returns undefined. */
+  /** Whether no engine alone has the memory for the prompt. */
+  private get _needsReservations(): boolean {
+    const { outputTokens, promptTokens } = this._request.caller;
+    return promptTokens + outputTokens > this._profile.memoryTokens;
+  }
+
+  /** Reserves memory for a shared prompt; excludes engines that fail to and returns undefined. */
   private async _reserve(placed: PlacedPrompt): Promise<PromptReservations | undefined> {
     const { log, random } = this._dependencies;
     const id = random.identifier();
     const { reservedTokens: tokens, targets } = placed;
     const reservations = new PromptReservations(this._dependencies, { id, targets, tokens });
-    const full = await reservations.acquire();
+    const failed = await reservations.acquire(this._request.deadlineAt);
     log.write('reservation.asked', {
       request: this._request.id,
       id,
       tokens,
       targets: targets.length,
-      full: full?.id,
+      full: failed.length === 0 ? undefined : failed.map((each) => each.id).join(' '),
     });
-    if (full === undefined) {
+    if (failed.length === 0) {
       return reservations;
     }
     reservations.dispose();
-    this._excludedEngines.add(full.id);
+    for (const { id: engine } of failed) {
+      this._excludedEngines.add(engine);
+    }
     return undefined;
   }
 
--- a/packages/gateway/src/node/TimedCall.ts
+++ b/packages/gateway/src/node/TimedCall.ts
@@ -45,6 +45,8 @@
   readonly wholeMs: number;
   /** Size of the body of the answer; `MAX_ANSWER_BYTES` without it. */
   readonly bytes?: number;
+  /** Whether the status and headers are an answer, whatever becomes of its body. */
+  readonly isHeadEnough?: boolean;
 }
 
 /**
@@ -177,14 +179,26 @@
   }
 
   public onResponseEnd(): void {
-    this._resolve({ status: this._status, headers: this._headers, body: this._body.toBuffer() });
+    this._succeed();
   }
 
   public onResponseError(
     _controller: Dispatcher.DispatchController | undefined,
     error: Error,
   ): void {
-    this._reject(error);
+    this._fail(error);
+  }
+
+  private _succeed(): void {
+    this._resolve({ status: this._status, headers: this._headers, body: this._body.toBuffer() });
+  }
+
+  private _fail(cause: Error): void {
+    if (this._limits.isHeadEnough === true && this._status > 0) {
+      this._succeed();
+    } else {
+      this._reject(cause);
+    }
   }
 
   private _endAfter(limitMs: number, missing: string): Disposable {
@@ -215,7 +229,7 @@
   /** Rejects, and closes the connection; a call that has none yet gets none. */
   private _end(cause: Error): void {
     this._hasEnded = true;
-    this._reject(cause);
+    this._fail(cause);
     this._controller?.abort(cause);
   }
 }
