Blame no target for a request that can't be written

A workspace whose name has a character beyond latin-1 got no request through, and a stream with an event id that no header holds could not be resumed; each target that was to get such a request became suspect, so that others avoided it. Found by looking for further values from outside that an encoder does not take; not seen by callers.

Cause: undici refuses headers with such characters. The failure, of which no byte was sent, counted as one of the connection to the target.

A request that undici can't write is withheld, as one that its target may not get: no target is blamed, and the caller is answered that it did not run, if nothing of it did.

--- a/packages/gateway/src/common/placement/SendCheck.test.ts
+++ b/packages/gateway/src/common/placement/SendCheck.test.ts
@@ -37,7 +37,9 @@
     }
   }
 
-  const CHANGES: Readonly<Record<SendObstacle, () => void>> = {
+  /** What is seen only when a request is written is no state that the check reads. */
+  type CheckedObstacle = Exclude<SendObstacle, SendObstacle.Unsendable>;
+  const CHANGES: Readonly<Record<CheckedObstacle, () => void>> = {
     [SendObstacle.NotAccepting]: () => {
       node.dependencies.targets.applyLeaving(targetEntry('t0', 'app', 't0:80'));
     },
@@ -57,7 +59,7 @@
     expect(checkOf().findObstacle()).toBeUndefined();
   });
 
-  it.each(Object.values(SendObstacle))(
+  it.each(Object.values(SendObstacle).filter((each) => each !== SendObstacle.Unsendable))(
     'withholds a request when its target or the request became %s',
     (obstacle) => {
       const check = checkOf();
--- a/packages/gateway/src/common/placement/SendCheck.ts
+++ b/packages/gateway/src/common/placement/SendCheck.ts
@@ -19,6 +19,8 @@
   Quarantined = 'quarantined',
   /** The target became suspect since it was chosen. */
   Suspect = 'suspect',
+  /** A part of the request can't be written, such as a header with a control character. */
+  Unsendable = 'unsendable',
   RateLimited = 'rate-limited',
 }
 
@@ -64,6 +66,8 @@
     !wasBlocked && quarantine.hasBlocked(causes),
   [SendObstacle.Suspect]: ({ health }, { target }, { wasSuspect }) =>
     !wasSuspect && health.isSuspect(target.id),
+  // Seen only when the request is written.
+  [SendObstacle.Unsendable]: () => false,
   [SendObstacle.RateLimited]: ({ rateLimits }, { countedTargets, rateKey }) =>
     !rateLimits.confirm(countedTargets, rateKey),
 };
--- a/packages/gateway/src/node/GatewayFront.test.ts
+++ b/packages/gateway/src/node/GatewayFront.test.ts
@@ -284,6 +284,22 @@
       expect(answer.endsWith(STREAM_END)).toBe(true);
     });
 
+    // Guards against engines that all are avoided, since an event of one has an id that no header holds.
+    it('that has an id which no header holds makes no engine suspect but the one that broke off', async () => {
+      const script: TargetScript = (socket) => {
+        socket.write(STREAM_HEAD + chunkOf('id: \x01\ndata: x\n\n'));
+        setImmediate(() => socket.destroy());
+      };
+      for (const id of ['e1', 'e2', 'e3']) {
+        await harness.addTarget(id, 'engine', script);
+      }
+      const answer = await harness.post('/stream/x', ['Prompt: 10', 'Output: 10']);
+      expect(answer.endsWith(STREAM_END)).toBe(false);
+      expect(harness.received).toHaveLength(1);
+      const failed = harness.lines.filter((line) => line.includes('request.attempt-failed'));
+      expect(failed).toHaveLength(1);
+    });
+
     it('is resumed on a third engine when the second one did not run it', async () => {
       const runs: string[] = [];
       const script: TargetScript = (socket, request) => {
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -10,7 +10,7 @@
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
-import type { SendObstacle } from '../common/placement/SendCheck.js';
+import { SendObstacle } from '../common/placement/SendCheck.js';
 import { ConnectionHistories, type ConnectionHistory } from './ConnectionHistory.js';
 import type { AnswerMeter } from './AnswerMeter.js';
 import {
@@ -31,6 +31,11 @@
 /** Requests at a time on a connection that is kept, and on one that is closed after the first. */
 const KEPT_PIPELINING = 1;
 const SINGLE_USE_PIPELINING = 0;
+/** Codes of undici for requests that it can't write, whatever the target. */
+const UNSENDABLE_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
 /** Times that a request is given another connection since the one that it got was retired. */
 const MAX_REASSIGNMENTS = 2;
 
@@ -410,7 +415,9 @@
       return;
     }
     this._finish();
-    this._observer.onError(error);
+    this._observer.onError(
+      UNSENDABLE_CODES.has(codeOf(error)) ? new WithheldRequest(SendObstacle.Unsendable) : error,
+    );
   }
 
   private _finish(): void {
@@ -419,6 +426,10 @@
   }
 }
 
+function codeOf(error: NodeJS.ErrnoException): string {
+  return error.code ?? '';
+}
+
 /** Header names and values as the target sent them; undici's parsed headers are the fallback. */
 function rawHeadersOf(
   controller: Dispatcher.DispatchController,
