Keep draining when further signals arrive

Cause: the program listened to SIGTERM and SIGINT with `process.once`. The first signal removes the listener, so the next one has its default effect, which ends the process. SIGUSR2 and SIGQUIT had it from the start, and SIGUSR1 opened the port of a debugger.

Evidence: /proc/PID/status of a node names SIGTERM among the caught signals before the first SIGTERM and not after it; the process ends by the signal, not with a code, and its log has `node.draining` and no `process.failed`. So neither a drain that begins anew nor an exception in it ended the process.

Change: ProcessSignals has a listener for each such signal from the first moment of the program to its end. The first one that asks for a stop has its effect, further ones are logged with phase and requests (20 lines at most) and counted in tanager_signals_total. The loader covers the time until the program is loaded.

--- a/packages/gateway/src/node/GatewayNode.ts
+++ b/packages/gateway/src/node/GatewayNode.ts
@@ -17,6 +17,7 @@
 import { drainPeersOf } from '../common/DrainPeers.js';
 import { type DrainActivity, DrainSchedule } from '../common/DrainSchedule.js';
 import { DrainingNodes } from '../common/DrainingNodes.js';
+import { NodePhase } from '../common/NodePhase.js';
 import type { GatewaySettings } from '../common/GatewaySettings.js';
 import { ActiveRequestTable } from '../common/placement/ActiveRequestTable.js';
 import { CellDirectory } from '../common/placement/CellDirectory.js';
@@ -83,6 +84,7 @@
   /** Undefined until the termination signal. */
   private _drain: DrainSchedule | undefined;
   private _isClosed = false;
+  private _phase = NodePhase.Starting;
   /** Highest number of live nodes so far; a mass failure must not enlarge this node's shares. */
   private _maxLiveNodes = 1;
 
@@ -179,6 +181,16 @@
     return this._platform.isReady && this._drain === undefined;
   }
 
+  /** The phase of the process, from its start to its end. */
+  public get phase(): NodePhase {
+    return this._phase === NodePhase.Draining && this._isClosed ? NodePhase.Closed : this._phase;
+  }
+
+  /** Requests of this node's callers. */
+  public get running(): number {
+    return this._front.running;
+  }
+
   /** Listens, joins the peers and starts to receive updates from the platform. */
   public async start(): Promise<void> {
     const { clock, settings } = this._options;
@@ -194,6 +206,7 @@
     this._loadReporter.start();
     this._nodeDirectory.start();
     this._quarantineReports.start();
+    this._phase = NodePhase.Serving;
   }
 
   /**
@@ -206,6 +219,7 @@
     const startedAt = clock.now();
     const schedule = new DrainSchedule(startedAt, settings.shutdownTimeoutMs);
     this._drain = schedule;
+    this._phase = NodePhase.Draining;
     // Ready and draining is a node that drains and still accepts requests.
     this._membership.publish({ isReady: this._platform.isReady, isDraining: true });
     log.write('node.draining', { running: this._front.running });
@@ -219,7 +233,9 @@
     do {
       await clock.sleep(DRAIN_POLL_MS);
     } while (this._front.running > 0 && !schedule.mustExit(clock.now()));
+    this._phase = NodePhase.Leaving;
     await this._membership.leave();
+    this._phase = NodePhase.Stopped;
     const tookMs = Math.round(clock.now() - startedAt);
     log.write('node.drained', { ended: running, cut: this._front.running, tookMs });
   }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -16,5 +16,6 @@
 export * from './common/SocketAddresses.js';
 export * from './common/TimeLine.js';
 export * from './node/JsonLog.js';
+export * from './node/ProcessSignals.js';
 export * from './node/SystemClock.js';
 export * from './node/SystemRandom.js';
--- a/scripts/gatewayLoader.mjs
+++ b/scripts/gatewayLoader.mjs
@@ -7,8 +7,11 @@
 import { fileURLToPath } from 'node:url';
 import { Script } from 'node:vm';
 
-// Without a listener the signal ends the process, and the program takes a while to load.
-process.on('SIGHUP', () => undefined);
+// Without a listener a signal ends the process. Those of the time in which the program loads reach its
+// own listeners, which it has by the next turn of the event loop.
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGQUIT', 'SIGHUP', 'SIGUSR1', 'SIGUSR2']) {
+  process.on(signal, () => undefined);
+}
 
 const filename = fileURLToPath(new URL('gateway.cjs', import.meta.url));
 
