Let a daemon drain to its end when it is told to stop again

Callers saw: a second SIGTERM or SIGINT aborted the requests of a draining daemon, with a final answer of kind `draining`.

Cause: the daemon took a further signal for a wish to hurry. A stop that is sent twice, by a tool that repeats it or by a rolling stop that begins again, is none, and the gateway gave the same signals another meaning.

Change: SIGTERM and SIGINT ask for a stop once; SIGQUIT is the sign for a hurry; SIGHUP, SIGUSR1 and SIGUSR2 end no process. Further signals are logged with the requests that run (20 lines at most) and counted in tanager_signals_total. docs/design/leaving-and-shutdown.md weighs the ways.

Result: SignalDrain.test. With the earlier meaning of a further SIGTERM put back, 2 of its 3 cases fail.

--- a/packages/daemon/src/node/runDaemon.ts
+++ b/packages/daemon/src/node/runDaemon.ts
@@ -5,10 +5,10 @@
 import {
   type Clock,
   createLogger,
-  type Logger,
   LogLevel,
   Metrics,
   onBackgroundFailure,
+  ProcessSignals,
   setLogNamespaces,
   SystemClock,
   SystemRandom,
@@ -23,8 +23,9 @@
 import { exitOnUncaughtErrors } from './UncaughtErrors.js';
 import { HttpServer } from './http/HttpServer.js';
 import { DEFAULT_MECHANISMS, type MechanismFactories } from './MechanismFactories.js';
-import { createNode, type Node, policies } from './Node.js';
+import { createNode, policies } from './Node.js';
 import { type LoadedSettings, loadSettings } from './SettingsLoader.js';
+import { drainOnSignal } from './SignalDrain.js';
 
 const VERSION = '0.1.0';
 const EXIT_USAGE = 2;
@@ -87,6 +88,7 @@
   { settings, operatorToken }: LoadedSettings,
   dependencies: DaemonDependencies,
 ): Promise<void> {
+  const signals = new ProcessSignals();
   setLogNamespaces(process.env.DEBUG ?? settings.logs.namespaces);
   const clock = new SystemClock();
   const logger = createLogger(clock, settings.node.name, 'process');
@@ -130,31 +132,13 @@
     caller: settings.listen.caller,
     peer: transport.address,
   });
-  await drainOnSignal(node, logger);
+  await drainOnSignal(node, signals, logger);
   await server.close();
   node.dispose();
   transport.dispose();
   process.exit(0);
 }
 
-/** Drains on the first termination signal and forces the drain to end on the next one. */
-async function drainOnSignal(node: Node, logger: Logger): Promise<void> {
-  const forceController = new AbortController();
-  await new Promise<void>((resolve, reject) => {
-    const onSignal = (): void => {
-      if (node.isDraining) {
-        logger.log(LogLevel.Warn, 'second termination signal, aborting the remaining requests');
-        forceController.abort();
-        return;
-      }
-      logger.log(LogLevel.Info, 'termination signal, draining');
-      node.drain(forceController.signal).then(resolve, reject);
-    };
-    process.on('SIGTERM', onSignal);
-    process.on('SIGINT', onSignal);
-  });
-}
-
 function reportSettingsError(error: ServiceError): void {
   process.stderr.write(`tanagerd: ${error.message}\nremedy: ${error.remedy}\n`);
   process.exitCode = EXIT_USAGE;
