End the children of the demo, proof and measuring programs with them

Seen: two SIGINT 1 to 5 ms apart, 1.5 s after the start of the demo, left 8 to 10 stand-ins running.

Cause: the second signal found no listener (`process.once`) and ended the program while it killed its children; processes that were started meanwhile were not killed at all.

Change: a program ends at its first signal, and at each end of a program its children are killed, also after an error that nothing handles.

--- a/packages/standins/src/node/ManagedProcess.ts
+++ b/packages/standins/src/node/ManagedProcess.ts
@@ -1,7 +1,17 @@
-/** The child processes of a run. Signals go to the process that was started, by its pid, only. */
+/**
+ * The child processes of a run. Signals go to the process that was started, by its pid, only. None
+ * outlives the process that started it, however that ends, unless it is killed.
+ */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
 
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+  for (const child of running) {
+    child.kill('SIGKILL');
+  }
+});
+
 /** A Node.js script in a child process, which can be started again after it has ended. */
 export class ManagedProcess {
   private _child: ChildProcess | undefined;
@@ -41,7 +51,9 @@
     this._hasExited = false;
     // Writing to a process that has just ended fails with EPIPE, which must not end the run.
     child.stdin.on('error', () => undefined);
+    running.add(child);
     child.on('exit', (code) => {
+      running.delete(child);
       if (this._child === child) {
         this._hasExited = true;
         this._exitCode = code;
--- a/packages/standins/src/node/demo.ts
+++ b/packages/standins/src/node/demo.ts
@@ -12,6 +12,7 @@
 import * as z from 'zod';
 import { COMPLETION_ROUTE, DEFAULT_FLEET, SERVICE_ROUTE, zoneOf } from '../common/FleetPlan.js';
 import { zeroCounts, type RunCounts } from '../common/RunCounts.js';
+import { exitOnSignal } from './ExitOnSignal.js';
 import { Fleet } from './Fleet.js';
 import { isExpectedAnswer } from './LoadRunner.js';
 
@@ -30,6 +31,7 @@
 const executionsSchema = z.array(z.object({ key: z.string(), attempt: z.string() }));
 const attemptsSchema = z.array(z.object({ id: z.string(), hasEnded: z.boolean() }));
 
+exitOnSignal(1);
 await run();
 
 async function run(): Promise<void> {
@@ -38,11 +40,6 @@
     profile: { timeScale: TIME_SCALE, memoryTokens: ENGINE_MEMORY_TOKENS },
   };
   const fleet = await Fleet.create({ size, seed: SEED });
-  const stopEarly = (): void => {
-    void fleet.kill().then(() => process.exit(1));
-  };
-  process.once('SIGINT', stopEarly);
-  process.once('SIGTERM', stopEarly);
   try {
     logProgress(`starting ${size.daemons} daemons, ${size.engines} engines and the platform`);
     await fleet.start();
--- a/packages/standins/src/node/measure/measure.ts
+++ b/packages/standins/src/node/measure/measure.ts
@@ -7,6 +7,7 @@
 import { Baseline } from '../../common/measure/BaselinePolicies.js';
 import { measurePlacementTime } from '../../common/measure/PlacementTime.js';
 import { SITES, User } from '../../common/measure/UserSite.js';
+import { exitOnSignal } from '../ExitOnSignal.js';
 import { MeasuredFleet } from './MeasuredFleet.js';
 import type { SliceLine } from '../../common/measure/PolicySummary.js';
 import { MeasurementReport } from './MeasurementReport.js';
@@ -47,6 +48,7 @@
   readonly parts: readonly SitePart[];
 }
 
+exitOnSignal(1);
 const cli = cac('measure');
 cli.option('--seed <number>', 'first seed of the arrivals', { default: 1 });
 cli.option('--seconds <number>', 'engine time of arrivals in each slice', {
@@ -97,11 +99,6 @@
   const { policies, seconds, seed, timeScale } = measurementOptions;
   const site = SITES[user];
   const measured = await MeasuredFleet.start(site, POLICIES, seed, timeScale);
-  const stopEarly = (): void => {
-    void measured.fleet.kill().then(() => process.exit(1));
-  };
-  process.once('SIGINT', stopEarly);
-  process.once('SIGTERM', stopEarly);
   try {
     const idle = await measured.measureIdle(site.policy);
     writeProgress(`${user}: idle ${JSON.stringify(idle.points)}`);
@@ -113,8 +110,6 @@
     await measured.fleet.stop();
   } finally {
     await measured.fleet.kill();
-    process.removeListener('SIGINT', stopEarly);
-    process.removeListener('SIGTERM', stopEarly);
   }
 }
 
--- a/packages/standins/src/node/prove.ts
+++ b/packages/standins/src/node/prove.ts
@@ -5,7 +5,7 @@
 import { cac } from 'cac';
 import { parseFaultKinds } from '../common/prove/FaultSchedule.js';
 import { hasFailed } from '../common/prove/ProofFigures.js';
-import type { Fleet } from './Fleet.js';
+import { exitOnSignal } from './ExitOnSignal.js';
 import { NaiveMechanism } from './prove/naive/NaiveMechanism.js';
 import { type ProofOptions, runProof } from './prove/ProofRun.js';
 
@@ -18,6 +18,7 @@
 if (options === undefined) {
   process.exit(EXIT_USAGE);
 }
+exitOnSignal(EXIT_VIOLATION);
 process.exit(await run(options));
 
 function parseOptions(): ProofOptions | undefined {
@@ -43,14 +44,8 @@
 }
 
 async function run(proof: ProofOptions): Promise<number> {
-  const fleets: Fleet[] = [];
-  const stopEarly = (): void => {
-    void Promise.all(fleets.map((fleet) => fleet.kill())).then(() => process.exit(EXIT_VIOLATION));
-  };
-  process.once('SIGINT', stopEarly);
-  process.once('SIGTERM', stopEarly);
   try {
-    const { directory, faults, figures } = await runProof(proof, (fleet) => fleets.push(fleet));
+    const { directory, faults, figures } = await runProof(proof);
     process.stderr.write(`logs and records are in ${directory}\n`);
     process.stdout.write(`${JSON.stringify({ seed: proof.seed, faults, ...figures })}\n`);
     return hasFailed(figures) ? EXIT_VIOLATION : 0;
--- a/packages/standins/src/node/prove/ProofRun.ts
+++ b/packages/standins/src/node/prove/ProofRun.ts
@@ -63,10 +63,7 @@
 };
 
 /** Performs one run; all processes have ended when it resolves. */
-export async function runProof(
-  options: ProofOptions,
-  onFleetCreated: (fleet: Fleet) => void,
-): Promise<ProofResult> {
+export async function runProof(options: ProofOptions): Promise<ProofResult> {
   const fleet = await Fleet.create({
     size: FLEET_SIZE,
     seed: options.seed,
@@ -74,7 +71,6 @@
     hasFaultyLinks: true,
     environment: { [NAIVE_MECHANISM_VARIABLE]: options.naive ?? '' },
   });
-  onFleetCreated(fleet);
   const run = new RunState(fleet, new LoadRunner(fleet), HOST_LIST_LAG_MS);
   try {
     await fleet.start();
