Go on when nobody reads standard output or standard error

Callers saw: when the reader of a node's output went away, as with a log collector that restarts, the node closed the connections of all requests in flight without an answer, with no other fault anywhere.

Cause: a failed write raises `error` on the stream, which nothing handled, so it ended the process with code 1. A full disk behind the output does the same; the daemon ended the same way by standard error.

Evidence: a node whose pipes are closed ends 0.04 s later with code 1, as does one whose output is /dev/full; the daemon ends 0.2 s later.

--- a/packages/daemon/src/node/runDaemon.ts
+++ b/packages/daemon/src/node/runDaemon.ts
@@ -8,6 +8,7 @@
   LogLevel,
   Metrics,
   onBackgroundFailure,
+  onOutputFailure,
   ProcessSignals,
   setLogNamespaces,
   SystemClock,
@@ -99,6 +100,9 @@
     return;
   }
   const metrics = new Metrics();
+  onOutputFailure(({ code, stream }) => {
+    metrics.increment('tanager_output_failures_total', { code, stream });
+  });
   onBackgroundFailure(({ error, work }) => {
     metrics.increment('tanager_background_failures_total', { work });
     const stack = error instanceof Error ? error.stack : String(error);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,6 @@
 export { logFailures } from './node/FailureLog.js';
 export * from './node/GatewayNode.js';
 export { logSignals } from './node/SignalLog.js';
-export * from './node/StandardOutput.js';
+export { createLineWriter } from './node/StandardOutput.js';
 export * from './node/TimedCall.js';
 export type { ZoneChange } from './common/state/ZoneEvacuations.js';
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -16,6 +16,7 @@
 export * from './common/SocketAddresses.js';
 export * from './common/TimeLine.js';
 export * from './node/JsonLog.js';
+export * from './node/OutputFailures.js';
 export * from './node/ProcessSignals.js';
 export * from './node/SystemClock.js';
 export * from './node/SystemRandom.js';
