Share the event loop among answers instead of limiting their pieces

Callers saw: sound streams that came at once or at 2,000 events a second ran twice, or were broken off for every caller from 6,000 events on; the engines were avoided for 400 ms.

Cause: the limit of pieces took the rate of a sound engine, or what had piled up, for a flood, and bytes that were read but not parsed yet counted as no payload. Of the hypotheses, the log of single runs shows both: '67265 bytes of the answer are no payload, beside 4261 that are', and 'the answer has 2921 pieces with 51835 bytes'.

Change: what is no payload is counted when it has been parsed. Pieces have no limit: a connection gets a share of each turn of the event loop and waits beyond it, so that flow control slows the sender.

Result: SoundAnswer.test, real processes: before, 7 of 8 cases fail (3,000 to 20,000 events at once, 8,000 at 2,000 a second, a slow caller, after a freeze of 2 s, generated answers); now all pass, each answer whole, byte for byte, with one run. EndlessAnswer.test in platform/soak is unchanged and passes, as do the 713 tests of the gateway's folder.

--- a/packages/gateway/src/node/AnswerMeter.ts
+++ b/packages/gateway/src/node/AnswerMeter.ts
@@ -1,53 +1,42 @@
 /**
- * Limits what an answer may cost beside its payload: bytes of its head, of the framing of its chunks
- * and of its trailers, and the number of pieces in which its payload is parsed. A piece costs
- * processor time and memory like hundreds of bytes, so a limit of the payload alone does not bound an
- * answer in pieces of one byte. The bytes are counted as they are read from the connection, before
- * they are parsed, whatever part of an answer they look like.
+ * Bounds what an answer costs beside its payload. The bytes of its head, of the framing of its chunks
+ * and of its trailers have a limit, counted on what has been parsed. The pieces in which its payload
+ * is parsed have none, as a sound answer may have any number of them at any rate: they are parsed as
+ * the turns of the event loop allow it.
  */
 import type { Duplex } from 'node:stream';
-import type { Clock } from '@tanagerdyke/kernel';
+import { ReadTurns } from './ReadTurns.js';
 
 /** Bytes that are no payload, and those for each byte of payload; in chunks of one byte, five. */
 const MAX_OVERHEAD_BYTES = 32 * 1024;
 const OVERHEAD_PER_BYTE = 8;
-/** Bytes that are read at once while most of an answer is no payload, so that they count in time. */
-const CAUTIOUS_READ_BYTES = 8 * 1024;
-/**
- * Pieces that an answer may have at once, and with its size and over time. A model may send each
- * token as a piece of its own, but not thousands of them in a moment.
- */
-const MAX_PIECES = 2_048;
-const BYTES_PER_PIECE = 64;
-const PIECES_PER_MS = 0.5;
+/** Limits of a read, whatever its pieces are expected to be. */
+const MIN_READ_BYTES = 512;
+const MAX_READ_BYTES = 64 * 1024;
+/** Expected bytes of a piece when nothing of an answer is known. */
+const UNKNOWN_PIECE_BYTES = 64;
 
-/** Ends an answer that costs too much; says nothing on whether its sender has ended. */
+/** The event loop is one for all connections of the process. */
+const turns = new ReadTurns(setImmediate);
+
+/** Ends an answer with too much that is no payload; says nothing on whether its sender has ended. */
 export class ExcessiveAnswer extends Error {}
 
 /** Counts the answers on one connection, one after the other. */
 export class AnswerMeter {
-  private _beganAt: number;
   private _received = 0;
   private _payload = 0;
   private _pieces = 0;
-
-  constructor(private readonly _clock: Pick<Clock, 'now'>) {
-    this._beganAt = _clock.now();
-  }
+  /** Pieces of the read that is being parsed. */
+  private _newPieces = 0;
 
   /** Begins to count the answer to the next request. */
   public begin(): void {
-    this._beganAt = this._clock.now();
     this._received = 0;
     this._payload = 0;
     this._pieces = 0;
   }
 
-  /** Whether most of the answer was no payload so far, as in each head. */
-  public get isMostlyOverhead(): boolean {
-    return this._received >= 2 * this._payload;
-  }
-
   /** Counts bytes that were read; they are negative if the parser puts them back. */
   public receive(bytes: number): void {
     this._received += bytes;
@@ -57,40 +46,68 @@
   public addPiece(bytes: number): void {
     this._payload += bytes;
     this._pieces++;
+    this._newPieces++;
+  }
+
+  /** Pieces since the last call. */
+  public takePieces(): number {
+    const pieces = this._newPieces;
+    this._newPieces = 0;
+    return pieces;
+  }
+
+  /** Bytes that hold about this number of pieces, as far as the answer shows. */
+  public bytesOf(pieces: number): number {
+    const pieceBytes = (this._received + UNKNOWN_PIECE_BYTES) / (this._pieces + 1);
+    return Math.min(Math.max(Math.ceil(pieces * pieceBytes), MIN_READ_BYTES), MAX_READ_BYTES);
   }
 
-  /** Why the answer must end; undefined while it costs what it may. */
+  /** Why the answer must end; valid while all that was read is parsed. */
   public get excess(): ExcessiveAnswer | undefined {
     const overhead = this._received - this._payload;
-    if (overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BYTE * this._payload) {
-      return new ExcessiveAnswer(
-        `${overhead} bytes of the answer are no payload, beside ${this._payload} that are`,
-      );
-    }
-    const elapsedMs = this._clock.now() - this._beganAt;
-    const allowed = MAX_PIECES + this._payload / BYTES_PER_PIECE + elapsedMs * PIECES_PER_MS;
-    return this._pieces > allowed
-      ? new ExcessiveAnswer(`the answer has ${this._pieces} pieces with ${this._payload} bytes`)
+    return overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BYTE * this._payload
+      ? new ExcessiveAnswer(
+          `${overhead} bytes of the answer are no payload, beside ${this._payload} that are`,
+        )
       : undefined;
   }
 }
 
-/** Meters the answers on a connection, and destroys it when one costs too much. */
-export function meterAnswers(socket: Duplex, clock: Pick<Clock, 'now'>): AnswerMeter {
-  const meter = new AnswerMeter(clock);
+/** Meters the answers on a connection, which is read as the turns of the event loop allow it. */
+export function meterAnswers(socket: Duplex): AnswerMeter {
+  const meter = new AnswerMeter();
+  const turn = turns.open(() => {
+    if (!socket.destroyed) {
+      socket.emit('readable');
+    }
+  });
+  socket.once('close', () => {
+    turn.dispose();
+  });
   const read = socket.read.bind(socket);
   const unshift = socket.unshift.bind(socket);
   socket.read = (size?: number): unknown => {
+    if (size === 0) {
+      return read(0);
+    }
+    // Whoever reads has parsed what it read before.
+    turn.spend(0, meter.takePieces());
     const { excess } = meter;
     if (excess !== undefined) {
       socket.destroy(excess);
       return null;
     }
-    const { readableLength } = socket;
-    const isCautious = meter.isMostlyOverhead && readableLength > CAUTIOUS_READ_BYTES;
-    const chunk: unknown = read(size ?? (isCautious ? CAUTIOUS_READ_BYTES : undefined));
+    const { left } = turn;
+    if (left === 0 && socket.readableLength > 0) {
+      turn.wait();
+      return null;
+    }
+    const limitBytes = meter.bytesOf(left);
+    const isLimited = size === undefined && socket.readableLength > limitBytes;
+    const chunk: unknown = read(isLimited ? limitBytes : size);
     if (chunk instanceof Buffer) {
       meter.receive(chunk.length);
+      turn.spend(chunk.length, 0);
     }
     return chunk;
   };
--- a/packages/gateway/src/node/CallForwarder.ts
+++ b/packages/gateway/src/node/CallForwarder.ts
@@ -16,7 +16,7 @@
 import { placeCall } from '../common/placement/ServicePlacer.js';
 import { type CallDecision, CallTurn, type PendingCall } from '../common/placement/ServiceQueue.js';
 import { type BufferedOutcome, exchangeBuffered } from './BufferedExchange.js';
-import type { BufferedAnswer } from './ExchangeOptions.js';
+import { type BufferedAnswer, isSoundBeyond } from './ExchangeOptions.js';
 import {
   admitAttempt,
   candidatesOf,
@@ -291,7 +291,7 @@
     outcome: BufferedOutcome,
     sentAt: number,
   ): RequestReport | undefined {
-    const { clock, health } = this._dependencies;
+    const { clock, health, metrics } = this._dependencies;
     const { route, signal } = this._request;
     if (signal.aborted) {
       return this._report(RequestOutcome.CallerDisconnected);
@@ -300,8 +300,12 @@
       this._cause = outcome.cause;
       const waitedMs = clock.now() - sentAt;
       const isTargetAtFault =
-        !outcome.isTimeout || waitedMs >= ATTEMPT_TIMEOUT_FACTOR * route.latencyTargetMs;
+        !isSoundBeyond(outcome.limit) &&
+        (!outcome.isTimeout || waitedMs >= ATTEMPT_TIMEOUT_FACTOR * route.latencyTargetMs);
       const suspectMs = isTargetAtFault ? health.recordConnectionFailure(target.id, sentAt) : 0;
+      if (outcome.limit !== undefined) {
+        metrics.increment('tanager_answers_ended_total', { limit: outcome.limit });
+      }
       this._logFailedAttempt(target, outcome, suspectMs);
       if (outcome.isCutOff && outcome.execution === Execution.MayHaveRun) {
         recordCrash(this._dependencies, this._request, target);
@@ -350,6 +354,7 @@
       target: target.id,
       execution: outcome.execution,
       cause: this._cause,
+      limit: outcome.answer === undefined ? outcome.limit : undefined,
       suspectMs,
       waitedMs: outcome.waitedMs === undefined ? undefined : Math.round(outcome.waitedMs),
       attempts: this._attempts,
--- a/packages/gateway/src/node/ExchangeOptions.ts
+++ b/packages/gateway/src/node/ExchangeOptions.ts
@@ -58,6 +58,30 @@
   return answer.attemptId === undefined && answer.isNotRun && history?.isKept !== true;
 }
 
+/** Limits of this node by which it ends an answer. */
+export enum AnswerLimit {
+  /** Size of one answer, of all answers that are buffered, of one event, or of a failure. */
+  AnswerBytes = 'answer-bytes',
+  AllAnswersBytes = 'all-answers-bytes',
+  EventBytes = 'event-bytes',
+  FailureBytes = 'failure-bytes',
+  /** Bytes that are no payload. */
+  OverheadBytes = 'overhead-bytes',
+}
+
+/** The limit that ended an exchange with this error; undefined if none did. */
+export function limitOf(cause: Error): AnswerLimit | undefined {
+  return cause instanceof ExcessiveAnswer ? AnswerLimit.OverheadBytes : undefined;
+}
+
+/**
+ * Whether an answer that a limit ended says nothing against its target. Bytes without an end that are
+ * no payload can't become an answer.
+ */
+export function isSoundBeyond(limit: AnswerLimit | undefined): boolean {
+  return limit !== undefined && limit !== AnswerLimit.OverheadBytes;
+}
+
 /** Whether an exchange that failed shows that the target ended the connection, or ended itself. */
 export function isEndOfTarget(cause: Error): boolean {
   return !(cause instanceof RelayLinkError || cause instanceof ExcessiveAnswer);
--- a/packages/gateway/src/node/MeteredClient.ts
+++ b/packages/gateway/src/node/MeteredClient.ts
@@ -3,7 +3,6 @@
  * connection to each exchange that it carries, which undici does not: a connection may be retired
  * while an exchange waits for it.
  */
-import type { Clock } from '@tanagerdyke/kernel';
 import { type buildConnector, Client, type Dispatcher } from 'undici';
 import { type AnswerMeter, meterAnswers } from './AnswerMeter.js';
 
@@ -23,21 +22,17 @@
 
 export interface MeteredClientOptions extends Client.Options {
   readonly connect: buildConnector.connector;
-  readonly clock: Pick<Clock, 'now'>;
 }
 
 /** Creates the client of one connection. */
-export function createMeteredClient(
-  origin: URL,
-  { clock, ...options }: MeteredClientOptions,
-): Dispatcher {
+export function createMeteredClient(origin: URL, options: MeteredClientOptions): Dispatcher {
   let connection: MeteredConnection | undefined;
   const client = new Client(origin, {
     ...options,
     connect: (target, callback) => {
       options.connect(target, (...result) => {
         const [error, socket] = result;
-        connection = error === null ? { socket, meter: meterAnswers(socket, clock) } : undefined;
+        connection = error === null ? { socket, meter: meterAnswers(socket) } : undefined;
         callback(...result);
       });
     },
--- a/packages/gateway/src/node/StreamExchange.ts
+++ b/packages/gateway/src/node/StreamExchange.ts
@@ -15,10 +15,12 @@
 import type { CallerResponse } from './CallerResponse.js';
 import type { ConnectionHistory } from './ConnectionHistory.js';
 import {
+  AnswerLimit,
   type BufferedAnswer,
   CALLER_DISCONNECTED_CAUSE,
   type ExchangeOptions,
   isEndOfTarget,
+  limitOf,
   matchesAttempt,
 } from './ExchangeOptions.js';
 import { AbortReason, type Exchange, WithheldRequest } from './Upstream.js';
@@ -64,6 +66,8 @@
   readonly isCutOff: boolean;
   /** Why this node did not send the request, if `end` is `Withheld`. */
   readonly obstacle: SendObstacle | undefined;
+  /** The limit by which this node ended the answer. */
+  readonly limit: AnswerLimit | undefined;
   /** The failure that the target answered with, if `end` is `Failure`. */
   readonly failure: BufferedAnswer | undefined;
   /** Time on the clock; undefined if no event arrived. */
@@ -114,6 +118,7 @@
   private _longestPauseMs = 0;
   private _isCutOff = false;
   private _obstacle: SendObstacle | undefined;
+  private _limit: AnswerLimit | undefined;
   private _exchange: Exchange | undefined;
   private _eventTimer: Disposable | undefined;
   private _timerSetAt = Number.NEGATIVE_INFINITY;
@@ -173,6 +178,7 @@
           this._obstacle = cause instanceof WithheldRequest ? cause.obstacle : undefined;
           const isWithheld = this._obstacle !== undefined;
           this._isCutOff = !isWithheld && isEndOfTarget(cause);
+          this._limit = limitOf(cause);
           this._finish(isWithheld ? StreamEnd.Withheld : StreamEnd.Broken, cause.message);
         },
       });
@@ -208,6 +214,7 @@
       if (this._failureBody.length + chunk.length <= MAX_FAILURE_BYTES) {
         this._failureBody.add(chunk);
       } else {
+        this._limit = AnswerLimit.FailureBytes;
         this._abort(StreamEnd.Broken, 'the failure is too large to buffer');
       }
       return;
@@ -224,6 +231,7 @@
     if (splitter.isMalformed) {
       this._abort(StreamEnd.Broken, 'the stream holds text that is no event');
     } else if (splitter.bufferedBytes > MAX_EVENT_BYTES) {
+      this._limit = AnswerLimit.EventBytes;
       this._abort(StreamEnd.Broken, 'an event is too large to buffer');
     }
   }
@@ -337,6 +345,7 @@
       execution: this._execution,
       isCutOff: this._isCutOff,
       obstacle: this._obstacle,
+      limit: this._limit,
       failure: end === StreamEnd.Failure ? this._failureAnswer() : undefined,
       firstEventAt: this._firstEventAt,
       longestPauseMs: this._longestPauseMs,
--- a/packages/gateway/src/node/StreamForwarder.ts
+++ b/packages/gateway/src/node/StreamForwarder.ts
@@ -14,7 +14,7 @@
 import type { PlacedPrompt } from '../common/placement/PromptScheduler.js';
 import { PromptReservations } from '../common/placement/PromptReservations.js';
 import { isReplacementFaster } from '../common/StreamPace.js';
-import type { BufferedAnswer } from './ExchangeOptions.js';
+import { type BufferedAnswer, isSoundBeyond } from './ExchangeOptions.js';
 import {
   admitAttempt,
   type ForwardedRequest,
@@ -364,17 +364,20 @@
    * reported by another engine, it also becomes suspect: other requests avoid it for a while.
    */
   private _recordFailedAttempt(placed: PlacedPrompt, outcome: StreamOutcome): void {
-    const { clock, health, log } = this._dependencies;
+    const { clock, health, log, metrics } = this._dependencies;
     const [primary] = placed.targets;
+    if (outcome.limit !== undefined) {
+      metrics.increment('tanager_answers_ended_total', { limit: outcome.limit });
+    }
     const failedAddress = outcome.failure?.head.failedAddress;
     const faultyEngine = placed.targets.find(({ address }) => address === failedAddress) ?? primary;
     const isFull = outcome.failure?.head.isNotRun === true && failedAddress === undefined;
     let suspectMs = 0;
     this._excludedEngines.add(faultyEngine.id);
-    if (outcome.failure === undefined || failedAddress !== undefined) {
-      suspectMs = health.recordConnectionFailure(faultyEngine.id, this._sentAt);
-    } else {
+    if (outcome.failure !== undefined && failedAddress === undefined) {
       health.recordAnswer(faultyEngine.id, !isFull);
+    } else if (!isSoundBeyond(outcome.limit)) {
+      suspectMs = health.recordConnectionFailure(faultyEngine.id, this._sentAt);
     }
     const eventAgeMs = ageOf(outcome.firstEventAt, clock.now());
     if (
@@ -394,6 +397,7 @@
       end: outcome.end,
       execution: outcome.execution,
       cause: outcome.cause,
+      limit: outcome.limit,
       lastEventId: this._splitter.lastEventId,
       firstEventAgeMs: eventAgeMs,
       parts: this._request.caller.sharedParts.join(' '),
--- a/packages/gateway/src/node/TimedCall.ts
+++ b/packages/gateway/src/node/TimedCall.ts
@@ -53,10 +53,7 @@
  * Opens a connection for each call. The answers have no id, so on a kept connection an earlier one
  * that is written once more would count as the next one.
  */
-export function createCallAgent(
-  clock: Pick<Clock, 'now'>,
-  connect: buildConnector.connector,
-): Dispatcher {
+export function createCallAgent(connect: buildConnector.connector): Dispatcher {
   const limits = { pipelining: 0, headersTimeout: 0, bodyTimeout: 0 };
   return new Agent({
     // Without pipelining, connections are not kept.
@@ -64,7 +61,7 @@
     factory: (origin) =>
       new Pool(origin, {
         ...limits,
-        factory: (each) => createMeteredClient(each, { ...limits, connect, clock }),
+        factory: (each) => createMeteredClient(each, { ...limits, connect }),
       }),
   });
 }
@@ -173,8 +170,6 @@
     const { bytes = MAX_ANSWER_BYTES } = this._limits;
     if (this._body.length > bytes) {
       this._end(new Error(`the answer exceeds ${bytes} bytes`));
-    } else if (this._meter?.excess !== undefined) {
-      this._end(this._meter.excess);
     }
   }
 
--- a/packages/gateway/src/node/Upstream.ts
+++ b/packages/gateway/src/node/Upstream.ts
@@ -6,7 +6,7 @@
  * it asks whether the request may still be sent, as it may have waited for a connection. Retries are
  * the forwarders' task.
  */
-import { type Clock, DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
+import { DisposableOwner, runInBackground, toDisposable } from '@tanagerdyke/kernel';
 import { type buildConnector, type Client, type Dispatcher, Pool } from 'undici';
 import type { RawHeaders, TargetEntry } from '../common/Messages.js';
 import type { AllowedRegions } from '../common/placement/AllowedRegions.js';
@@ -108,7 +108,6 @@
 }
 
 export interface UpstreamOptions {
-  readonly clock: Pick<Clock, 'now'>;
   /** Opens a connection to a target. */
   readonly connect: buildConnector.connector;
   /**
@@ -243,18 +242,17 @@
       relayRegions === undefined ? instance : `${instance} ${JSON.stringify(relayRegions)}`;
     let pools = this._pools.get(key);
     if (pools === undefined) {
-      const { clock } = this._options;
       const connect = this._connectorFor(relayRegions);
       pools = {
         instance,
         address: target.address,
         kept: createPool(target, {
-          ...{ clock, connect },
+          connect,
           connections: Math.max(MIN_CONNECTIONS, connections),
           pipelining: KEPT_PIPELINING,
         }),
         singleUse: createPool(target, {
-          ...{ clock, connect },
+          connect,
           connections: Math.max(1, Math.floor(connections * SINGLE_USE_SHARE)),
           pipelining: SINGLE_USE_PIPELINING,
         }),
@@ -271,7 +269,6 @@
 }
 
 interface PoolOptions {
-  readonly clock: Pick<Clock, 'now'>;
   readonly connect: buildConnector.connector;
   readonly connections: number;
   readonly pipelining: number;
@@ -279,13 +276,13 @@
 
 function createPool(
   { address }: TargetEntry,
-  { clock, connect, connections, pipelining }: PoolOptions,
+  { connect, connections, pipelining }: PoolOptions,
 ): Pool {
   return new Pool(`http://${address}`, {
     connections,
     pipelining,
     factory: (origin, options: Client.Options) =>
-      createMeteredClient(origin, { ...options, connect, clock }),
+      createMeteredClient(origin, { ...options, connect }),
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     headersTimeout: 0,
@@ -380,18 +377,13 @@
     this._observer.onHead(statusCode, rawHeadersOf(controller, headers), this._history);
   }
 
-  public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._meter?.addPiece(chunk.length);
     if (this._isFinished) {
       return;
     }
-    const excess = this._meter?.excess;
-    if (excess === undefined) {
-      this._watched?.recordBytes();
-      this._observer.onData(chunk);
-    } else {
-      controller.abort(excess);
-    }
+    this._watched?.recordBytes();
+    this._observer.onData(chunk);
   }
 
   public onResponseEnd(): void {
--- a/packages/gateway/src/node/paths/DirectConnections.ts
+++ b/packages/gateway/src/node/paths/DirectConnections.ts
@@ -9,7 +9,6 @@
 export function directConnections(clock: Clock): UpstreamOptions {
   const { signal } = new AbortController();
   return {
-    clock,
     connect: ({ hostname, port }, callback) => {
       const address = `${hostname}:${port}`;
       runInBackground('target.connect', async () => {
--- a/packages/gateway/src/node/paths/TargetConnections.ts
+++ b/packages/gateway/src/node/paths/TargetConnections.ts
@@ -62,7 +62,6 @@
     );
     this.upstream = this.register(
       new Upstream({
-        clock,
         connect: this._connector.connect,
         connectWithin: (regions) => this._connector.connectWithin(regions),
         watch: (address) => monitor.watch(address),
