Forward no request that this node has answered

Cause: the answer and the forwarding of a request were decided in two places. Refusing an incomplete request dropped its body without ending the reading of it, so the end of the body was a success with no bytes, and the admission only asked whether the node was closed at that moment; by then it had reopened.

Change: a body that is dropped is a failure. The caller's response holds whether this node has answered: the admission asks after the body, and SendCheck right before the first byte of each attempt, in the one place where it is decided whether a request may still be sent.

--- a/packages/gateway/src/common/placement/SendCheck.test.ts
+++ b/packages/gateway/src/common/placement/SendCheck.test.ts
@@ -11,8 +11,10 @@
 describe('SendCheck', () => {
   let clock: ManualClock;
   let node: ForwardingFixture;
+  let isAnswered: boolean;
 
   beforeEach(() => {
+    isAnswered = false;
     clock = new ManualClock();
     node = new ForwardingFixture({
       clock,
@@ -24,7 +26,13 @@
 
   function checkOf(rateKey = 'k', countedTargets = ['t0']): SendCheck {
     const target = targetEntry('t0', 'app', 't0:80');
-    const chosen = { target, countedTargets, rateKey, causes: [CAUSE] };
+    const chosen = {
+      target,
+      countedTargets,
+      rateKey,
+      causes: [CAUSE],
+      isAnswered: () => isAnswered,
+    };
     return new SendCheck(node.dependencies, chosen);
   }
 
@@ -53,6 +61,9 @@
       node.dependencies.health.recordConnectionFailure('t0');
     },
     [SendObstacle.RateLimited]: exhaustRate,
+    [SendObstacle.Answered]: () => {
+      isAnswered = true;
+    },
   };
 
   it('finds nothing while nothing changes', () => {
--- a/packages/gateway/src/common/placement/SendCheck.ts
+++ b/packages/gateway/src/common/placement/SendCheck.ts
@@ -22,6 +22,8 @@
   /** A part of the request can't be written, such as a header with a control character. */
   Unsendable = 'unsendable',
   RateLimited = 'rate-limited',
+  /** This node has answered the request by itself. */
+  Answered = 'answered',
 }
 
 /** A request with the target that was chosen for it. */
@@ -33,6 +35,7 @@
   readonly rateKey: string;
   /** What crashes under the request may be attributed to. */
   readonly causes: readonly string[];
+  readonly isAnswered: () => boolean;
 }
 
 /** The state on which the decision depends. */
@@ -68,6 +71,7 @@
     !wasSuspect && health.isSuspect(target.id),
   // Seen only when the request is written.
   [SendObstacle.Unsendable]: () => false,
+  [SendObstacle.Answered]: (_services, { isAnswered }) => isAnswered(),
   [SendObstacle.RateLimited]: ({ rateLimits }, { countedTargets, rateKey }) =>
     !rateLimits.confirm(countedTargets, rateKey),
 };
--- a/packages/gateway/src/node/BodyReader.ts
+++ b/packages/gateway/src/node/BodyReader.ts
@@ -51,6 +51,8 @@
   /** The deadline of the request passed. */
   Overdue = 'overdue',
   Disconnected = 'disconnected',
+  /** The request was answered before all of it had arrived. */
+  Unneeded = 'unneeded',
 }
 
 /** What the reader needs besides the bytes. */
@@ -250,6 +252,7 @@
   /** Drops what is left of the body; resolves when it has ended or is too long to be waited for. */
   public async drop(): Promise<void> {
     this._isDropping = true;
+    this.fail(BodyFailure.Unneeded);
     this._releaseSegments();
     if (!this._isComplete && !this._incoming.destroyed) {
       const { clock, connection } = this._options;
--- a/packages/gateway/src/node/CallerResponse.ts
+++ b/packages/gateway/src/node/CallerResponse.ts
@@ -41,6 +41,7 @@
 export class CallerResponse {
   private _streamStatus: number | undefined;
   private _mediaType: string | undefined;
+  private _isAnswered = false;
   /** Bytes that the stream may still have; undefined if its length is not stated. */
   private _remainingBytes: number | undefined;
 
@@ -57,6 +58,11 @@
     return this._response.headersSent;
   }
 
+  /** Whether this node has answered by itself; the request must not be forwarded any more. */
+  public get isAnswered(): boolean {
+    return this._isAnswered;
+  }
+
   public get isClosed(): boolean {
     return this._response.destroyed || this._response.writableEnded;
   }
@@ -91,13 +97,14 @@
     { kind, remedy, retryAfterMs, status }: GatewayAnswer,
     closesConnection: boolean,
   ): boolean {
-    if (this.isClosed) {
+    if (this.isClosed || this._isAnswered) {
       return false;
     }
     if (this.isBegun) {
       this.abort();
       return false;
     }
+    this._isAnswered = true;
     const body = Buffer.from(JSON.stringify({ kind, remedy }));
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
     if (retryAfterMs !== undefined) {
--- a/packages/gateway/src/node/ForwardedRequest.ts
+++ b/packages/gateway/src/node/ForwardedRequest.ts
@@ -254,13 +254,16 @@
 export function prepareExchange(
   dependencies: ForwardingDependencies,
   request: ForwardedRequest,
-  { countedTargets, rateKey, target }: Omit<ChosenTarget, 'causes'>,
+  { countedTargets, rateKey, target }: Omit<ChosenTarget, 'causes' | 'isAnswered'>,
   { enginePriority, lastEventId, readers = [] }: AttemptOptions,
 ): ExchangeOptions {
   const { body, caller, deadlineAt, headers, method, path, service, signal, workspace } = request;
+  const { response } = request;
   const relayRegions = allowedRegionsOf(request.route, workspace);
   const causes = possibleCausesOf(request);
-  const check = new SendCheck(dependencies, { target, countedTargets, rateKey, causes });
+  const isAnswered = (): boolean => response.isAnswered;
+  const chosen = { target, countedTargets, rateKey, causes, isAnswered };
+  const check = new SendCheck(dependencies, chosen);
   const { clock, dialect, quarantine, upstream } = dependencies;
   const sentAt = clock.now();
   const forwardedHeaders = dialect.buildForwardedHeaders(headers, {
--- a/packages/gateway/src/node/GatewayFront.ts
+++ b/packages/gateway/src/node/GatewayFront.ts
@@ -281,6 +281,9 @@
 
   /** Answers a request that is not forwarded, whether or not its body has arrived. */
   private _reject({ reception, response }: RequestArrival, answer: GatewayAnswer): void {
+    if (response.isAnswered) {
+      return;
+    }
     const { statedBytes = Number.POSITIVE_INFINITY } = reception;
     if (reception.isComplete) {
       response.sendGatewayAnswer(answer);
--- a/packages/gateway/src/node/PlannedStop.test.ts
+++ b/packages/gateway/src/node/PlannedStop.test.ts
@@ -16,6 +16,8 @@
 const EVENT = 'id: 1\ndata: event\n\n';
 /** More than the buffers of a connection hold. */
 const LARGE_BYTES = 12 * 1024 * 1024;
+/** Time in which a node that accepts requests again would forward one. */
+const REOPENED_MS = 100;
 /** Connections that a front opens to a target of the test configuration at most. */
 const CONNECTIONS = 42;
 
@@ -178,6 +180,39 @@
       expect(harness.received).toEqual([]);
     });
 
+    // Guards against an answered request that is forwarded since the node accepts requests again.
+    it.each([
+      ['a stated length', 'Content-Length: 8\r\n\r\nhalf', 'rest'],
+      ['chunks', 'Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n', '4\r\nrest\r\n0\r\n\r\n'],
+    ])('forwards none of them when it accepts requests again: %s', async (_name, first, rest) => {
+      await harness.addTarget('t1', 'app', (socket) => socket.write(answerText(200, [], 'ok')));
+      let caller: Socket | undefined;
+      let text = '';
+      const head = 'POST /once/x HTTP/1.1\r\nHost: test\r\nKey: k\r\nAttempt: a1\r\n';
+      const answer = harness.send(`${head}${first}`, (socket) => {
+        caller = socket;
+        socket.on('data', (chunk) => {
+          text += chunk.toString('latin1');
+        });
+      });
+      await vi.waitFor(() => {
+        expect(harness.front.running).toBe(1);
+      });
+      refuse();
+      await vi.waitFor(() => {
+        expectRefusedAsNotRun(text);
+      });
+      harness.isClosed = false;
+      caller?.write(rest);
+      await harness.clock.sleep(REOPENED_MS);
+      caller?.end();
+      await answer;
+      expect(harness.received).toEqual([]);
+      await vi.waitFor(() => {
+        expect(harness.lines.join()).toContain('own-503');
+      });
+    });
+
     it('does not stay for callers that it refuses', async () => {
       // Guards against nodes that stay to the end, so that all of them are away at the same time.
       const { lastRequestAt } = harness.front;
--- a/packages/gateway/src/node/RequestAdmission.ts
+++ b/packages/gateway/src/node/RequestAdmission.ts
@@ -65,6 +65,7 @@
   [BodyFailure.Overdue]: BODY_TOO_SLOW,
   [BodyFailure.TooManyPieces]: TOO_MANY_PIECES,
   [BodyFailure.Disconnected]: CALLER_DISCONNECTED,
+  [BodyFailure.Unneeded]: DRAINING,
 };
 
 export interface RequestAdmissionOptions {
@@ -113,6 +114,9 @@
     const timeoutMs = Math.min(caller.remainingMs ?? route.timeoutMs, route.timeoutMs);
     const deadlineAt = receivedAt + timeoutMs;
     const read = await reception.read(current.limits.bodyBytes, deadlineAt, signal);
+    if (response.isAnswered) {
+      return Result.err(this.drainingAnswer);
+    }
     if (read.isErr) {
       return this._refuse(incoming, read.error, BODY_ANSWERS[read.error]);
     }
