--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -95,6 +95,29 @@
     this.server?.close();
   }
 
+  /** A copy of all topics as they are now. */
+  copy() {
+    return new Map([...this.topics].map(([name, { records }]) => [name, [...records]]));
+  }
+
+  /** Is away: ends all connections, and answers none. */
+  leave() {
+    this.isAway = true;
+    this.server.closeAllConnections();
+  }
+
+  /** Goes back to a copy, with the next era. */
+  restore(copy) {
+    this.era++;
+    for (const [name, log] of this.topics) {
+      log.records.splice(0, log.records.length, ...(copy.get(name) ?? []));
+    }
+  }
+
+  return() {
+    this.isAway = false;
+  }
+
   /** Appends a record; without a value, the key is dropped. */
   write(topic, key, value) {
     this.#append(topic, key, Buffer.from(value === undefined ? '' : JSON.stringify(value)));
@@ -118,6 +141,10 @@
   }
 
   async #serve(request, response) {
+    if (this.isAway) {
+      request.socket.destroy();
+      return;
+    }
     const pieces = [];
     for await (const piece of request) {
       pieces.push(piece);
